--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -18,5 +18,7 @@
 pub mod peer_socket;
 pub mod plain_service;
 pub mod platform;
+pub mod schema_check;
+pub mod settings;
 pub mod timer;
 pub mod token_hash;
--- /dev/null
+++ b/lib/src/schema_check.rs
@@ -0,0 +1,176 @@
+//! Checks a JSON document against one of the schemas and words each problem as one line.
+
+use jsonschema::ValidationError;
+use jsonschema::error::TypeKind;
+use jsonschema::error::ValidationErrorKind;
+use serde_json::Value;
+use std::fmt;
+
+/// Longest part of an offending value that a message repeats, in characters.
+const MAX_SHOWN_CHARS: usize = 60;
+
+/// One problem of a document.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Problem {
+    /// Path inside the document, as a JSON pointer; `/` is the document itself.
+    pub path: String,
+    /// What was found.
+    pub found: String,
+    /// What is allowed.
+    pub allowed: String,
+    /// What to do next.
+    pub hint: String,
+}
+
+impl Problem {
+    /// Returns a problem.
+    pub fn new(path: &str, found: &str, allowed: &str, hint: &str) -> Self {
+        let path = if path.is_empty() { "/" } else { path };
+        Self {
+            path: path.to_string(),
+            found: found.to_string(),
+            allowed: allowed.to_string(),
+            hint: hint.to_string(),
+        }
+    }
+}
+
+impl fmt::Display for Problem {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "{}: found {}; allowed: {}; hint: {}",
+            self.path, self.found, self.allowed, self.hint
+        )
+    }
+}
+
+/// Parses `text` as JSON and checks it against the schema in `schema`.
+///
+/// Returns the parsed document, or every problem in document order.
+pub fn check(schema: &str, text: &str) -> Result<Value, Vec<Problem>> {
+    let document: Value = serde_json::from_str(text).map_err(|e| vec![syntax_problem(&e)])?;
+    let schema: Value = serde_json::from_str(schema).map_err(|e| vec![schema_problem(&e)])?;
+    let validator = jsonschema::validator_for(&schema).map_err(|e| vec![schema_problem(&e)])?;
+    let mut problems: Vec<Problem> = vec![];
+    for e in validator.iter_errors(&document) {
+        problems.extend(word(&schema, &e));
+    }
+    if problems.is_empty() { Ok(document) } else { Err(problems) }
+}
+
+/// Shortens and escapes a value so that it fits on the line of a message.
+pub fn show(value: &Value) -> String {
+    let text = value.to_string();
+    if text.chars().count() <= MAX_SHOWN_CHARS {
+        return text;
+    }
+    let start: String = text.chars().take(MAX_SHOWN_CHARS).collect();
+    format!("{start}...")
+}
+
+fn syntax_problem(e: &serde_json::Error) -> Problem {
+    let found = format!("a syntax error at line {} column {} ({e})", e.line(), e.column());
+    Problem::new("/", &found, "one JSON object", "look for a missing comma, quote or bracket there")
+}
+
+fn schema_problem(e: &dyn fmt::Display) -> Problem {
+    let found = format!("an unusable schema in this build ({e})");
+    Problem::new("/", &found, "a valid schema", "report this as a fault of the program")
+}
+
+/// Words one error of the validator; several unknown keys become several problems.
+fn word(schema: &Value, e: &ValidationError<'_>) -> Vec<Problem> {
+    let path = e.instance_path().as_str();
+    let found = show(e.instance());
+    let one = |allowed: &str, hint: &str| vec![Problem::new(path, &found, allowed, hint)];
+    match e.kind() {
+        ValidationErrorKind::AdditionalProperties { unexpected } => {
+            let known = known_keys(schema, e.instance());
+            unexpected.iter().map(|key| unknown_key(path, key, &known)).collect()
+        }
+        ValidationErrorKind::Required { property } => {
+            let key = property.as_str().unwrap_or_default();
+            let path = format!("{path}/{key}");
+            let hint = format!("add the key {key:?}");
+            vec![Problem::new(&path, "nothing", "a value; the key is required", &hint)]
+        }
+        ValidationErrorKind::Type { kind } => {
+            let allowed = format!("a value of type {}", type_names(kind));
+            one(&allowed, "change the type of the value")
+        }
+        ValidationErrorKind::Minimum { limit } => {
+            one(&format!("{limit} or more"), "raise the value")
+        }
+        ValidationErrorKind::Maximum { limit } => {
+            one(&format!("{limit} or less"), "lower the value")
+        }
+        ValidationErrorKind::MinLength { limit } => {
+            one(&format!("{limit} or more characters"), "write a longer text")
+        }
+        ValidationErrorKind::MaxLength { limit } => {
+            one(&format!("at most {limit} characters"), "write a shorter text")
+        }
+        ValidationErrorKind::MaxItems { limit } => {
+            one(&format!("at most {limit} items"), "remove items")
+        }
+        ValidationErrorKind::Pattern { pattern } => {
+            one(&format!("a text that matches {pattern}"), "correct the text")
+        }
+        ValidationErrorKind::Enum { options } => {
+            one(&format!("one of {options}"), "use one of these values")
+        }
+        _ => one(&e.to_string(), "see the schema in schema/"),
+    }
+}
+
+fn type_names(kind: &TypeKind) -> String {
+    match kind {
+        TypeKind::Single(name) => name.to_string(),
+        TypeKind::Multiple(names) => {
+            names.iter().map(|name| name.to_string()).collect::<Vec<_>>().join(" or ")
+        }
+    }
+}
+
+fn unknown_key(path: &str, key: &str, known: &[String]) -> Problem {
+    let path = format!("{path}/{key}");
+    let hint = match known.iter().find(|name| is_similar(name, key)) {
+        Some(name) => format!("did you mean {name:?}?"),
+        None => "remove the key".to_string(),
+    };
+    let allowed = match known.is_empty() {
+        true => "no such key".to_string(),
+        false => format!("the keys {}", known.join(", ")),
+    };
+    Problem::new(&path, "an unknown key", &allowed, &hint)
+}
+
+/// Returns the keys of the definition that shares most keys with the object.
+fn known_keys(schema: &Value, object: &Value) -> Vec<String> {
+    let Some(object) = object.as_object() else { return vec![] };
+    let Some(defs) = schema["$defs"].as_object() else { return vec![] };
+    let shared = |def: &Value| {
+        let properties = def["properties"].as_object();
+        properties.map_or(0, |known| object.keys().filter(|key| known.contains_key(*key)).count())
+    };
+    let best = defs.values().max_by_key(|def| shared(def));
+    let properties = best.and_then(|def| def["properties"].as_object());
+    properties.map(|known| known.keys().cloned().collect()).unwrap_or_default()
+}
+
+/// Tells whether two keys differ by at most two edits.
+fn is_similar(a: &str, b: &str) -> bool {
+    let (a, b): (Vec<char>, Vec<char>) = (a.chars().collect(), b.chars().collect());
+    let mut row: Vec<usize> = (0..=b.len()).collect();
+    for (i, x) in a.iter().enumerate() {
+        let mut diagonal = row[0];
+        row[0] = i + 1;
+        for (j, y) in b.iter().enumerate() {
+            let substituted = diagonal + usize::from(x != y);
+            diagonal = row[j + 1];
+            row[j + 1] = substituted.min(row[j] + 1).min(diagonal + 1);
+        }
+    }
+    row[b.len()] <= 2
+}
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -1,3 +1,4 @@
 //! Runs the integration tests of the library.
 
 mod test_object_view;
+mod test_settings;
