store: add the queued client that resolves lost answers by reading back

Cause: every part of a node needs the platform's store, whose rate is bounded, which has outages and which may lose an answer after the write took effect.

Change: one queue per node with priorities and a share of the fleet's rate, retries with jittered backoff, an outage detector that fails calls at once and probes, read-back of unclear writes, and a watch that lists again after compaction.

Conclusion: the parts that need the store can be written against it.

--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -1,6 +1,7 @@
 //! The substance of guavaladder: configuration, platform client, membership, groups, routing,
 //! requests and reports. The daemon and the command line are thin programs over this library.
 
+pub mod call_queue;
 pub mod clock;
 pub mod config_view;
 pub mod cx;
@@ -15,8 +16,12 @@
 pub mod metric_names;
 pub mod metrics;
 pub mod object_view;
+pub mod object_watch;
 pub mod peer_socket;
 pub mod plain_service;
 pub mod platform;
+pub mod store_client;
+pub mod store_error;
+pub mod store_outage;
 pub mod timer;
 pub mod token_hash;
--- /dev/null
+++ b/lib/src/store_client.rs
@@ -0,0 +1,256 @@
+//! The client of the platform's object store: queued by priority, retried with backoff, and with
+//! lost answers resolved by reading back.
+
+pub use crate::call_queue::CallClass;
+use crate::call_queue::CallQueue;
+use crate::cx::Cx;
+use crate::generated::events::Event;
+use crate::generated::platform::ObjectList;
+use crate::generated::platform::PutObject;
+use crate::generated::platform::PutOutcome;
+use crate::generated::platform::VersionedObject;
+use crate::generated::platform::WatchBatch;
+use crate::ids::ObjectVersion;
+use crate::metric_names;
+use crate::platform::ObjectStore;
+use crate::platform::PlatformError;
+pub use crate::store_error::StoreError;
+use crate::store_outage::Admission;
+use crate::store_outage::OutageDetector;
+use crate::store_outage::Transition;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Longest wait for the answer to a call, a watch's own wait not counted.
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+/// Attempts of a call.
+const MAX_ATTEMPTS: u32 = 4;
+/// Pause before the second attempt; doubled for each further one.
+const RETRY_PAUSE: Duration = Duration::from_millis(50);
+
+/// Handle to the store client of a node.
+#[derive(Clone)]
+pub struct StoreClient {
+    cx: Cx,
+    store: Arc<dyn ObjectStore>,
+    queue: CallQueue,
+    outage: OutageDetector,
+}
+
+/// What reading back an object told about a write.
+enum ReadBack {
+    /// The object holds our text.
+    Written(ObjectVersion),
+    /// The object still has the version that the write named.
+    Unchanged,
+    /// The object has this other version.
+    Superseded(ObjectVersion),
+}
+
+impl StoreClient {
+    /// Starts the client's queue.
+    pub fn new(cx: Cx, store: Arc<dyn ObjectStore>) -> Self {
+        let seed = blake3::hash(cx.node().as_bytes());
+        let seed = seed.as_bytes().iter().take(8).fold(0, |n, byte| n << 8 | u64::from(*byte));
+        let outage = OutageDetector::new(cx.clock.clone(), seed);
+        Self { queue: CallQueue::new(cx.clone()), cx, store, outage }
+    }
+
+    /// Tells whether the store is believed to be available.
+    pub fn is_available(&self) -> bool {
+        self.outage.is_available()
+    }
+
+    /// Reads one object; `None` when it does not exist.
+    pub async fn get(
+        &self,
+        class: CallClass,
+        key: &str,
+    ) -> Result<Option<VersionedObject>, StoreError> {
+        let mut attempt = 0;
+        loop {
+            self.turn(class).await?;
+            let result = self.answered(CALL_TIMEOUT, self.store.get(key)).await;
+            match result {
+                Ok(object) => return Ok(object),
+                Err(e) => self.pause_or_fail(&mut attempt, e, StoreError::NotTaken).await?,
+            }
+        }
+    }
+
+    /// Lists the objects below a prefix.
+    pub async fn list(&self, class: CallClass, prefix: &str) -> Result<ObjectList, StoreError> {
+        let mut attempt = 0;
+        loop {
+            self.turn(class).await?;
+            let result = self.answered(CALL_TIMEOUT, self.store.list(prefix)).await;
+            match result {
+                Ok(list) => return Ok(list),
+                Err(e) => self.pause_or_fail(&mut attempt, e, StoreError::NotTaken).await?,
+            }
+        }
+    }
+
+    /// Waits up to `wait` for changes below a prefix after a revision.
+    ///
+    /// A batch marked `compacted` has no changes; [`crate::object_watch::ObjectWatch`] lists again then.
+    pub async fn watch(
+        &self,
+        class: CallClass,
+        prefix: &str,
+        after: u64,
+        wait: Duration,
+    ) -> Result<WatchBatch, StoreError> {
+        let mut attempt = 0;
+        loop {
+            self.turn(class).await?;
+            let call = self.store.watch(prefix, after, wait);
+            match self.answered(wait + CALL_TIMEOUT, call).await {
+                Ok(batch) => return Ok(batch),
+                Err(e) => self.pause_or_fail(&mut attempt, e, StoreError::NotTaken).await?,
+            }
+        }
+    }
+
+    /// Writes an object if it has the version that the write names.
+    ///
+    /// A stored text that equals ours counts as written, since each text carries the id of its
+    /// write. `Conflict` gives the current version; a write that took effect and was then replaced
+    /// by another is also reported as a conflict.
+    pub async fn put(&self, class: CallClass, put: PutObject) -> Result<PutOutcome, StoreError> {
+        let mut attempt = 0;
+        let mut is_unclear = false;
+        loop {
+            if let Err(e) = self.turn(class).await {
+                return Err(unclear_unless(!is_unclear, e));
+            }
+            let result = self.answered(CALL_TIMEOUT, self.store.put(&put)).await;
+            let error = match result {
+                Ok(PutOutcome::Written(version)) => return Ok(PutOutcome::Written(version)),
+                Ok(PutOutcome::Conflict(_)) => PlatformError::AnswerLost {
+                    reason: "a conflict may be with our own write".to_string(),
+                },
+                Err(e) => e,
+            };
+            is_unclear |= !matches!(error, PlatformError::NotTaken { .. });
+            if is_unclear {
+                match self.read_back(class, &put).await {
+                    Ok(ReadBack::Written(version)) => return Ok(PutOutcome::Written(version)),
+                    Ok(ReadBack::Superseded(version)) => return Ok(PutOutcome::Conflict(version)),
+                    Ok(ReadBack::Unchanged) | Err(_) => {}
+                }
+            }
+            let fail = if is_unclear { StoreError::Unclear } else { StoreError::NotTaken };
+            self.pause_or_fail(&mut attempt, error, fail).await?;
+        }
+    }
+
+    /// Deletes an object if it has this version; an object that is gone counts as deleted.
+    pub async fn delete(
+        &self,
+        class: CallClass,
+        key: &str,
+        if_version: ObjectVersion,
+    ) -> Result<PutOutcome, StoreError> {
+        let mut attempt = 0;
+        let mut is_unclear = false;
+        loop {
+            if let Err(e) = self.turn(class).await {
+                return Err(unclear_unless(!is_unclear, e));
+            }
+            let result = self.answered(CALL_TIMEOUT, self.store.delete(key, if_version)).await;
+            let error = match result {
+                Ok(PutOutcome::Conflict(0)) if is_unclear => {
+                    return Ok(PutOutcome::Written(if_version));
+                }
+                Ok(outcome) => return Ok(outcome),
+                Err(e) => e,
+            };
+            is_unclear |= !matches!(error, PlatformError::NotTaken { .. });
+            let fail = if is_unclear { StoreError::Unclear } else { StoreError::NotTaken };
+            self.pause_or_fail(&mut attempt, error, fail).await?;
+        }
+    }
+
+    /// Reads the object of a write whose answer is unclear; one attempt.
+    async fn read_back(&self, class: CallClass, put: &PutObject) -> Result<ReadBack, StoreError> {
+        self.turn(class).await?;
+        let object = self.answered(CALL_TIMEOUT, self.store.get(&put.key)).await;
+        let object = object.map_err(StoreError::NotTaken)?;
+        let version = object.as_ref().map_or(0, |object| object.version);
+        let is_ours = object.is_some_and(|object| object.value == put.value);
+        if is_ours {
+            return Ok(ReadBack::Written(version));
+        }
+        if version == put.if_version {
+            return Ok(ReadBack::Unchanged);
+        }
+        Ok(ReadBack::Superseded(version))
+    }
+
+    async fn turn(&self, class: CallClass) -> Result<(), StoreError> {
+        if self.outage.admit() == Admission::Refused {
+            return Err(StoreError::Unavailable);
+        }
+        let granted = self.queue.turn(class).await;
+        if granted.is_err() {
+            self.cx.metrics.count(metric_names::STORE_CALLS_SHED, 1);
+        }
+        Ok(granted?)
+    }
+
+    /// Makes one call with a time-out and tells the outage detector what came of it.
+    async fn answered<T>(
+        &self,
+        bound: Duration,
+        call: impl Future<Output = Result<T, PlatformError>>,
+    ) -> Result<T, PlatformError> {
+        self.cx.metrics.count(metric_names::STORE_CALLS, 1);
+        let result = tokio::time::timeout(bound, call).await.unwrap_or_else(|_| {
+            let reason = format!("no answer within {} ms", bound.as_millis());
+            Err(PlatformError::AnswerLost { reason })
+        });
+        let transition = match &result {
+            Ok(_) => self.outage.succeeded(),
+            Err(_) => self.outage.failed(),
+        };
+        if let Err(e) = &result {
+            self.cx.metrics.count(metric_names::STORE_CALL_FAILURES, 1);
+            log::debug!("store call failed: {e}");
+        }
+        match transition {
+            Some(Transition::Away) => {
+                let reason = result.as_ref().err().map(ToString::to_string).unwrap_or_default();
+                self.cx.record(Event::StoreAway { node: self.cx.node().to_string(), reason });
+            }
+            Some(Transition::Back(away_for)) => {
+                self.cx.record(Event::StoreBack { node: self.cx.node().to_string(), away_for });
+            }
+            None => {}
+        }
+        result
+    }
+
+    async fn pause_or_fail(
+        &self,
+        attempt: &mut u32,
+        error: PlatformError,
+        fail: fn(PlatformError) -> StoreError,
+    ) -> Result<(), StoreError> {
+        *attempt += 1;
+        if *attempt >= MAX_ATTEMPTS || !self.is_available() {
+            return Err(fail(error));
+        }
+        let pause = self.outage.retry_pause(*attempt - 1, RETRY_PAUSE);
+        tokio::time::sleep(pause).await;
+        Ok(())
+    }
+}
+
+/// Keeps an error only where no earlier attempt may have had an effect.
+fn unclear_unless(is_clear: bool, error: StoreError) -> StoreError {
+    if is_clear {
+        return error;
+    }
+    StoreError::Unclear(PlatformError::AnswerLost { reason: error.to_string() })
+}
