settings: report problems in path order

Cause: the order followed the JSON library's map, which depends on the features that a build turns on. Change: problems are sorted by their path. Conclusion: the same file gives the same lines in every build.

--- a/lib/src/schema_check.rs
+++ b/lib/src/schema_check.rs
@@ -47,7 +47,7 @@
 
 /// Parses `text` as JSON and checks it against the schema in `schema`.
 ///
-/// Returns the parsed document, or every problem in document order.
+/// Returns the parsed document, or every problem in path order.
 pub fn check(schema: &str, text: &str) -> Result<Value, Vec<Problem>> {
     let document: Value = serde_json::from_str(text).map_err(|e| vec![syntax_problem(&e)])?;
     let schema: Value = serde_json::from_str(schema).map_err(|e| vec![schema_problem(&e)])?;
@@ -56,6 +56,7 @@
     for e in validator.iter_errors(&document) {
         problems.extend(word(&schema, &e));
     }
+    problems.sort_by(|a, b| a.path.cmp(&b.path));
     if problems.is_empty() { Ok(document) } else { Err(problems) }
 }
 
