--- a/lib/src/fair_queue.rs
+++ b/lib/src/fair_queue.rs
@@ -1,6 +1,7 @@
 //! Queue of the requests that wait for a replica of one service: by priority, then by the
 //! customers' weighted use of the replicas, then by arrival.
 
+use crate::admission::Slot;
 use crate::generated::engine::Priority;
 use crate::ids::CustomerId;
 use crate::replica::Replica;
@@ -25,7 +26,7 @@
     /// Latest useful start.
     pub start_by: Instant,
     /// Takes the replica once there is one.
-    pub tx: oneshot::Sender<Arc<Replica>>,
+    pub tx: oneshot::Sender<Slot>,
 }
 
 /// Requests that wait for one service.
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -1,13 +1,22 @@
 //! The substance of guavaladder: configuration, platform client, membership, groups, routing,
 //! requests and reports. The daemon and the command line are thin programs over this library.
 
+pub mod admission;
+pub mod answer;
+pub mod call_queue;
+pub mod caller_api;
+pub mod caller_auth;
+pub mod caller_error;
+pub mod caller_sse;
 pub mod clock;
+pub mod concurrency_limit;
 pub mod config_view;
 pub mod cx;
 pub mod duration_ms;
 pub mod engine;
 pub mod event_log;
 pub mod facts;
+pub mod fair_queue;
 pub mod generated;
 pub mod ids;
 pub mod instance_view;
@@ -15,8 +24,23 @@
 pub mod metric_names;
 pub mod metrics;
 pub mod object_view;
+pub mod object_watch;
+pub mod outlier;
 pub mod peer_socket;
 pub mod plain_service;
 pub mod platform;
+pub mod release_rate;
+pub mod replica;
+pub mod replica_load;
+pub mod request;
+pub mod request_path;
+pub mod retry_budget;
+pub mod route_table;
+pub mod router;
+pub mod schema_check;
+pub mod settings;
+pub mod store_client;
+pub mod store_error;
+pub mod store_outage;
 pub mod timer;
 pub mod token_hash;
