--- a/lib/src/admission.rs
+++ b/lib/src/admission.rs
@@ -128,7 +128,13 @@
         let is_behind = state.queue.has_rival(ask.choice.priority);
         match chosen {
             Chosen::Replica(replica) if !is_behind => {
-                return Ok(Entered::Slot(self.take(state, replica, &ask.customer, &ask.choice, now)));
+                return Ok(Entered::Slot(self.take(
+                    state,
+                    replica,
+                    &ask.customer,
+                    &ask.choice,
+                    now,
+                )));
             }
             Chosen::None => {
                 let message = "no replica of the service takes requests";
--- /dev/null
+++ b/lib/src/caller_api.rs
@@ -0,0 +1,216 @@
+//! The callers' API.
+
+use crate::answer::Answer;
+use crate::answer::Part;
+use crate::caller_auth;
+use crate::caller_error;
+use crate::caller_error::write_json;
+use crate::caller_sse;
+use crate::generated::config::ServiceKind;
+use crate::generated::requests::ErrorCode;
+use crate::generated::requests::GenerateBody;
+use crate::generated::requests::GenerateReply;
+use crate::generated::requests::Outcome;
+use crate::ids::CustomerId;
+use crate::metric_names;
+use crate::prefix_hash::prefix_hash;
+use crate::request::Request;
+use crate::request::RequestError;
+use crate::request::fingerprint;
+use crate::request_path::RequestPath;
+use crate::request_path::no_config;
+use crate::request_path::no_service;
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use http_body_util::Limited;
+use salvo::Router;
+use salvo::handler;
+use salvo::http::HeaderValue;
+use salvo::http::Response;
+use salvo::http::StatusCode;
+use salvo::http::header;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Time in which a request's body must have arrived.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+/// Bound on a body where the configuration is not known.
+const DEFAULT_MAX_BODY_BYTES: u64 = 1 << 20;
+
+/// Returns the routes of the callers' API.
+pub fn router(path: RequestPath) -> Router {
+    Router::new()
+        .push(Router::with_path("v1/generate").post(Generate { path: path.clone() }))
+        .push(Router::with_path("healthz").get(Health))
+        .push(Router::with_path("readyz").get(Ready { path }))
+}
+
+struct Health;
+
+#[handler]
+impl Health {
+    async fn handle(&self, res: &mut Response) {
+        write_json(res, br#"{"status":"up"}"#);
+    }
+}
+
+struct Ready {
+    path: RequestPath,
+}
+
+#[handler]
+impl Ready {
+    async fn handle(&self, res: &mut Response) {
+        if self.path.is_draining() {
+            let message = "this node is shutting down";
+            let error = RequestError::not_run(ErrorCode::ShuttingDown, message);
+            return caller_error::render(res, &error);
+        }
+        match self.path.cx().config.get() {
+            Some(_) => write_json(res, br#"{"status":"ready"}"#),
+            None => caller_error::render(res, &no_config()),
+        }
+    }
+}
+
+struct Generate {
+    path: RequestPath,
+}
+
+#[handler]
+impl Generate {
+    async fn handle(&self, req: &mut salvo::Request, res: &mut Response) {
+        self.path.cx().metrics.count(metric_names::REQUESTS, 1);
+        if let Err(e) = self.answer(req, res).await {
+            caller_error::render(res, &e);
+        }
+    }
+
+    async fn answer(
+        &self,
+        req: &mut salvo::Request,
+        res: &mut Response,
+    ) -> Result<(), RequestError> {
+        let customer = caller_auth::customer(self.path.cx(), req.headers())?;
+        let body = read_body(&self.path, req).await?;
+        let body: GenerateBody = parse(&body)?;
+        let is_stream = body.stream;
+        let (req, emitted) = request(&self.path, customer, body)?;
+        let terms = self.path.terms(&req.customer, &req.service_id)?;
+        let mut answer = self.path.generate(Arc::new(req), terms, emitted).await?;
+        if is_stream {
+            let first = answer.next().await?;
+            let sse = HeaderValue::from_static("text/event-stream");
+            res.status_code(StatusCode::OK).headers_mut().insert(header::CONTENT_TYPE, sse);
+            let no_store = HeaderValue::from_static("no-store");
+            res.headers_mut().insert(header::CACHE_CONTROL, no_store);
+            res.stream(caller_sse::events(answer, first));
+            return Ok(());
+        }
+        let reply = whole(answer).await?;
+        write_json(res, &serde_json::to_vec(&reply).unwrap_or_default());
+        Ok(())
+    }
+}
+
+/// Waits for the whole answer.
+async fn whole(mut answer: Answer) -> Result<GenerateReply, RequestError> {
+    loop {
+        match answer.next().await? {
+            Part::Tokens(_) => {}
+            Part::End(reason) => {
+                return Ok(GenerateReply {
+                    request: answer.request().id.clone(),
+                    text: answer.emitted().concat(),
+                    length: answer.emitted().len() as u32,
+                    reason,
+                    outcome: Outcome::Whole,
+                });
+            }
+            Part::Moved => {
+                let message = "this node shut down before the answer was complete";
+                let error = RequestError::unknown(ErrorCode::ShuttingDown, message);
+                return Err(error.with_request(&answer.request().id));
+            }
+        }
+    }
+}
+
+/// Reads a body within its bounds on size and time.
+pub async fn read_body(
+    path: &RequestPath,
+    req: &mut salvo::Request,
+) -> Result<Bytes, RequestError> {
+    let record = path.cx().config.get();
+    let max = record.map_or(DEFAULT_MAX_BODY_BYTES, |r| r.config.defaults.max_prompt_bytes);
+    let body = Limited::new(req.take_body(), max as usize);
+    match tokio::time::timeout(BODY_TIMEOUT, body.collect()).await {
+        Ok(Ok(collected)) => Ok(collected.to_bytes()),
+        Ok(Err(e)) if e.is::<http_body_util::LengthLimitError>() => {
+            let message = format!("the body is larger than {max} bytes");
+            Err(RequestError::not_run(ErrorCode::TooLarge, message))
+        }
+        Ok(Err(_)) => {
+            Err(RequestError::not_run(ErrorCode::Malformed, "the body did not arrive whole"))
+        }
+        Err(_) => {
+            let message = format!("the body did not arrive within {BODY_TIMEOUT:?}");
+            Err(RequestError::not_run(ErrorCode::TooSlow, message))
+        }
+    }
+}
+
+fn parse(body: &[u8]) -> Result<GenerateBody, RequestError> {
+    serde_json::from_slice(body)
+        .map_err(|e| RequestError::not_run(ErrorCode::Malformed, format!("the body: {e}")))
+}
+
+/// Checks a body and returns the request that it asks for, with the tokens that the caller has.
+fn request(
+    path: &RequestPath,
+    customer: CustomerId,
+    body: GenerateBody,
+) -> Result<(Request, Vec<String>), RequestError> {
+    path.check_kind(&body.service, ServiceKind::Engine)?;
+    let record = path.cx().config.get().ok_or_else(no_config)?;
+    let service = record.config.services.get(&body.service).ok_or_else(no_service)?;
+    let terms = path.terms(&customer, &body.service)?;
+    if body.max_tokens == 0 || body.max_tokens > MAX_TOKENS {
+        let message = format!("max_tokens must be within 1 and {MAX_TOKENS}");
+        return Err(RequestError::not_run(ErrorCode::Malformed, message));
+    }
+    let (id, emitted) = match body.resume {
+        None => (caller_auth::new_request_id(&customer), vec![]),
+        Some(resume) => {
+            let id = caller_auth::resumed_request_id(&customer, &resume.token);
+            let message = "the stream's token is not valid";
+            let id = id.ok_or_else(|| RequestError::not_run(ErrorCode::Malformed, message))?;
+            (id, resume.emitted)
+        }
+    };
+    if emitted.len() > body.max_tokens as usize {
+        let message = "more tokens were received than asked for";
+        return Err(RequestError::not_run(ErrorCode::Malformed, message));
+    }
+    let deadline = body.deadline.unwrap_or(terms.deadline).min(terms.deadline);
+    let request = Request {
+        id,
+        customer,
+        service: service.clone(),
+        path: String::new(),
+        max_tokens: body.max_tokens,
+        priority: body.priority,
+        key: body.idempotency_key,
+        deadline: Instant::now() + deadline,
+        fingerprint: fingerprint(&body.service, body.adapter.as_deref(), "", &body.prompt),
+        prefix: prefix_hash(&body.prompt),
+        adapter: body.adapter,
+        service_id: body.service,
+        prompt: body.prompt,
+    };
+    Ok((request, emitted))
+}
+
+/// Largest bound on the tokens of an answer.
+const MAX_TOKENS: u32 = 1_000_000;
--- a/lib/src/fair_queue.rs
+++ b/lib/src/fair_queue.rs
@@ -78,7 +78,8 @@
     pub fn rival_weights(&self, customer: &str, priority: Priority) -> u32 {
         let mut weights: BTreeMap<&str, u32> = BTreeMap::new();
         for ((class, rival), queue) in &self.waiting {
-            if let Some(waiter) = queue.front().filter(|_| *class <= priority && rival != customer) {
+            if let Some(waiter) = queue.front().filter(|_| *class <= priority && rival != customer)
+            {
                 weights.insert(rival, waiter.weight);
             }
         }
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod admission;
 pub mod answer;
+pub mod attempt;
 pub mod call_queue;
 pub mod caller_api;
 pub mod caller_auth;
@@ -29,11 +30,13 @@
 pub mod peer_socket;
 pub mod plain_service;
 pub mod platform;
+pub mod prefix_hash;
 pub mod release_rate;
 pub mod replica;
 pub mod replica_load;
 pub mod request;
 pub mod request_path;
+pub mod request_terms;
 pub mod retry_budget;
 pub mod route_table;
 pub mod router;
@@ -42,5 +45,6 @@
 pub mod store_client;
 pub mod store_error;
 pub mod store_outage;
+pub mod suspects;
 pub mod timer;
 pub mod token_hash;
--- a/lib/src/replica.rs
+++ b/lib/src/replica.rs
@@ -71,6 +71,12 @@
         Self { identity, hash, state: Mutex::default() }
     }
 
+    /// Returns the id of this replica's crash, alike on every node.
+    pub fn crash_id(&self) -> u64 {
+        let identity = &self.identity;
+        crate::request::mix(self.hash, identity.epoch ^ identity.generation.rotate_left(32))
+    }
+
     /// Returns the room for a request of this priority as a part of the limit: 0 or less when full.
     pub fn room(&self, priority: Priority) -> f64 {
         let state = self.lock();
