--- /dev/null
+++ b/daemon/src/args.rs
@@ -0,0 +1,69 @@
+//! Command line of the daemon.
+
+use getopts::Options;
+use std::path::PathBuf;
+
+/// What the command line asks for.
+#[derive(Debug)]
+pub enum Command {
+    /// Run with this settings file.
+    Run(PathBuf),
+    /// Check this settings file.
+    Check(PathBuf),
+    /// Print the version.
+    Version,
+    /// Print the help.
+    Help,
+}
+
+/// Errors of the command line.
+#[derive(Debug, thiserror::Error)]
+pub enum ArgsError {
+    /// An option is unknown or lacks its value.
+    #[error("{0}; hint: see `guavaladderd --help`")]
+    Options(#[from] getopts::Fail),
+    /// An argument that is no option.
+    #[error("unexpected argument {0:?}; hint: see `guavaladderd --help`")]
+    Unexpected(String),
+    /// No settings file was named.
+    #[error("no settings file; hint: use `guavaladderd --config FILE`")]
+    NoConfig,
+}
+
+/// Parses the arguments after the program's name.
+pub fn parse(args: impl Iterator<Item = String>) -> Result<Command, ArgsError> {
+    let matches = options().parse(args)?;
+    if matches.opt_present("help") {
+        return Ok(Command::Help);
+    }
+    if matches.opt_present("version") {
+        return Ok(Command::Version);
+    }
+    if let Some(argument) = matches.free.first() {
+        return Err(ArgsError::Unexpected(argument.clone()));
+    }
+    let path = matches.opt_str("config").map(PathBuf::from).ok_or(ArgsError::NoConfig)?;
+    match matches.opt_present("check") {
+        true => Ok(Command::Check(path)),
+        false => Ok(Command::Run(path)),
+    }
+}
+
+/// Returns the help text.
+pub fn help() -> String {
+    let brief = "Usage: guavaladderd --config FILE [--check]\n\nServes models whose replicas span \
+                 several instances; see docs/operators/install.md.";
+    let usage = options().usage(brief);
+    format!(
+        "{usage}\nExit status: 0 after a graceful shutdown, 1 on a failure, 2 on wrong arguments or settings."
+    )
+}
+
+fn options() -> Options {
+    let mut options = Options::new();
+    options.optopt("", "config", "settings file in JSON", "FILE");
+    options.optflag("", "check", "check the settings file and exit");
+    options.optflag("", "version", "print the version and exit");
+    options.optflag("h", "help", "print this help and exit");
+    options
+}
--- a/lib/src/event_log.rs
+++ b/lib/src/event_log.rs
@@ -8,6 +8,8 @@
 use std::sync::PoisonError;
 use std::time::Duration;
 
+/// Log target of the events.
+const TARGET: &str = "guavaladder";
 /// Events kept in memory.
 const RECENT_EVENTS: usize = 4096;
 
@@ -35,8 +37,7 @@
 
     /// Logs an event and keeps it among the recent ones.
     pub fn record(&self, event: Event) {
-        let text = render(&event);
-        log::log!(target: "guavaladder", event.level(), "{text}");
+        write_log(&event);
         let mut recent = self.recent.lock().unwrap_or_else(PoisonError::into_inner);
         if recent.len() == RECENT_EVENTS {
             recent.pop_front();
@@ -59,6 +60,22 @@
     }
 }
 
+/// Writes an event to the log, its fields both in the message and as attributes.
+fn write_log(event: &Event) {
+    let fields = event.fields();
+    let attributes: Vec<(&str, &str)> =
+        fields.iter().map(|(name, value)| (*name, value.as_str())).collect();
+    let logger = log::logger();
+    let metadata = log::Metadata::builder().level(event.level()).target(TARGET).build();
+    if event.level() > log::max_level() || !logger.enabled(&metadata) {
+        return;
+    }
+    let text = render(event);
+    let mut record = log::Record::builder();
+    record.metadata(metadata).key_values(&attributes);
+    logger.log(&record.args(format_args!("{text}")).build());
+}
+
 /// Renders an event as `GLnnnn name key=value ...`; values with spaces are quoted.
 pub fn render(event: &Event) -> String {
     let mut text = format!("GL{:04} {}", event.number(), event.name());
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod call_queue;
 pub mod clock;
+pub mod config_diff;
 pub mod config_view;
 pub mod cx;
 pub mod duration_ms;
@@ -10,6 +11,7 @@
 pub mod event_log;
 pub mod facts;
 pub mod generated;
+pub mod http_server;
 pub mod ids;
 pub mod instance_view;
 pub mod member_view;
@@ -17,6 +19,10 @@
 pub mod metrics;
 pub mod object_view;
 pub mod object_watch;
+pub mod operator_api;
+pub mod operator_error;
+pub mod operator_status;
+pub mod operator_why;
 pub mod peer_socket;
 pub mod plain_service;
 pub mod platform;
