testutils: add a fake store and a fake world of engines

Cause: tests of groups, requests and nodes need a platform and upstreams that fail on demand. Change: FakeStore keeps versions, conditional writes and long-poll watches with faults and call counters; EngineWorld keeps instances that load, batch, stream, resume, crash, pause and lag, logs each start of a request and reports the promises that it broke. prefix_hash names prompt prefixes. Conclusion: both run on tokio's paused time and give the same run each time.

--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -18,5 +18,6 @@
 pub mod peer_socket;
 pub mod plain_service;
 pub mod platform;
+pub mod prefix_hash;
 pub mod timer;
 pub mod token_hash;
--- /dev/null
+++ b/lib/tests/test_engine_world.rs
@@ -0,0 +1,247 @@
+//! Tests of the fake engines that other tests rest on.
+
+use futures_util::StreamExt;
+use guavaladder_lib::clock::Clock;
+use guavaladder_lib::engine::Engine;
+use guavaladder_lib::engine::UpstreamError;
+use guavaladder_lib::generated::engine::Assignment;
+use guavaladder_lib::generated::engine::FinishReason;
+use guavaladder_lib::generated::engine::GenerateRequest;
+use guavaladder_lib::generated::engine::GroupRole;
+use guavaladder_lib::generated::engine::MemberState;
+use guavaladder_lib::generated::engine::Order;
+use guavaladder_lib::generated::engine::OrderAction;
+use guavaladder_lib::generated::engine::OrderReply;
+use guavaladder_lib::generated::engine::PlainRequest;
+use guavaladder_lib::generated::engine::Priority;
+use guavaladder_lib::generated::engine::StreamRecord;
+use guavaladder_lib::generated::platform::InstanceInfo;
+use guavaladder_lib::generated::platform::InstanceRole;
+use guavaladder_lib::generated::platform::InstanceState;
+use guavaladder_lib::plain_service::PlainService;
+use guavaladder_testutils::engine_options::EngineOptions;
+use guavaladder_testutils::engine_world::EngineWorld;
+use guavaladder_testutils::token_text::Answer;
+use guavaladder_testutils::token_text::POISON_MARKER;
+use guavaladder_testutils::world_oracle::BrokenPromise;
+use std::time::Duration;
+
+const EPOCH: u64 = 3;
+
+fn info(index: u32, role: InstanceRole) -> InstanceInfo {
+    InstanceInfo {
+        instance: format!("i{index}"),
+        address: format!("10.0.0.{index}:80"),
+        role,
+        domain: "d1".to_string(),
+        data_centre: "dc1".to_string(),
+        region: "r1".to_string(),
+        accelerators: 8,
+        kind: "gpu".to_string(),
+        service: Some("filing".to_string()),
+        state: InstanceState::Live,
+    }
+}
+
+fn world(engines: u32) -> EngineWorld {
+    let world = EngineWorld::new(Clock::with_tokio_time(Duration::from_secs(1_000)));
+    for index in 0..engines {
+        world.add_instance(info(index, InstanceRole::Engine), EngineOptions::default());
+    }
+    world.add_instance(info(99, InstanceRole::Plain), EngineOptions::default());
+    world
+}
+
+fn assignment(shard: u32) -> Assignment {
+    Assignment {
+        group: "g1".to_string(),
+        epoch: EPOCH,
+        shard,
+        members: vec!["i0".to_string(), "i1".to_string()],
+        service: "drafting".to_string(),
+        model: "m".to_string(),
+        version: "1".to_string(),
+        adapter: None,
+        role: GroupRole::Full,
+    }
+}
+
+fn order(id: &str, epoch: u64, action: OrderAction) -> Order {
+    let deadline_unix = Duration::from_secs(2_000);
+    Order { order: id.to_string(), domain: "d1".to_string(), epoch, deadline_unix, action }
+}
+
+fn request(prompt: &str) -> GenerateRequest {
+    GenerateRequest {
+        request: "r1".to_string(),
+        attempt: 7,
+        group: "g1".to_string(),
+        epoch: EPOCH,
+        prompt: prompt.to_string(),
+        max_tokens: 100,
+        priority: Priority::Normal,
+        adapter: None,
+        offset: 0,
+        emitted: vec![],
+        idempotency_key: None,
+    }
+}
+
+fn address(index: u32) -> String {
+    format!("10.0.0.{index}:80")
+}
+
+async fn join(world: &EngineWorld, index: u32) {
+    let join = order(&format!("join{index}"), EPOCH, OrderAction::Join(assignment(index)));
+    let reply = world.order(&address(index), &join).await.unwrap();
+    assert!(matches!(reply, OrderReply::Accepted(_)), "{reply:?}");
+}
+
+async fn whole_group() -> EngineWorld {
+    let world = world(2);
+    join(&world, 0).await;
+    join(&world, 1).await;
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    world
+}
+
+async fn collect(world: &EngineWorld, req: &GenerateRequest) -> (String, Option<FinishReason>) {
+    let mut records = world.generate(&address(0), req).await.unwrap();
+    let (mut text, mut reason) = (String::new(), None);
+    while let Some(record) = records.next().await {
+        match record {
+            Ok(StreamRecord::Accepted(_)) => {}
+            Ok(StreamRecord::Tokens(record)) => text.push_str(&record.tokens.concat()),
+            Ok(StreamRecord::End(record)) => reason = Some(record.reason),
+            Err(_) => break,
+        }
+    }
+    (text, reason)
+}
+
+#[tokio::test(start_paused = true)]
+async fn generate_whole_answer() {
+    let world = whole_group().await;
+    let answer = Answer::new("m", "1", None, "hello", 100);
+    let whole = collect(&world, &request("hello")).await;
+    assert_eq!(whole, (answer.text(), Some(FinishReason::Stop)));
+    assert_eq!(world.executions().len(), 1);
+    assert!(world.violations().is_empty());
+}
+
+#[tokio::test(start_paused = true)]
+async fn generate_resumed_from_emitted_tokens() {
+    let world = whole_group().await;
+    let answer = Answer::new("m", "1", None, "hello length:20", 100);
+    let mut req = request("hello length:20");
+    req.offset = 5;
+    assert!(matches!(
+        world.generate(&address(0), &req).await.err(),
+        Some(UpstreamError::Refused { .. })
+    ));
+    req.emitted = answer.tokens(0, 5);
+    assert_eq!(collect(&world, &req).await.0, answer.tokens(5, 20).concat());
+    req.emitted[2] = "other".to_string();
+    collect(&world, &req).await;
+    assert_eq!(world.violations()[0].promise, BrokenPromise::WrongResume);
+}
+
+#[tokio::test(start_paused = true)]
+async fn generate_on_partial_group_is_a_violation() {
+    let world = world(2);
+    join(&world, 0).await;
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    collect(&world, &request("hello")).await;
+    assert_eq!(world.violations()[0].promise, BrokenPromise::PartialGroup);
+}
+
+#[tokio::test(start_paused = true)]
+async fn generate_refused_for_another_epoch() {
+    let world = whole_group().await;
+    let mut req = request("hello");
+    req.epoch += 1;
+    let refused = world.generate(&address(0), &req).await.err();
+    assert!(matches!(refused, Some(UpstreamError::Refused { .. })));
+}
+
+#[tokio::test(start_paused = true)]
+async fn kill_of_a_member_breaks_the_group() {
+    let world = whole_group().await;
+    let mut records = world.generate(&address(0), &request("hello")).await.unwrap();
+    assert!(records.next().await.unwrap().is_ok());
+    assert!(records.next().await.unwrap().is_ok());
+    world.kill(&address(1));
+    assert!(matches!(records.next().await, Some(Err(UpstreamError::Interrupted { .. }))));
+    assert_eq!(world.peek_status(&address(0)).unwrap().state, MemberState::Failed);
+    assert!(matches!(world.status(&address(1)).await, Err(UpstreamError::Unreachable { .. })));
+}
+
+#[tokio::test(start_paused = true)]
+async fn generate_poisoned_prompt_breaks_the_group() {
+    let world = whole_group().await;
+    let (text, reason) = collect(&world, &request(POISON_MARKER)).await;
+    assert_eq!((text.as_str(), reason), ("", None));
+    assert_eq!(world.peek_status(&address(1)).unwrap().state, MemberState::Failed);
+}
+
+#[tokio::test(start_paused = true)]
+async fn order_with_old_epoch_is_fenced() {
+    let world = whole_group().await;
+    let release = order("late", EPOCH - 1, OrderAction::Release("g1".to_string()));
+    assert_eq!(world.order(&address(0), &release).await, Ok(OrderReply::Fenced(EPOCH)));
+    world.set_options(&address(0), EngineOptions::default().with_fencing(false));
+    let taken = world.order(&address(0), &release).await;
+    assert!(matches!(taken, Ok(OrderReply::Accepted(_))));
+}
+
+#[tokio::test(start_paused = true)]
+async fn order_takes_effect_late_though_its_sender_gave_up() {
+    let world = world(1);
+    world.delay_orders(&address(0), Duration::from_secs(1));
+    let join = order("late", EPOCH, OrderAction::Join(assignment(0)));
+    let gave_up =
+        tokio::time::timeout(Duration::from_millis(10), world.order(&address(0), &join)).await;
+    assert!(gave_up.is_err());
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    assert_eq!(world.peek_status(&address(0)).unwrap().state, MemberState::Loading);
+}
+
+#[tokio::test(start_paused = true)]
+async fn regroup_keeps_weights_of_survivors() {
+    let world = whole_group().await;
+    world.kill(&address(1));
+    let mut regrouped = assignment(0);
+    regrouped.members[1] = "i5".to_string();
+    let regroup = order("regroup", EPOCH, OrderAction::Regroup(regrouped));
+    let reply = world.order(&address(0), &regroup).await.unwrap();
+    assert!(matches!(reply, OrderReply::Accepted(_)), "{reply:?}");
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    assert_eq!(world.peek_status(&address(0)).unwrap().state, MemberState::Ready);
+}
+
+#[tokio::test(start_paused = true)]
+async fn call_twice_with_one_key_is_a_violation() {
+    let world = world(0);
+    let req = PlainRequest {
+        request: "r1".to_string(),
+        path: "pay".to_string(),
+        body: "{}".to_string(),
+        idempotency_key: Some("k".to_string()),
+        epoch: 1,
+    };
+    assert_eq!(world.call(&address(99), &req).await.unwrap().status, 200);
+    assert!(world.violations().is_empty());
+    world.call(&address(99), &req).await.unwrap();
+    assert_eq!(world.violations()[0].promise, BrokenPromise::RanTwice);
+}
+
+#[tokio::test(start_paused = true)]
+async fn generate_after_leaving_is_a_violation_past_the_bound() {
+    let world = whole_group().await;
+    world.set_leaving(&address(1));
+    collect(&world, &request("hello")).await;
+    assert!(world.violations().is_empty());
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    collect(&world, &request("hello")).await;
+    assert_eq!(world.violations()[0].promise, BrokenPromise::WorkAfterLeaving);
+}
