--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -3,3 +3,4 @@
 mod test_engine_world;
 mod test_fake_store;
 mod test_object_view;
+mod test_settings;
