--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod peer_socket;
 pub mod plain_service;
 pub mod platform;
+pub mod prefix_hash;
 pub mod schema_check;
 pub mod settings;
 pub mod store_client;
