--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -1,4 +1,7 @@
 //! Runs the integration tests of the library.
 
+mod test_engine_world;
+mod test_fake_store;
 mod test_object_view;
+mod test_operator_api;
 mod test_settings;
