requests: run generation requests over the routes and resume interrupted streams

Cause: a node could not serve callers. A stream that is cut, goes silent or is drained has to go on without its caller noticing, and a refused request must be told so truthfully.

Requests with a key are refused until the ledger is there.

Tests kill, pause, silence and drain a replica in mid-stream; every answer is whole and the longest gap stays below 1 s of tokio's time.

--- a/lib/src/answer.rs
+++ b/lib/src/answer.rs
@@ -216,7 +216,6 @@
     }
 
     fn upstream_request(&self, replica: &Replica) -> GenerateRequest {
-        let is_once = self.req.key.is_some();
         GenerateRequest {
             request: self.req.id.clone(),
             attempt: self.path.next_attempt(),
@@ -225,10 +224,9 @@
             prompt: self.req.prompt.clone(),
             max_tokens: self.req.max_tokens,
             priority: self.req.priority,
-            adapter: self.req.adapter.clone(),
+            adapter: replica.identity.adapter.clone(),
             offset: self.emitted.len() as u32,
-            // A request that runs at most once goes on only where it still runs.
-            emitted: if is_once { vec![] } else { self.emitted.clone() },
+            emitted: self.emitted.clone(),
             idempotency_key: self.req.key.clone(),
         }
     }
@@ -263,6 +261,7 @@
             let message = format!("{} attempts failed, the last one: {broken:?}", self.attempts);
             return Err(RequestError::not_run(ErrorCode::UpstreamFailed, message));
         }
+        self.refuse_second_run(&broken)?;
         self.path.cx().metrics.count(metric_names::RETRIES, 1);
         let group = replica.identity.group.clone();
         match &broken {
@@ -284,7 +283,6 @@
             Break::Malformed(_) => {
                 self.path.note_failure(&replica);
                 self.avoid.push(group);
-                self.refuse_second_run(&broken)?;
                 self.spend_retry(&broken)?;
             }
             Break::Cut(_) | Break::Silent => {
@@ -292,7 +290,7 @@
             }
             Break::Moved | Break::Deadline => {}
         }
-        self.refuse_second_run(&broken)
+        Ok(())
     }
 
     /// Looks on a new connection whether the replica lives, to go on there or elsewhere.
@@ -304,7 +302,7 @@
     ) -> Result<(), RequestError> {
         let group = replica.identity.group.clone();
         let is_again = self.interrupted.contains(&group);
-        if self.path.lives(replica, self.terms.silence).await {
+        if self.path.lives(replica, self.terms.probe_bound()).await {
             match is_again {
                 true => {
                     self.path.note_failure(replica);
@@ -365,8 +363,7 @@
 
     /// Ends a request that runs at most once where going on could run it again.
     fn refuse_second_run(&self, broken: &Break) -> Result<(), RequestError> {
-        let goes_on = self.only.is_some() && !self.emitted.is_empty();
-        if self.req.key.is_none() || !self.may_have_run || goes_on {
+        if self.req.key.is_none() || !self.may_have_run {
             return Ok(());
         }
         let message = format!("the replica's stream was interrupted: {broken:?}");
@@ -392,8 +389,7 @@
                 Err(e) => e,
             };
             let waits = has_begun && Instant::now() < self.req.deadline;
-            let is_once = self.req.key.is_some() && self.may_have_run;
-            if !waits || is_once {
+            if !waits {
                 return Err(error);
             }
             // Where every other replica has failed, those that failed first are tried again.
--- a/lib/src/caller_api.rs
+++ b/lib/src/caller_api.rs
@@ -19,7 +19,6 @@
 use crate::request::fingerprint;
 use crate::request_path::RequestPath;
 use crate::request_path::no_config;
-use crate::request_path::no_service;
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use http_body_util::Limited;
@@ -173,8 +172,6 @@
     body: GenerateBody,
 ) -> Result<(Request, Vec<String>), RequestError> {
     path.check_kind(&body.service, ServiceKind::Engine)?;
-    let record = path.cx().config.get().ok_or_else(no_config)?;
-    let service = record.config.services.get(&body.service).ok_or_else(no_service)?;
     let terms = path.terms(&customer, &body.service)?;
     if body.max_tokens == 0 || body.max_tokens > MAX_TOKENS {
         let message = format!("max_tokens must be within 1 and {MAX_TOKENS}");
@@ -193,11 +190,14 @@
         let message = "more tokens were received than asked for";
         return Err(RequestError::not_run(ErrorCode::Malformed, message));
     }
+    if body.idempotency_key.is_some() {
+        let message = "requests that run at most once are not taken yet";
+        return Err(RequestError::not_run(ErrorCode::LedgerAway, message));
+    }
     let deadline = body.deadline.unwrap_or(terms.deadline).min(terms.deadline);
     let request = Request {
         id,
         customer,
-        service: service.clone(),
         path: String::new(),
         max_tokens: body.max_tokens,
         priority: body.priority,
--- a/lib/src/request.rs
+++ b/lib/src/request.rs
@@ -1,6 +1,5 @@
 //! A request as it goes through a node, and the only ways in which it can end without an answer.
 
-use crate::generated::config::Service;
 use crate::generated::engine::Priority;
 use crate::generated::requests::ErrorBody;
 use crate::generated::requests::ErrorCode;
@@ -89,8 +88,6 @@
     pub customer: CustomerId,
     /// Service that is asked.
     pub service_id: ServiceId,
-    /// Configuration of that service.
-    pub service: Service,
     /// Prompt, or body of a call to a plain service.
     pub prompt: String,
     /// Path below a plain service.
--- a/lib/src/request_terms.rs
+++ b/lib/src/request_terms.rs
@@ -7,6 +7,9 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
+/// Part of the bound on silence in which a replica must answer whether it lives.
+const PROBE_PART: u32 = 3;
+
 /// Bounds of one request.
 #[derive(Debug, Clone, Copy)]
 pub struct RequestTerms {
@@ -46,6 +49,11 @@
         }
     }
 
+    /// Returns the longest wait for a replica's report after its stream was interrupted.
+    pub fn probe_bound(&self) -> Duration {
+        self.silence / PROBE_PART
+    }
+
     /// Returns when a stream that gives nothing is looked at.
     pub fn patience(&self) -> Patience {
         Patience {
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -1,5 +1,6 @@
 //! Runs the integration tests of the library.
 
+mod test_answer;
 mod test_engine_world;
 mod test_fake_store;
 mod test_object_view;
--- /dev/null
+++ b/lib/tests/test_answer.rs
@@ -0,0 +1,173 @@
+//! Tests of the way of one generation request under the faults that can interrupt it.
+
+use guavaladder_lib::answer::Part;
+use guavaladder_lib::generated::engine::FinishReason;
+use guavaladder_lib::generated::requests::ErrorCode;
+use guavaladder_lib::request::Ran;
+use guavaladder_testutils::engine_options::EngineOptions;
+use guavaladder_testutils::request_rig::RequestRig;
+use guavaladder_testutils::request_rig::address;
+use guavaladder_testutils::request_rig::answer;
+use guavaladder_testutils::request_rig::drafting;
+use guavaladder_testutils::token_text::Answer;
+use rstest::rstest;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Target for the gap in a stream that goes on elsewhere.
+const GAP_TARGET: Duration = Duration::from_secs(1);
+
+/// What happens to the replica in the middle of a stream.
+#[derive(Debug, Clone, Copy)]
+enum Fault {
+    None,
+    Kill,
+    KillMember,
+    Pause,
+    Silence,
+    Drain,
+}
+
+fn expected(prompt: &str, max_tokens: u32) -> String {
+    Answer::new("m", "1", None, prompt, max_tokens).text()
+}
+
+/// Returns the replica that runs a stream.
+fn busy_replica(rig: &RequestRig, replicas: u32) -> u32 {
+    (0..replicas).find(|replica| rig.world.open_streams(&address(*replica, 0)) > 0).unwrap()
+}
+
+fn strike(rig: &RequestRig, replica: u32, fault: Fault) {
+    let first = address(replica, 0);
+    match fault {
+        Fault::None => {}
+        Fault::Kill => rig.world.kill(&first),
+        Fault::KillMember => rig.world.kill(&address(replica, 1)),
+        Fault::Pause => rig.world.pause(&first),
+        Fault::Silence => rig.world.go_silent(&first),
+        Fault::Drain => rig.world.set_leaving(&first),
+    }
+}
+
+#[rstest]
+#[case::none(Fault::None)]
+#[case::kill(Fault::Kill)]
+#[case::kill_member(Fault::KillMember)]
+#[case::pause(Fault::Pause)]
+#[case::silence(Fault::Silence)]
+#[case::drain(Fault::Drain)]
+#[tokio::test(start_paused = true)]
+async fn next_gives_unbroken_answer(#[case] fault: Fault) {
+    let options =
+        EngineOptions { drain_grace: Some(Duration::from_millis(100)), ..EngineOptions::new() };
+    let rig = RequestRig::new(1, 3, 2, options).await;
+    let prompt = "inspect length:100";
+    let path = &rig.nodes[0].path;
+    let terms = path.terms("c0", "drafting").unwrap();
+    let req = drafting("r1", "c0", prompt, 200);
+    let mut answer = path.generate(Arc::new(req), terms, vec![]).await.unwrap();
+    let mut longest = Duration::ZERO;
+    let mut last = Instant::now();
+    let reason = loop {
+        match answer.next().await.unwrap() {
+            Part::Tokens(range) => {
+                longest = longest.max(last.elapsed());
+                last = Instant::now();
+                if range.contains(&30) {
+                    strike(&rig, busy_replica(&rig, 3), fault);
+                }
+            }
+            Part::End(reason) => break reason,
+            Part::Moved => panic!("moved"),
+        }
+    };
+    assert_eq!(reason, FinishReason::Stop);
+    assert_eq!(answer.emitted().concat(), expected(prompt, 200));
+    assert!(longest < GAP_TARGET, "{longest:?}");
+    assert_eq!(rig.world.violations(), vec![]);
+}
+
+#[tokio::test(start_paused = true)]
+async fn drop_cancels_upstream() {
+    let rig = RequestRig::new(1, 1, 1, EngineOptions::new()).await;
+    let path = &rig.nodes[0].path;
+    let terms = path.terms("c0", "drafting").unwrap();
+    let req = drafting("r1", "c0", "length:1000", 1000);
+    let mut answer = path.generate(Arc::new(req), terms, vec![]).await.unwrap();
+    answer.next().await.unwrap();
+    assert_eq!(rig.world.open_streams(&address(0, 0)), 1);
+    drop(answer);
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    assert_eq!(rig.world.open_streams(&address(0, 0)), 0);
+    assert_eq!(path.running(), 0);
+}
+
+#[tokio::test(start_paused = true)]
+async fn generate_resumes_callers_stream() {
+    let rig = RequestRig::new(2, 2, 1, EngineOptions::new()).await;
+    let prompt = "length:60";
+    let whole = Answer::new("m", "1", None, prompt, 100);
+    let path = &rig.nodes[1].path;
+    let terms = path.terms("c0", "drafting").unwrap();
+    let req = drafting("r1", "c0", prompt, 100);
+    let mut answer = path.generate(Arc::new(req), terms, whole.tokens(0, 25)).await.unwrap();
+    let Part::Tokens(first) = answer.next().await.unwrap() else { panic!("no tokens") };
+    assert_eq!(first.start, 25);
+    while !matches!(answer.next().await.unwrap(), Part::End(_)) {}
+    assert_eq!(answer.emitted().concat(), whole.text());
+    assert_eq!(rig.world.violations(), vec![]);
+}
+
+#[tokio::test(start_paused = true)]
+async fn generate_without_replicas_is_refused() {
+    let rig = RequestRig::new(1, 0, 1, EngineOptions::new()).await;
+    let e = answer(&rig.nodes[0].path, drafting("r1", "c0", "p", 10)).await.unwrap_err();
+    assert_eq!((e.code, e.ran), (ErrorCode::NoReplica, Ran::Not));
+    assert!(e.retry_after.is_some());
+}
+
+#[tokio::test(start_paused = true)]
+async fn generate_to_dead_replica_tries_another() {
+    let rig = RequestRig::new(1, 2, 1, EngineOptions::new()).await;
+    rig.world.kill(&address(0, 0));
+    for index in 0..8 {
+        let prompt = format!("p{index}");
+        let (text, _) = answer(&rig.nodes[0].path, drafting("r", "c0", &prompt, 50)).await.unwrap();
+        assert_eq!(text, expected(&prompt, 50));
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn drain_finishes_or_moves() {
+    let rig = RequestRig::new(1, 2, 1, EngineOptions::new()).await;
+    let path = rig.nodes[0].path.clone();
+    let terms = path.terms("c0", "drafting").unwrap();
+    let req = |prompt| Arc::new(drafting("r1", "c0", prompt, 100_000));
+    let mut short = path.generate(req("length:50"), terms, vec![]).await.unwrap();
+    let mut long = path.generate(req("length:100000"), terms, vec![]).await.unwrap();
+    let short = tokio::spawn(async move {
+        while !matches!(short.next().await.unwrap(), Part::End(_)) {}
+        short.emitted().len()
+    });
+    let long = tokio::spawn(async move {
+        loop {
+            match long.next().await.unwrap() {
+                Part::Tokens(_) => {}
+                Part::Moved => return long.emitted().len(),
+                Part::End(_) => panic!("ended"),
+            }
+        }
+    });
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    let draining = tokio::spawn({
+        let path = path.clone();
+        async move { path.drain(Duration::from_secs(2)).await }
+    });
+    tokio::time::sleep(Duration::from_millis(10)).await;
+    let e = answer(&path, drafting("r2", "c0", "p", 10)).await.unwrap_err();
+    assert_eq!((e.code, e.ran), (ErrorCode::ShuttingDown, Ran::Not));
+    assert_eq!(draining.await.unwrap(), 1);
+    assert_eq!(short.await.unwrap(), 50);
+    assert!(long.await.unwrap() > 50);
+}
--- a/lib/testutils/src/lib.rs
+++ b/lib/testutils/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod engine_stream;
 pub mod engine_world;
 pub mod fake_store;
+pub mod request_rig;
 pub mod token_text;
 pub mod world_edges;
 pub mod world_oracle;
--- /dev/null
+++ b/lib/testutils/src/request_rig.rs
@@ -0,0 +1,331 @@
+//! Request paths of several nodes over one fake world whose groups are assembled at once.
+
+use crate::engine_options::EngineOptions;
+use crate::engine_world::EngineWorld;
+use crate::fake_store::FakeStore;
+use guavaladder_lib::answer::Part;
+use guavaladder_lib::clock::Clock;
+use guavaladder_lib::cx::Cx;
+use guavaladder_lib::engine::Engine;
+use guavaladder_lib::generated::config::ConfigRecord;
+use guavaladder_lib::generated::engine::Assignment;
+use guavaladder_lib::generated::engine::FinishReason;
+use guavaladder_lib::generated::engine::GroupRole;
+use guavaladder_lib::generated::engine::Order;
+use guavaladder_lib::generated::engine::OrderAction;
+use guavaladder_lib::generated::engine::Priority;
+use guavaladder_lib::generated::groups::DomainRecord;
+use guavaladder_lib::generated::groups::GroupMember;
+use guavaladder_lib::generated::groups::GroupRecord;
+use guavaladder_lib::generated::groups::GroupState;
+use guavaladder_lib::generated::platform::InstanceInfo;
+use guavaladder_lib::generated::platform::InstanceRole;
+use guavaladder_lib::generated::platform::InstanceState;
+use guavaladder_lib::generated::settings::DaemonSettings;
+use guavaladder_lib::member_view::Member;
+use guavaladder_lib::member_view::MemberState;
+use guavaladder_lib::metrics::Metrics;
+use guavaladder_lib::object_view::ViewedObject;
+use guavaladder_lib::prefix_hash::prefix_hash;
+use guavaladder_lib::request::Request;
+use guavaladder_lib::request::RequestError;
+use guavaladder_lib::request::fingerprint;
+use guavaladder_lib::request_path::RequestPath;
+use guavaladder_lib::store_client::StoreClient;
+use guavaladder_lib::token_hash::hash_token;
+use serde_json::json;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+
+/// Epoch of every group.
+pub const EPOCH: u64 = 1;
+/// Service of the groups.
+pub const DRAFTING: &str = "drafting";
+/// Plain service whose calls run at most once.
+pub const FILING: &str = "filing";
+/// Plain service whose calls may be repeated.
+pub const LOOKUP: &str = "lookup";
+/// Calendar time at the start.
+const UNIX_BASE: Duration = Duration::from_secs(1_700_000_000);
+
+/// One node of the rig.
+pub struct RigNode {
+    /// Context.
+    pub cx: Cx,
+    /// Request path.
+    pub path: RequestPath,
+    /// Ends its tasks.
+    pub shutdown: CancellationToken,
+}
+
+/// Nodes, engines and store of a test.
+pub struct RequestRig {
+    /// Clock of everything.
+    pub clock: Clock,
+    /// Engines.
+    pub world: EngineWorld,
+    /// Store.
+    pub store: FakeStore,
+    /// Nodes.
+    pub nodes: Vec<RigNode>,
+    replicas: u32,
+    members: u32,
+    version: u64,
+    config: serde_json::Value,
+}
+
+impl RequestRig {
+    /// Returns a rig with groups of `members` instances that are ready, and `nodes` nodes.
+    pub async fn new(nodes: usize, replicas: u32, members: u32, options: EngineOptions) -> Self {
+        let clock = Clock::with_tokio_time(UNIX_BASE);
+        let world = EngineWorld::new(clock.clone());
+        let store = FakeStore::new(clock.clone());
+        let config = json!({
+            "version": 1, "change_id": "c", "author": "a", "reason": "r", "accepted_unix_ms": 0,
+            "config": {
+                "defaults": {},
+                "services": {
+                    DRAFTING: {"kind": "engine", "model": "m", "version": "1"},
+                    FILING: {"kind": "plain", "idempotent": false},
+                    LOOKUP: {"kind": "plain"},
+                    "once": {"kind": "engine", "idempotent": false},
+                },
+                "customers": {
+                    "c0": {"tokens": [hash_token("t0")]},
+                    "c1": {"tokens": [hash_token("t1")]},
+                },
+            },
+        });
+        let mut rig =
+            Self { clock, world, store, nodes: vec![], replicas, members, version: 0, config };
+        for replica in 0..replicas {
+            for shard in 0..members {
+                rig.world.add_instance(engine_info(replica, shard), options.clone());
+            }
+        }
+        for (index, service) in [FILING, FILING, FILING, LOOKUP].into_iter().enumerate() {
+            rig.world.add_instance(plain_info(index, service), options.clone());
+        }
+        for replica in 0..replicas {
+            rig.assemble(replica).await;
+        }
+        tokio::time::sleep(options.load_time + Duration::from_secs(1)).await;
+        for index in 0..nodes {
+            rig.add_node(index);
+        }
+        rig.publish();
+        tokio::time::sleep(Duration::from_millis(10)).await;
+        rig
+    }
+
+    /// Adds a node that knows what the others know.
+    pub fn add_node(&mut self, index: usize) {
+        let settings: DaemonSettings = serde_json::from_value(json!({
+            "node": format!("n{index}"), "data_centre": "dc1", "region": "r1",
+            "platform": "127.0.0.1:1", "fleet_key_file": "/dev/null",
+            "caller_listen": "127.0.0.1:0", "operator_listen": "127.0.0.1:0",
+            "peer_listen": "127.0.0.1:0",
+        }))
+        .unwrap_or_else(|e| panic!("settings: {e}"));
+        let cx = Cx::new(settings, self.clock.clone(), Metrics::new());
+        let shutdown = CancellationToken::new();
+        let path = RequestPath::start(
+            cx.clone(),
+            StoreClient::new(cx.clone(), Arc::new(self.store.clone())),
+            Arc::new(self.world.clone()),
+            Arc::new(self.world.clone()),
+            shutdown.clone(),
+        );
+        self.nodes.push(RigNode { cx, path, shutdown });
+    }
+
+    /// Changes the configuration.
+    pub fn edit_config(&mut self, edit: impl FnOnce(&mut serde_json::Value)) {
+        edit(&mut self.config["config"]);
+        self.publish();
+    }
+
+    /// Gives all nodes the current records, instances and members.
+    pub fn publish(&mut self) {
+        self.version += 1;
+        let record: ConfigRecord = serde_json::from_value(self.config.clone())
+            .unwrap_or_else(|e| panic!("configuration: {e}"));
+        let domain = serde_json::to_string(&self.domain_record()).unwrap_or_default();
+        let config = serde_json::to_string(&record).unwrap_or_default();
+        let members = self.members_view();
+        for node in &self.nodes {
+            for (key, value) in [("config/current", &config), ("domains/d1", &domain)] {
+                let value = Some(Arc::from(value.as_str()));
+                let object = ViewedObject { key: key.to_string(), version: self.version, value };
+                node.cx.view.apply(object);
+            }
+            node.cx.instances.replace(self.world.all_instances());
+            node.cx.members.replace(members.clone());
+        }
+    }
+
+    /// Passes every node's facts to every other, as gossip does.
+    pub fn gossip(&self) {
+        for from in &self.nodes {
+            for fact in from.cx.facts.snapshot() {
+                for to in &self.nodes {
+                    to.cx.facts.merge(fact.clone());
+                }
+            }
+        }
+        for node in &self.nodes {
+            node.path.refresh();
+        }
+    }
+
+    fn members_view(&self) -> std::collections::BTreeMap<String, Member> {
+        let member = |node: &RigNode| Member {
+            node: node.cx.node().to_string(),
+            incarnation: node.cx.incarnation,
+            state: MemberState::Live,
+            data_centre: "dc1".to_string(),
+            region: "r1".to_string(),
+            peer_address: "127.0.0.1:1".to_string(),
+            caller_address: "127.0.0.1:2".to_string(),
+            operator_address: "127.0.0.1:3".to_string(),
+        };
+        self.nodes.iter().map(|node| (node.cx.node().to_string(), member(node))).collect()
+    }
+
+    fn domain_record(&self) -> DomainRecord {
+        let group = |replica: u32| GroupRecord {
+            group: group_id(replica),
+            service: DRAFTING.to_string(),
+            epoch: EPOCH,
+            state: GroupState::Serving,
+            members: (0..self.members).map(|shard| member(replica, shard)).collect(),
+            standbys: vec![],
+            model: "m".to_string(),
+            version: "1".to_string(),
+            adapter: None,
+            role: GroupRole::Full,
+            generation: 0,
+            ..serde_json::from_value(json!({
+                "group": "", "service": "", "epoch": 0, "state": "serving", "members": [],
+                "model": "", "version": "", "role": "full", "generation": 0,
+            }))
+            .unwrap_or_else(|e| panic!("group record: {e}"))
+        };
+        let mut record: DomainRecord = serde_json::from_value(json!({
+            "domain": "d1", "data_centre": "dc1", "region": "r1", "owner": "n0", "epoch": EPOCH,
+            "lease_ms": 10000, "renewals": 0, "write_id": "w", "groups": [],
+        }))
+        .unwrap_or_else(|e| panic!("domain record: {e}"));
+        record.groups = (0..self.replicas).map(group).collect();
+        record
+    }
+
+    /// Orders the members of a group to join.
+    pub async fn assemble(&self, replica: u32) {
+        let members: Vec<String> = (0..self.members).map(|s| instance_id(replica, s)).collect();
+        for shard in 0..self.members {
+            let assignment = Assignment {
+                group: group_id(replica),
+                epoch: EPOCH,
+                shard,
+                members: members.clone(),
+                service: DRAFTING.to_string(),
+                model: "m".to_string(),
+                version: "1".to_string(),
+                adapter: None,
+                role: GroupRole::Full,
+            };
+            let order = Order {
+                order: format!("join {replica} {shard} {:?}", self.clock.now()),
+                domain: "d1".to_string(),
+                epoch: EPOCH,
+                deadline_unix: self.clock.unix() + Duration::from_secs(60),
+                action: OrderAction::Join(assignment),
+            };
+            let reply = self.world.order(&address(replica, shard), &order).await;
+            assert!(reply.is_ok(), "{reply:?}");
+        }
+    }
+}
+
+/// Returns the id of a group.
+pub fn group_id(replica: u32) -> String {
+    format!("g{replica}")
+}
+
+/// Returns the id of an instance.
+pub fn instance_id(replica: u32, shard: u32) -> String {
+    format!("i{replica}-{shard}")
+}
+
+/// Returns the address of an instance.
+pub fn address(replica: u32, shard: u32) -> String {
+    format!("10.{}.{}.{shard}:80", replica / 256, replica % 256)
+}
+
+fn member(replica: u32, shard: u32) -> GroupMember {
+    GroupMember { instance: instance_id(replica, shard), address: address(replica, shard) }
+}
+
+fn engine_info(replica: u32, shard: u32) -> InstanceInfo {
+    InstanceInfo {
+        instance: instance_id(replica, shard),
+        address: address(replica, shard),
+        role: InstanceRole::Engine,
+        domain: "d1".to_string(),
+        data_centre: "dc1".to_string(),
+        region: "r1".to_string(),
+        accelerators: 8,
+        kind: "gpu".to_string(),
+        service: None,
+        state: InstanceState::Live,
+    }
+}
+
+fn plain_info(index: usize, service: &str) -> InstanceInfo {
+    InstanceInfo {
+        instance: format!("p{index}"),
+        address: format!("10.255.0.{index}:80"),
+        role: InstanceRole::Plain,
+        domain: String::new(),
+        accelerators: 0,
+        service: Some(service.to_string()),
+        ..engine_info(0, 0)
+    }
+}
+
+/// Returns a request for the drafting service.
+pub fn drafting(id: &str, customer: &str, prompt: &str, max_tokens: u32) -> Request {
+    Request {
+        id: id.to_string(),
+        customer: customer.to_string(),
+        service_id: DRAFTING.to_string(),
+        prompt: prompt.to_string(),
+        path: String::new(),
+        max_tokens,
+        priority: Priority::Normal,
+        adapter: None,
+        key: None,
+        deadline: Instant::now() + Duration::from_secs(60),
+        fingerprint: fingerprint(DRAFTING, None, "", prompt),
+        prefix: prefix_hash(prompt),
+    }
+}
+
+/// Sends a request by way of a node and waits for its whole answer.
+pub async fn answer(
+    path: &RequestPath,
+    req: Request,
+) -> Result<(String, FinishReason), RequestError> {
+    let terms = path.terms(&req.customer, &req.service_id)?;
+    let mut answer = path.generate(Arc::new(req), terms, vec![]).await?;
+    loop {
+        match answer.next().await? {
+            Part::Tokens(_) => {}
+            Part::End(reason) => return Ok((answer.emitted().concat(), reason)),
+            Part::Moved => panic!("the stream was moved"),
+        }
+    }
+}
