adapters: speak HTTP and JSON to platform, engines and plain services

Cause: the traits at the edges had no real implementation. Change: a pooled client whose errors tell whether a call was sent, with bounded bodies and connect timeout; a call that is given up drops the unused connections to its address; non-idempotent calls use a connection of their own; engine streams are decoded line by line with a hard bound. Conclusion: a failed connect is the only transport error that counts as not run.

--- /dev/null
+++ b/lib/src/engine_http.rs
@@ -0,0 +1,180 @@
+//! Model engines over HTTP: JSON calls and streams of one JSON record a line.
+
+use crate::engine::Engine;
+use crate::engine::RecordStream;
+use crate::engine::UpstreamError;
+use crate::generated::engine::CacheEvent;
+use crate::generated::engine::EngineStatus;
+use crate::generated::engine::GenerateRequest;
+use crate::generated::engine::Order;
+use crate::generated::engine::OrderReply;
+use crate::http_client::HttpBounds;
+use crate::http_client::HttpCall;
+use crate::http_client::HttpClient;
+use crate::http_client::HttpError;
+use crate::http_client::HttpReply;
+use crate::http_client::Method;
+use crate::http_client::RetireOnDrop;
+use crate::http_client::encode_component;
+use crate::ids::AttemptId;
+use crate::record_stream;
+use async_trait::async_trait;
+use bytes::Bytes;
+use http::StatusCode;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use std::time::Duration;
+
+/// Longest time for a call that is answered at once.
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Longest time for an order, which callers bound by the order's deadline as well.
+const ORDER_TIMEOUT: Duration = Duration::from_secs(60);
+
+/// Largest answer of a call in bytes.
+const MAX_ANSWER_BYTES: usize = 1 << 20;
+
+/// Largest exported state of a request in bytes.
+const MAX_KV_BYTES: usize = 64 << 20;
+
+/// Longest refusal text that is passed on, in bytes.
+const MAX_REASON_BYTES: usize = 400;
+
+const CALL: HttpBounds = HttpBounds { timeout: CALL_TIMEOUT, max_body: MAX_ANSWER_BYTES };
+const ORDER: HttpBounds = HttpBounds { timeout: ORDER_TIMEOUT, max_body: MAX_ANSWER_BYTES };
+const KV: HttpBounds = HttpBounds { timeout: ORDER_TIMEOUT, max_body: MAX_KV_BYTES };
+
+/// Client of all engines.
+#[derive(Debug, Clone, Default)]
+pub struct HttpEngine {
+    client: HttpClient,
+}
+
+impl HttpEngine {
+    /// Returns a client without connections.
+    pub fn new() -> Self {
+        Self { client: HttpClient::new() }
+    }
+
+    async fn call(&self, call: HttpCall, bounds: HttpBounds) -> Result<HttpReply, UpstreamError> {
+        self.client.call(call, bounds).await.map_err(to_upstream_error)
+    }
+}
+
+/// Says what an HTTP error means for the work of a call.
+pub(crate) fn to_upstream_error(e: HttpError) -> UpstreamError {
+    let reason = e.to_string();
+    match e {
+        HttpError::Connect { .. } => UpstreamError::Unreachable { reason },
+        HttpError::Invalid { .. } => UpstreamError::Refused { reason },
+        HttpError::Broken { .. } => UpstreamError::Interrupted { reason },
+        HttpError::TooLarge { .. } => UpstreamError::Malformed { reason },
+    }
+}
+
+/// Says what a status other than success means for the work of a call.
+pub(crate) fn to_status_error(status: StatusCode, body: &[u8]) -> UpstreamError {
+    let text = String::from_utf8_lossy(&body[..body.len().min(MAX_REASON_BYTES)]);
+    let reason = format!("{status}: {text}");
+    if status.is_client_error() || status == StatusCode::SERVICE_UNAVAILABLE {
+        return UpstreamError::Refused { reason };
+    }
+    if status.is_server_error() {
+        return UpstreamError::Interrupted { reason };
+    }
+    UpstreamError::Malformed { reason }
+}
+
+/// Parses the body of a successful answer.
+pub(crate) fn parse<T: DeserializeOwned>(reply: &HttpReply) -> Result<T, UpstreamError> {
+    if reply.status != StatusCode::OK {
+        return Err(to_status_error(reply.status, &reply.body));
+    }
+    serde_json::from_slice(&reply.body)
+        .map_err(|e| UpstreamError::Malformed { reason: e.to_string() })
+}
+
+/// Builds a call that reads.
+pub(crate) fn get(address: &str, path: String) -> HttpCall {
+    let address = address.to_string();
+    HttpCall { method: Method::Get, address, path, body: Bytes::new() }
+}
+
+/// Builds a call that sends a value as JSON.
+pub(crate) fn post(
+    address: &str,
+    path: String,
+    value: &impl Serialize,
+) -> Result<HttpCall, UpstreamError> {
+    let body =
+        serde_json::to_vec(value).map_err(|e| UpstreamError::Refused { reason: e.to_string() })?;
+    let address = address.to_string();
+    Ok(HttpCall { method: Method::Post, address, path, body: body.into() })
+}
+
+#[async_trait]
+impl Engine for HttpEngine {
+    async fn status(&self, address: &str) -> Result<EngineStatus, UpstreamError> {
+        parse(&self.call(get(address, "/v1/status".to_string()), CALL).await?)
+    }
+
+    async fn order(&self, address: &str, order: &Order) -> Result<OrderReply, UpstreamError> {
+        parse(&self.call(post(address, "/v1/orders".to_string(), order)?, ORDER).await?)
+    }
+
+    async fn generate(
+        &self,
+        address: &str,
+        req: &GenerateRequest,
+    ) -> Result<RecordStream, UpstreamError> {
+        let call = post(address, "/v1/generate".to_string(), req)?;
+        let response = self.client.open(call).await.map_err(to_upstream_error)?;
+        if response.status() != StatusCode::OK {
+            let status = response.status();
+            let body = record_stream::read_refusal(response.into_body()).await;
+            return Err(to_status_error(status, &body));
+        }
+        let guard = RetireOnDrop::new(self.client.clone(), address.to_string());
+        Ok(record_stream::new(response.into_body(), guard))
+    }
+
+    async fn cancel(&self, address: &str, attempt: AttemptId) -> Result<(), UpstreamError> {
+        let call = post(address, format!("/v1/attempts/{attempt}/cancel"), &())?;
+        parse(&self.call(call, CALL).await?)
+    }
+
+    async fn export_kv(
+        &self,
+        address: &str,
+        request: &str,
+    ) -> Result<Option<Vec<u8>>, UpstreamError> {
+        let path = format!("/v1/kv?request={}", encode_component(request));
+        let reply = self.call(get(address, path), KV).await?;
+        match reply.status {
+            StatusCode::NOT_FOUND => Ok(None),
+            StatusCode::OK => Ok(Some(reply.body.to_vec())),
+            status => Err(to_status_error(status, &reply.body)),
+        }
+    }
+
+    async fn import_kv(
+        &self,
+        address: &str,
+        request: &str,
+        state: &[u8],
+    ) -> Result<(), UpstreamError> {
+        let path = format!("/v1/kv?request={}", encode_component(request));
+        let body = Bytes::copy_from_slice(state);
+        let call = HttpCall { method: Method::Put, address: address.to_string(), path, body };
+        parse(&self.call(call, KV).await?)
+    }
+
+    async fn cache_events(
+        &self,
+        address: &str,
+        after: u64,
+    ) -> Result<Vec<CacheEvent>, UpstreamError> {
+        let path = format!("/v1/cache_events?after={after}");
+        parse(&self.call(get(address, path), CALL).await?)
+    }
+}
--- /dev/null
+++ b/lib/src/record_stream.rs
@@ -0,0 +1,128 @@
+//! Decodes an engine's stream: one JSON record a line, each line bounded.
+
+use crate::engine::RecordStream;
+use crate::engine::UpstreamError;
+use crate::generated::engine::StreamRecord;
+use crate::http_client::RetireOnDrop;
+use bytes::Buf;
+use bytes::Bytes;
+use bytes::BytesMut;
+use futures_util::StreamExt;
+use http_body_util::BodyExt;
+use http_body_util::Limited;
+use hyper::body::Incoming;
+use std::time::Duration;
+
+/// Longest record in bytes, its end of line excluded.
+pub const MAX_RECORD_BYTES: usize = 256 << 10;
+
+/// Largest refusal that is read, in bytes.
+const MAX_REFUSAL_BYTES: usize = 4096;
+
+/// Longest time to read a refusal, and to read the end of a stream whose reader is done with it.
+const TAIL_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// A stream as its reader pulls it.
+///
+/// Dropping it before its end record drops the unused connections to the upstream as well, since
+/// the reader may have given up on a silent connection.
+struct Decoder {
+    body: Option<Incoming>,
+    buf: BytesMut,
+    /// Bytes at the start of `buf` that hold no end of line.
+    scanned: usize,
+    is_ended: bool,
+    guard: RetireOnDrop,
+}
+
+/// Returns the records of a response body.
+pub(crate) fn new(body: Incoming, guard: RetireOnDrop) -> RecordStream {
+    let buf = BytesMut::new();
+    let decoder = Decoder { body: Some(body), buf, scanned: 0, is_ended: false, guard };
+    let records = futures_util::stream::unfold(decoder, |mut decoder| async move {
+        decoder.next_record().await.map(|record| (record, decoder))
+    });
+    records.boxed()
+}
+
+/// Reads the text of a refusal, as far as it comes in time.
+pub(crate) async fn read_refusal(body: Incoming) -> Bytes {
+    let reading = Limited::new(body, MAX_REFUSAL_BYTES).collect();
+    match tokio::time::timeout(TAIL_TIMEOUT, reading).await {
+        Ok(Ok(collected)) => collected.to_bytes(),
+        Ok(Err(_)) | Err(_) => Bytes::new(),
+    }
+}
+
+impl Decoder {
+    async fn next_record(&mut self) -> Option<Result<StreamRecord, UpstreamError>> {
+        if self.is_ended {
+            return None;
+        }
+        loop {
+            if let Some(line) = self.take_line() {
+                let record = parse(&line);
+                self.is_ended = matches!(record, Ok(StreamRecord::End(_)) | Err(_));
+                if matches!(record, Ok(StreamRecord::End(_))) {
+                    self.guard.disarm();
+                }
+                return Some(record);
+            }
+            if self.buf.len() > MAX_RECORD_BYTES {
+                let reason = format!("a record is longer than {MAX_RECORD_BYTES} bytes");
+                return self.fail(UpstreamError::Malformed { reason });
+            }
+            match self.body.as_mut()?.frame().await {
+                Some(Ok(frame)) => {
+                    if let Ok(data) = frame.into_data() {
+                        self.buf.extend_from_slice(&data);
+                    }
+                }
+                Some(Err(e)) => {
+                    return self.fail(UpstreamError::Interrupted { reason: e.to_string() });
+                }
+                None => {
+                    let reason = "the stream ended without an end record".to_string();
+                    return self.fail(UpstreamError::Interrupted { reason });
+                }
+            }
+        }
+    }
+
+    fn take_line(&mut self) -> Option<Bytes> {
+        let place = self.buf[self.scanned..].iter().position(|byte| *byte == b'\n');
+        let Some(place) = place else {
+            self.scanned = self.buf.len();
+            return None;
+        };
+        let line = self.buf.split_to(self.scanned + place);
+        self.buf.advance(1);
+        self.scanned = 0;
+        Some(line.freeze())
+    }
+
+    fn fail(&mut self, e: UpstreamError) -> Option<Result<StreamRecord, UpstreamError>> {
+        self.is_ended = true;
+        self.body = None;
+        Some(Err(e))
+    }
+}
+
+fn parse(line: &[u8]) -> Result<StreamRecord, UpstreamError> {
+    if line.len() > MAX_RECORD_BYTES {
+        let reason = format!("a record is longer than {MAX_RECORD_BYTES} bytes");
+        return Err(UpstreamError::Malformed { reason });
+    }
+    serde_json::from_slice(line).map_err(|e| UpstreamError::Malformed { reason: e.to_string() })
+}
+
+impl Drop for Decoder {
+    /// Reads the end of a finished stream, so that its connection can be used again.
+    fn drop(&mut self) {
+        let Some(mut body) = self.body.take().filter(|_| self.is_ended) else { return };
+        let Ok(runtime) = tokio::runtime::Handle::try_current() else { return };
+        runtime.spawn(tokio::time::timeout(TAIL_TIMEOUT, async move {
+            while let Some(Ok(_)) = body.frame().await {}
+        }));
+    }
+}
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -2,5 +2,6 @@
 
 mod test_engine_world;
 mod test_fake_store;
+mod test_http_adapters;
 mod test_object_view;
 mod test_settings;
--- /dev/null
+++ b/lib/tests/test_http_adapters.rs
@@ -0,0 +1,181 @@
+//! Tests of the HTTP adapters against canned answers.
+
+use futures_util::StreamExt;
+use guavaladder_lib::engine::Engine;
+use guavaladder_lib::engine::UpstreamError;
+use guavaladder_lib::engine_http::HttpEngine;
+use guavaladder_lib::generated::engine::GenerateRequest;
+use guavaladder_lib::generated::engine::PlainRequest;
+use guavaladder_lib::generated::engine::Priority;
+use guavaladder_lib::generated::engine::StreamRecord;
+use guavaladder_lib::generated::platform::PutObject;
+use guavaladder_lib::generated::platform::PutOutcome;
+use guavaladder_lib::plain_service::PlainService;
+use guavaladder_lib::plain_service_http::HttpPlainService;
+use guavaladder_lib::platform::ObjectStore;
+use guavaladder_lib::platform::PlatformError;
+use guavaladder_lib::platform_http::HttpPlatform;
+use guavaladder_lib::record_stream::MAX_RECORD_BYTES;
+use rstest::rstest;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+
+const OK: &str = "HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n";
+const END: &str = r#"{"end":{"attempt":1,"length":2,"reason":"stop","load":null}}"#;
+const TOKENS: &str = r#"{"tokens":{"attempt":1,"offset":0,"tokens":["a","b"]}}"#;
+
+#[derive(Debug, PartialEq)]
+enum Kind {
+    Fine,
+    Unreachable,
+    Refused,
+    Interrupted,
+    Malformed,
+}
+
+fn kind<T>(outcome: &Result<T, UpstreamError>) -> Kind {
+    match outcome {
+        Ok(_) => Kind::Fine,
+        Err(UpstreamError::Unreachable { .. }) => Kind::Unreachable,
+        Err(UpstreamError::Refused { .. }) => Kind::Refused,
+        Err(UpstreamError::Interrupted { .. }) => Kind::Interrupted,
+        Err(UpstreamError::Malformed { .. }) => Kind::Malformed,
+    }
+}
+
+/// Answers each connection with these bytes once the request is there, then closes it.
+async fn answer_with(answer: Vec<u8>) -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let answer = answer.clone();
+            tokio::spawn(async move {
+                let mut buf = [0; 65536];
+                let _ = stream.read(&mut buf).await;
+                let _ = stream.write_all(&answer).await;
+                let _ = stream.shutdown().await;
+                // Reads on, so that unread bytes of the request do not reset the connection.
+                while matches!(stream.read(&mut buf).await, Ok(n) if n > 0) {}
+            });
+        }
+    });
+    address
+}
+
+async fn closed_address() -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    listener.local_addr().unwrap().to_string()
+}
+
+fn request() -> GenerateRequest {
+    GenerateRequest {
+        request: "r".to_string(),
+        attempt: 1,
+        group: "g".to_string(),
+        epoch: 1,
+        prompt: "p".to_string(),
+        max_tokens: 2,
+        priority: Priority::Normal,
+        adapter: None,
+        offset: 0,
+        emitted: vec![],
+        idempotency_key: None,
+    }
+}
+
+#[rstest]
+#[case::closed_without_answer(b"".to_vec(), Kind::Interrupted)]
+#[case::conflict(b"HTTP/1.1 409 Conflict\r\ncontent-length: 2\r\n\r\nno".to_vec(), Kind::Refused)]
+#[case::unavailable(b"HTTP/1.1 503 x\r\ncontent-length: 0\r\n\r\n".to_vec(), Kind::Refused)]
+#[case::server_error(b"HTTP/1.1 500 x\r\ncontent-length: 0\r\n\r\n".to_vec(), Kind::Interrupted)]
+#[case::redirect(b"HTTP/1.1 302 x\r\ncontent-length: 0\r\n\r\n".to_vec(), Kind::Malformed)]
+#[case::not_json([OK.as_bytes(), b"{"].concat(), Kind::Malformed)]
+#[case::not_utf8([OK.as_bytes(), b"\"\xff\""].concat(), Kind::Malformed)]
+#[case::too_large([OK.as_bytes(), &vec![b' '; 2 << 20]].concat(), Kind::Malformed)]
+#[case::cut_body(
+    b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\n[]".to_vec(), Kind::Interrupted)]
+#[tokio::test]
+async fn cache_events_answer(#[case] answer: Vec<u8>, #[case] expected: Kind) {
+    let address = answer_with(answer).await;
+    let outcome = HttpEngine::new().cache_events(&address, 0).await;
+    assert_eq!(kind(&outcome), expected, "{outcome:?}");
+}
+
+#[tokio::test]
+async fn status_unreachable() {
+    let address = closed_address().await;
+    let outcome = HttpEngine::new().status(&address).await;
+    assert_eq!(kind(&outcome), Kind::Unreachable);
+}
+
+#[rstest]
+#[case::whole(vec![TOKENS, "\n", END, "\n"], vec![Kind::Fine, Kind::Fine])]
+#[case::nothing_after_end(vec![END, "\n", TOKENS, "\n"], vec![Kind::Fine])]
+#[case::cut_record(vec![TOKENS, "\n", "{\"tok"], vec![Kind::Fine, Kind::Interrupted])]
+#[case::no_end(vec![TOKENS, "\n"], vec![Kind::Fine, Kind::Interrupted])]
+#[case::not_a_record(vec!["{\"x\":1}\n", END, "\n"], vec![Kind::Malformed])]
+#[case::too_long(vec!["x"; MAX_RECORD_BYTES + 1], vec![Kind::Malformed])]
+#[case::refused_late(vec!["\n"], vec![Kind::Malformed])]
+#[tokio::test]
+async fn generate_records(#[case] body: Vec<&str>, #[case] expected: Vec<Kind>) {
+    let address = answer_with(format!("{OK}{}", body.concat()).into_bytes()).await;
+    let records = HttpEngine::new().generate(&address, &request()).await.unwrap();
+    let kinds: Vec<Kind> = records.map(|record| kind(&record)).collect().await;
+    assert_eq!(kinds, expected);
+}
+
+#[tokio::test]
+async fn generate_refused_with_reason() {
+    let address = answer_with(b"HTTP/1.1 409 x\r\ncontent-length: 4\r\n\r\nfull".to_vec()).await;
+    let refused = HttpEngine::new().generate(&address, &request()).await.err().unwrap();
+    assert!(refused.to_string().contains("full") && !refused.may_have_run());
+}
+
+#[tokio::test]
+async fn generate_cut_by_bytes_gives_same_records() {
+    let body = format!("{TOKENS}\n{END}\n");
+    let chunks: String = body.chars().map(|c| format!("1\r\n{c}\r\n")).collect();
+    let head = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+    let address = answer_with(format!("{head}{chunks}0\r\n\r\n").into_bytes()).await;
+    let records = HttpEngine::new().generate(&address, &request()).await.unwrap();
+    let records: Vec<_> = records.collect().await;
+    assert!(matches!(&records[..], [Ok(StreamRecord::Tokens(_)), Ok(StreamRecord::End(_))]));
+}
+
+#[tokio::test]
+async fn put_and_get_without_answer() {
+    let platform = HttpPlatform::new(answer_with(vec![]).await);
+    let put = PutObject { key: "k".to_string(), if_version: 0, value: "1".to_string() };
+    assert!(matches!(platform.put(&put).await, Err(PlatformError::AnswerLost { .. })));
+    assert!(matches!(platform.get("k").await, Err(PlatformError::NotTaken { .. })));
+    let away = HttpPlatform::new(closed_address().await);
+    assert!(matches!(away.put(&put).await, Err(PlatformError::NotTaken { .. })));
+}
+
+#[tokio::test]
+async fn put_conflict() {
+    let platform = HttpPlatform::new(answer_with(format!("{OK}{{\"conflict\":4}}").into()).await);
+    let put = PutObject { key: "k".to_string(), if_version: 0, value: "1".to_string() };
+    assert_eq!(platform.put(&put).await, Ok(PutOutcome::Conflict(4)));
+}
+
+#[tokio::test]
+async fn call_non_idempotent_uses_new_connections() {
+    let reply = r#"{"status":200,"body":"x"}"#;
+    let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", reply.len());
+    let address = answer_with(format!("{head}{reply}").into_bytes()).await;
+    let service = HttpPlainService::new();
+    let req = PlainRequest {
+        request: "r".to_string(),
+        path: "p".to_string(),
+        body: String::new(),
+        idempotency_key: Some("k".to_string()),
+        epoch: 1,
+    };
+    // The server closes each connection without saying so, which a reused one would run into.
+    for _ in 0..20 {
+        assert_eq!(kind(&service.call(&address, &req).await), Kind::Fine);
+    }
+}
