--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod call_queue;
 pub mod clock;
+pub mod config_diff;
 pub mod config_view;
 pub mod cx;
 pub mod duration_ms;
@@ -12,6 +13,7 @@
 pub mod facts;
 pub mod generated;
 pub mod http_client;
+pub mod http_server;
 pub mod ids;
 pub mod instance_view;
 pub mod member_view;
@@ -19,6 +21,10 @@
 pub mod metrics;
 pub mod object_view;
 pub mod object_watch;
+pub mod operator_api;
+pub mod operator_error;
+pub mod operator_status;
+pub mod operator_why;
 pub mod peer_socket;
 pub mod plain_service;
 pub mod plain_service_http;
