ledger: run requests with a key at most once, by conditional writes alone

Cause: a payment or dispatch must not run twice, whichever node its copies reach and whatever is lost or killed between. A lease for each shard would need clocks and waiting at a takeover.

Change: 32 shards in the store. A key is inserted by a conditional write before its request is sent, in batches of at most one write each 100 ms a shard and node, so that any node may write any shard and a paused writer's old copy only conflicts. One node by rendezvous hash usually writes a shard; the others forward to it with the fleet key. Plain calls, the status of a key, and generations with a key use it.

Tests cover resends, two nodes at once, an absent store, lost answers, killed nodes, a paused writer, refusals and the size bound.

Conclusion: safety rests on the store's version check only; ownership merely saves writes.

--- a/lib/src/caller_api.rs
+++ b/lib/src/caller_api.rs
@@ -2,16 +2,21 @@
 
 use crate::answer::Answer;
 use crate::answer::Part;
+use crate::at_most_once;
 use crate::caller_auth;
+use crate::caller_calls::Call;
+use crate::caller_calls::LedgerOperation;
+use crate::caller_calls::RequestStatus;
 use crate::caller_error;
 use crate::caller_error::write_json;
 use crate::caller_sse;
 use crate::generated::config::ServiceKind;
 use crate::generated::requests::ErrorCode;
 use crate::generated::requests::GenerateBody;
-use crate::generated::requests::GenerateReply;
-use crate::generated::requests::Outcome;
 use crate::ids::CustomerId;
+use crate::keyed_generation;
+use crate::keyed_generation::Keyed;
+use crate::ledger_peer;
 use crate::metric_names;
 use crate::prefix_hash::prefix_hash;
 use crate::request::Request;
@@ -19,7 +24,9 @@
 use crate::request::fingerprint;
 use crate::request_path::RequestPath;
 use crate::request_path::no_config;
+use crate::request_terms::RequestTerms;
 use bytes::Bytes;
+use futures_util::stream::unfold;
 use http_body_util::BodyExt;
 use http_body_util::Limited;
 use salvo::Router;
@@ -28,6 +35,7 @@
 use salvo::http::Response;
 use salvo::http::StatusCode;
 use salvo::http::header;
+use std::convert::Infallible;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -41,6 +49,9 @@
 pub fn router(path: RequestPath) -> Router {
     Router::new()
         .push(Router::with_path("v1/generate").post(Generate { path: path.clone() }))
+        .push(Router::with_path("v1/call/{service}/{**path}").post(Call { path: path.clone() }))
+        .push(Router::with_path("v1/requests/{key}").get(RequestStatus { path: path.clone() }))
+        .push(Router::with_path(ledger_peer::PATH).post(LedgerOperation { path: path.clone() }))
         .push(Router::with_path("healthz").get(Health))
         .push(Router::with_path("readyz").get(Ready { path }))
 }
@@ -95,38 +106,64 @@
         let body = read_body(&self.path, req).await?;
         let body: GenerateBody = parse(&body)?;
         let is_stream = body.stream;
+        at_most_once::check_key(&self.path, &body.service, body.idempotency_key.as_deref())?;
         let (req, emitted) = request(&self.path, customer, body)?;
         let terms = self.path.terms(&req.customer, &req.service_id)?;
+        if let Some(key) = req.key.clone() {
+            return self.keyed(req, terms, key, is_stream, res).await;
+        }
         let mut answer = self.path.generate(Arc::new(req), terms, emitted).await?;
         if is_stream {
             let first = answer.next().await?;
-            let sse = HeaderValue::from_static("text/event-stream");
-            res.status_code(StatusCode::OK).headers_mut().insert(header::CONTENT_TYPE, sse);
-            let no_store = HeaderValue::from_static("no-store");
-            res.headers_mut().insert(header::CACHE_CONTROL, no_store);
+            start_stream(res);
             res.stream(caller_sse::events(answer, first));
             return Ok(());
         }
-        let reply = whole(answer).await?;
-        write_json(res, &serde_json::to_vec(&reply).unwrap_or_default());
+        write_json(res, whole(answer).await?.as_bytes());
         Ok(())
     }
+
+    async fn keyed(
+        &self,
+        req: Request,
+        terms: RequestTerms,
+        key: String,
+        is_stream: bool,
+        res: &mut Response,
+    ) -> Result<(), RequestError> {
+        let path = self.path.clone();
+        // A caller that goes away must not end the run between its ledger entry and its result.
+        let running = tokio::spawn(async move {
+            keyed_generation::run(&path, Arc::new(req), terms, &key, is_stream).await
+        });
+        let internal = |e| RequestError::unknown(ErrorCode::Internal, format!("{e}"));
+        match running.await.map_err(internal)?? {
+            Keyed::Whole(reply) | Keyed::Kept(reply) => write_json(res, reply.as_bytes()),
+            Keyed::Running(rx) => {
+                start_stream(res);
+                res.stream(unfold(rx, |mut rx| async move {
+                    let bytes = rx.recv().await?;
+                    Some((Ok::<Bytes, Infallible>(bytes), rx))
+                }));
+            }
+        }
+        Ok(())
+    }
+}
+
+fn start_stream(res: &mut Response) {
+    let sse = HeaderValue::from_static("text/event-stream");
+    res.status_code(StatusCode::OK).headers_mut().insert(header::CONTENT_TYPE, sse);
+    let no_store = HeaderValue::from_static("no-store");
+    res.headers_mut().insert(header::CACHE_CONTROL, no_store);
 }
 
-/// Waits for the whole answer.
-async fn whole(mut answer: Answer) -> Result<GenerateReply, RequestError> {
+/// Waits for the whole answer and returns its JSON text.
+async fn whole(mut answer: Answer) -> Result<String, RequestError> {
     loop {
         match answer.next().await? {
             Part::Tokens(_) => {}
-            Part::End(reason) => {
-                return Ok(GenerateReply {
-                    request: answer.request().id.clone(),
-                    text: answer.emitted().concat(),
-                    length: answer.emitted().len() as u32,
-                    reason,
-                    outcome: Outcome::Whole,
-                });
-            }
+            Part::End(reason) => return Ok(keyed_generation::reply(&answer, reason)),
             Part::Moved => {
                 let message = "this node shut down before the answer was complete";
                 let error = RequestError::unknown(ErrorCode::ShuttingDown, message);
@@ -190,10 +227,6 @@
         let message = "more tokens were received than asked for";
         return Err(RequestError::not_run(ErrorCode::Malformed, message));
     }
-    if body.idempotency_key.is_some() {
-        let message = "requests that run at most once are not taken yet";
-        return Err(RequestError::not_run(ErrorCode::LedgerAway, message));
-    }
     let deadline = body.deadline.unwrap_or(terms.deadline).min(terms.deadline);
     let request = Request {
         id,
--- /dev/null
+++ b/lib/src/caller_calls.rs
@@ -0,0 +1,163 @@
+//! The callers' API for plain services, for keys, and for the other nodes.
+
+use crate::at_most_once;
+use crate::caller_api::read_body;
+use crate::caller_auth;
+use crate::caller_error;
+use crate::caller_error::write_json;
+use crate::generated::config::ServiceKind;
+use crate::generated::engine::PlainReply;
+use crate::generated::engine::Priority;
+use crate::generated::requests::ErrorCode;
+use crate::ledger_peer;
+use crate::metric_names;
+use crate::plain_call;
+use crate::request::Request;
+use crate::request::RequestError;
+use crate::request::fingerprint;
+use crate::request_path::RequestPath;
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use http_body_util::Limited;
+use salvo::handler;
+use salvo::http::Response;
+use salvo::http::StatusCode;
+use std::sync::Arc;
+use tokio::time::Instant;
+
+/// Header that carries the key of a call that runs at most once.
+const KEY_HEADER: &str = "idempotency-key";
+/// Header that carries the priority of a call.
+const PRIORITY_HEADER: &str = "priority";
+/// Longest key in bytes.
+const MAX_KEY_BYTES: usize = 80;
+/// Longest path below a service in bytes.
+const MAX_PATH_BYTES: usize = 1024;
+
+/// `POST /v1/call/{service}/{path}`.
+pub struct Call {
+    /// Request path.
+    pub path: RequestPath,
+}
+
+#[handler]
+impl Call {
+    async fn handle(&self, req: &mut salvo::Request, res: &mut Response) {
+        self.path.cx().metrics.count(metric_names::REQUESTS, 1);
+        match self.reply(req).await {
+            Ok(reply) => {
+                let status = StatusCode::from_u16(reply.status);
+                res.status_code(status.unwrap_or(StatusCode::BAD_GATEWAY));
+                write_json(res, reply.body.as_bytes());
+            }
+            Err(e) => caller_error::render(res, &e),
+        }
+    }
+
+    async fn reply(&self, req: &mut salvo::Request) -> Result<PlainReply, RequestError> {
+        let customer = caller_auth::customer(self.path.cx(), req.headers())?;
+        let service = req.param::<String>("service").unwrap_or_default();
+        let below = req.param::<String>("path").unwrap_or_default();
+        if below.len() > MAX_PATH_BYTES {
+            return Err(RequestError::not_run(ErrorCode::TooLarge, "the path is too long"));
+        }
+        let key = header(req, KEY_HEADER)?;
+        if key.as_ref().is_some_and(|key| key.len() > MAX_KEY_BYTES) {
+            return Err(RequestError::not_run(ErrorCode::TooLarge, "the key is too long"));
+        }
+        let priority = priority(header(req, PRIORITY_HEADER)?.as_deref())?;
+        self.path.check_kind(&service, ServiceKind::Plain)?;
+        at_most_once::check_key(&self.path, &service, key.as_deref())?;
+        let terms = self.path.terms(&customer, &service)?;
+        let body = read_body(&self.path, req).await?;
+        let body = String::from_utf8(body.to_vec())
+            .map_err(|_| RequestError::not_run(ErrorCode::Malformed, "the body is not UTF-8"))?;
+        let request = Request {
+            id: caller_auth::new_request_id(&customer),
+            customer,
+            fingerprint: fingerprint(&service, None, &below, &body),
+            prefix: 0,
+            service_id: service,
+            prompt: body,
+            path: below,
+            max_tokens: 0,
+            priority,
+            adapter: None,
+            key,
+            deadline: Instant::now() + terms.deadline,
+        };
+        plain_call::call(&self.path, Arc::new(request), terms).await
+    }
+}
+
+/// `GET /v1/requests/{key}`.
+pub struct RequestStatus {
+    /// Request path.
+    pub path: RequestPath,
+}
+
+#[handler]
+impl RequestStatus {
+    async fn handle(&self, req: &mut salvo::Request, res: &mut Response) {
+        let key = req.param::<String>("key").unwrap_or_default();
+        let result = match caller_auth::customer(self.path.cx(), req.headers()) {
+            Ok(customer) => at_most_once::status(&self.path, &customer, &key).await,
+            Err(e) => Err(e),
+        };
+        match result {
+            Ok(reply) => write_json(res, &serde_json::to_vec(&reply).unwrap_or_default()),
+            Err(e) => caller_error::render(res, &e),
+        }
+    }
+}
+
+/// `POST /v1/internal/ledger`, for the other nodes.
+pub struct LedgerOperation {
+    /// Request path.
+    pub path: RequestPath,
+}
+
+#[handler]
+impl LedgerOperation {
+    async fn handle(&self, req: &mut salvo::Request, res: &mut Response) {
+        match self.reply(req).await {
+            Some(reply) => {
+                res.body(reply);
+            }
+            None => {
+                // Whoever does not hold the fleet key learns nothing about this path.
+                let error = RequestError::not_run(ErrorCode::NotFound, "there is no such path");
+                caller_error::render(res, &error);
+            }
+        }
+    }
+
+    async fn reply(&self, req: &mut salvo::Request) -> Option<Vec<u8>> {
+        let ledger = self.path.ledger();
+        let key = ledger.key()?;
+        let body = Limited::new(req.take_body(), ledger_peer::MAX_MESSAGE_BYTES);
+        let message: Bytes = body.collect().await.ok()?.to_bytes();
+        let call = ledger_peer::receive(self.path.cx(), key, &message)?;
+        let answer = ledger.call_here(call.shard, call.op).await;
+        Some(ledger_peer::reply(key, &answer))
+    }
+}
+
+fn header(req: &salvo::Request, name: &str) -> Result<Option<String>, RequestError> {
+    let Some(value) = req.headers().get(name) else { return Ok(None) };
+    let message = format!("the header {name} is not printable ASCII");
+    let malformed = |_| RequestError::not_run(ErrorCode::Malformed, message);
+    value.to_str().map_err(malformed).map(|text| Some(text.to_string()))
+}
+
+fn priority(text: Option<&str>) -> Result<Priority, RequestError> {
+    match text {
+        None | Some("normal") => Ok(Priority::Normal),
+        Some("interactive") => Ok(Priority::Interactive),
+        Some("batch") => Ok(Priority::Batch),
+        Some(_) => {
+            let message = "the priority must be interactive, normal or batch";
+            Err(RequestError::not_run(ErrorCode::Malformed, message))
+        }
+    }
+}
--- a/lib/src/caller_sse.rs
+++ b/lib/src/caller_sse.rs
@@ -48,7 +48,8 @@
     })
 }
 
-fn start_event(answer: &Answer) -> Vec<u8> {
+/// Returns the first event of a stream.
+pub fn start_event(answer: &Answer) -> Vec<u8> {
     let id = &answer.request().id;
     let event = StartEvent { request: id.clone(), token: id.clone() };
     let mut buf = Vec::with_capacity(EVENT_BYTES);
@@ -57,7 +58,7 @@
 }
 
 /// Writes a part and tells whether it is the last one.
-fn write_part(buf: &mut Vec<u8>, answer: &Answer, part: &Part) -> bool {
+pub fn write_part(buf: &mut Vec<u8>, answer: &Answer, part: &Part) -> bool {
     match part {
         Part::Tokens(range) => {
             write_tokens(buf, answer.emitted(), range.clone());
@@ -91,7 +92,8 @@
     write_event(buf, "end", &event);
 }
 
-fn error_event(error: &RequestError) -> Vec<u8> {
+/// Returns the last event of a stream that could not be completed.
+pub fn error_event(error: &RequestError) -> Vec<u8> {
     let mut buf = Vec::with_capacity(EVENT_BYTES);
     write_event(&mut buf, "error", &ErrorReply { error: error.body() });
     buf
--- /dev/null
+++ b/lib/src/ledger.rs
@@ -0,0 +1,122 @@
+//! The ledger of requests that run at most once: which keys were used, by whom, and what became of
+//! them. An entry is in the platform's store before its request is sent to an upstream.
+
+use crate::cx::Cx;
+use crate::fleet_key::FleetKey;
+use crate::generated::requests::LedgerAnswer;
+use crate::generated::requests::LedgerCall;
+use crate::generated::requests::LedgerKey;
+use crate::generated::requests::LedgerOp;
+use crate::ids::Address;
+use crate::ledger_peer;
+use crate::ledger_writer;
+use crate::ledger_writer::LedgerTask;
+use crate::metric_names;
+use crate::request::first_u64;
+use crate::request::mix;
+use crate::store_client::StoreClient;
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Duration;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+
+/// Number of shards.
+pub const SHARDS: u32 = 32;
+/// Operations that may wait for one shard.
+const QUEUE_LEN: usize = 4096;
+/// Longest wait for an operation.
+const OP_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Handle to the ledger.
+#[derive(Clone)]
+pub struct Ledger {
+    cx: Cx,
+    store: StoreClient,
+    key: Option<Arc<FleetKey>>,
+    writers: Arc<Mutex<HashMap<u32, mpsc::Sender<LedgerTask>>>>,
+}
+
+impl Ledger {
+    /// Returns the ledger; without a fleet key this node writes every shard itself.
+    pub fn new(cx: Cx, store: StoreClient, key: Option<FleetKey>) -> Self {
+        Self { cx, store, key: key.map(Arc::new), writers: Arc::default() }
+    }
+
+    /// Carries out an operation, by way of the shard's usual writer where that one can be reached.
+    ///
+    /// A repeated operation of the same run is harmless, so one whose answer from the usual writer
+    /// was lost is carried out here.
+    pub async fn call(&self, op: LedgerOp) -> LedgerAnswer {
+        let shard = shard_of(&key_of(&op));
+        if let (Some(key), Some(address)) = (&self.key, self.usual_writer(shard)) {
+            self.cx.metrics.count(metric_names::LEDGER_FORWARDS, 1);
+            let call = LedgerCall { unix: self.cx.clock.unix(), shard, op: op.clone() };
+            if let Some(answer) = ledger_peer::send(key, &address, &call).await {
+                return answer;
+            }
+        }
+        self.call_here(shard, op).await
+    }
+
+    /// Carries out an operation on this node.
+    pub async fn call_here(&self, shard: u32, op: LedgerOp) -> LedgerAnswer {
+        let (tx, rx) = oneshot::channel();
+        if self.writer(shard).try_send(LedgerTask { op, tx }).is_err() {
+            return LedgerAnswer::NotWritten("too many operations wait".to_string());
+        }
+        match tokio::time::timeout(OP_TIMEOUT, rx).await {
+            Ok(Ok(answer)) => answer,
+            Ok(Err(_)) => LedgerAnswer::Unclear("the shard's writer ended".to_string()),
+            Err(_) => LedgerAnswer::Unclear(format!("no answer within {OP_TIMEOUT:?}")),
+        }
+    }
+
+    /// Tells whether the store is believed to be available.
+    pub fn is_available(&self) -> bool {
+        self.store.is_available()
+    }
+
+    /// Returns the fleet key.
+    pub fn key(&self) -> Option<&FleetKey> {
+        self.key.as_deref()
+    }
+
+    fn writer(&self, shard: u32) -> mpsc::Sender<LedgerTask> {
+        let mut writers = self.writers.lock().unwrap_or_else(PoisonError::into_inner);
+        let start = || {
+            let (tx, rx) = mpsc::channel(QUEUE_LEN);
+            tokio::spawn(ledger_writer::run(self.cx.clone(), self.store.clone(), shard, rx));
+            tx
+        };
+        writers.entry(shard).or_insert_with(start).clone()
+    }
+
+    /// Returns the address of the node that usually writes a shard; `None` when it is this one.
+    ///
+    /// Nodes may disagree while the membership changes: they then write in turn, by conflicts.
+    fn usual_writer(&self, shard: u32) -> Option<Address> {
+        let rank = |node: &str| mix(first_u64(&blake3::hash(node.as_bytes())), u64::from(shard));
+        let members = self.cx.members.usable();
+        let best = members.iter().max_by_key(|member| rank(&member.node))?;
+        (best.node != self.cx.node()).then(|| best.caller_address.clone())
+    }
+}
+
+/// Returns the customer and key that an operation is about.
+pub fn key_of(op: &LedgerOp) -> LedgerKey {
+    match op {
+        LedgerOp::Read(key) => key.clone(),
+        LedgerOp::Put(entry) => {
+            LedgerKey { customer: entry.customer.clone(), key: entry.key.clone() }
+        }
+    }
+}
+
+/// Returns the shard of a key.
+pub fn shard_of(key: &LedgerKey) -> u32 {
+    let hash = blake3::hash(format!("{} {}", key.customer, key.key).as_bytes());
+    (first_u64(&hash) % u64::from(SHARDS)) as u32
+}
--- /dev/null
+++ b/lib/src/ledger_writer.rs
@@ -0,0 +1,153 @@
+//! The writer of one ledger shard on this node: carries out operations in batches by conditional
+//! writes. Only the store's check of the version makes it safe, so any node may write any shard at
+//! any time; that one node usually does only saves writes.
+
+use crate::cx::Cx;
+use crate::generated::events::Event;
+use crate::generated::platform::PutObject;
+use crate::generated::platform::PutOutcome;
+use crate::generated::requests::LedgerAnswer;
+use crate::generated::requests::LedgerOp;
+use crate::generated::requests::LedgerShard;
+use crate::ids::ObjectVersion;
+use crate::ledger_shard::ShardContent;
+use crate::metric_names;
+use crate::store_client::CallClass;
+use crate::store_client::StoreClient;
+use crate::store_client::StoreError;
+use std::time::Duration;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use tokio::time::Instant;
+
+/// Least time between two writes of a shard by one node; operations wait for it in a batch.
+pub const WRITE_INTERVAL: Duration = Duration::from_millis(100);
+/// Operations in one batch.
+const MAX_BATCH: usize = 512;
+/// Tries of a batch that other nodes' writes supersede.
+const MAX_CONFLICTS: u32 = 8;
+
+/// An operation with the place for its answer.
+pub struct LedgerTask {
+    /// Operation.
+    pub op: LedgerOp,
+    /// Takes the answer.
+    pub tx: oneshot::Sender<LedgerAnswer>,
+}
+
+struct Writer {
+    cx: Cx,
+    store: StoreClient,
+    shard: u32,
+    cached: Option<(ShardContent, ObjectVersion)>,
+    writes: u64,
+}
+
+/// Carries out the operations on a shard until their sender is gone.
+pub async fn run(cx: Cx, store: StoreClient, shard: u32, mut rx: mpsc::Receiver<LedgerTask>) {
+    let mut writer = Writer { cx, store, shard, cached: None, writes: 0 };
+    let mut batch = vec![];
+    while rx.recv_many(&mut batch, MAX_BATCH).await > 0 {
+        let started = Instant::now();
+        let ops: Vec<LedgerOp> = batch.iter().map(|task| task.op.clone()).collect();
+        writer.cx.metrics.count(metric_names::LEDGER_OPS, ops.len() as i64);
+        let answers = writer.carry_out(&ops).await;
+        for (task, answer) in batch.drain(..).zip(answers) {
+            // A task whose request has gone needs no answer.
+            let _ = task.tx.send(answer);
+        }
+        tokio::time::sleep_until(started + WRITE_INTERVAL).await;
+    }
+}
+
+impl Writer {
+    async fn carry_out(&mut self, ops: &[LedgerOp]) -> Vec<LedgerAnswer> {
+        let mut is_fresh = false;
+        for _ in 0..MAX_CONFLICTS {
+            let (mut content, version) = match self.cached.take() {
+                Some(cached) => cached,
+                None => match self.read().await {
+                    Ok(read) => {
+                        is_fresh = true;
+                        read
+                    }
+                    Err(e) => return self.fail(ops, &e),
+                },
+            };
+            let before = content.clone();
+            content.set_writer(self.cx.node());
+            content.forget(self.cx.clock.unix());
+            let mut is_changed = false;
+            let mut answers = vec![];
+            for op in ops {
+                let (answer, changed) = content.apply(op);
+                is_changed |= changed;
+                answers.push(answer);
+            }
+            if !is_changed && is_fresh {
+                self.cached = Some((before, version));
+                return answers;
+            }
+            if !is_changed {
+                // Only a write or a read proves that the cached content is still the shard's.
+                continue;
+            }
+            match self.write(&content, version).await {
+                Ok(PutOutcome::Written(version)) => {
+                    self.cached = Some((content, version));
+                    return answers;
+                }
+                Ok(PutOutcome::Conflict(_)) => {
+                    self.cx.metrics.count(metric_names::LEDGER_CONFLICTS, 1);
+                }
+                Err(e) => return self.fail(ops, &e),
+            }
+        }
+        let reason = "other nodes wrote the shard each time";
+        vec![LedgerAnswer::NotWritten(reason.to_string()); ops.len()]
+    }
+
+    async fn read(&self) -> Result<(ShardContent, ObjectVersion), StoreError> {
+        let object = self.store.get(CallClass::Ledger, &object_key(self.shard)).await?;
+        let Some(object) = object else { return Ok((ShardContent::new(self.shard), 0)) };
+        match serde_json::from_str::<LedgerShard>(&object.value) {
+            Ok(stored) => Ok((ShardContent::from_stored(stored), object.version)),
+            // A shard that cannot be read must not be overwritten.
+            Err(e) => Err(StoreError::NotTaken(crate::platform::PlatformError::Malformed {
+                reason: e.to_string(),
+            })),
+        }
+    }
+
+    async fn write(
+        &mut self,
+        content: &ShardContent,
+        version: ObjectVersion,
+    ) -> Result<PutOutcome, StoreError> {
+        self.writes += 1;
+        let write_id = format!("{} {} {}", self.cx.node(), self.cx.incarnation, self.writes);
+        let stored = content.to_stored(write_id);
+        let put = PutObject {
+            key: object_key(self.shard),
+            if_version: version,
+            value: serde_json::to_string(&stored).unwrap_or_default(),
+        };
+        self.cx.metrics.count(metric_names::LEDGER_WRITES, 1);
+        self.store.put(CallClass::Ledger, put).await
+    }
+
+    fn fail(&self, ops: &[LedgerOp], e: &StoreError) -> Vec<LedgerAnswer> {
+        let shard = self.shard.to_string();
+        self.cx.record(Event::LedgerUnavailable { shard, reason: e.to_string() });
+        let answer = |op: &LedgerOp| match op {
+            LedgerOp::Put(_) if e.may_have_effect() => LedgerAnswer::Unclear(e.to_string()),
+            _ => LedgerAnswer::NotWritten(e.to_string()),
+        };
+        ops.iter().map(answer).collect()
+    }
+}
+
+/// Returns the store's key of a shard.
+pub fn object_key(shard: u32) -> String {
+    format!("ledger/{shard}")
+}
--- /dev/null
+++ b/lib/src/plain_call.rs
@@ -0,0 +1,249 @@
+//! Calls of plain services.
+
+use crate::admission::Ask;
+use crate::admission::Slot;
+use crate::at_most_once;
+use crate::at_most_once::Begun;
+use crate::at_most_once::OnceRun;
+use crate::engine::UpstreamError;
+use crate::generated::engine::PlainReply;
+use crate::generated::engine::PlainRequest;
+use crate::generated::requests::ErrorCode;
+use crate::ids::GroupId;
+use crate::metric_names;
+use crate::request::Request;
+use crate::request::RequestError;
+use crate::request_path::RequestPath;
+use crate::request_terms::RequestTerms;
+use crate::router::Choice;
+use crate::router::Suspicion;
+use crate::suspects::Verdict;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Attempts of one call.
+const MAX_ATTEMPTS: u32 = 3;
+
+/// Calls a plain service; a request with a key runs at most once, and goes on when its caller
+/// goes away.
+pub async fn call(
+    path: &RequestPath,
+    req: Arc<Request>,
+    terms: RequestTerms,
+) -> Result<PlainReply, RequestError> {
+    let running = path.enter()?;
+    path.retries().deposit(terms.retry_ratio);
+    let id = req.id.clone();
+    let result = match req.key.clone() {
+        None => repeatable(path, &req, &terms).await,
+        Some(key) => {
+            let path = path.clone();
+            let run = async move {
+                let _running = running;
+                once(&path, &req, &terms, &key).await
+            };
+            let internal = |e| RequestError::unknown(ErrorCode::Internal, format!("{e}"));
+            tokio::spawn(run).await.map_err(internal).flatten()
+        }
+    };
+    let name = match &result {
+        Ok(_) => metric_names::REQUESTS_WHOLE,
+        Err(e) if e.ran == crate::request::Ran::Not => metric_names::REQUESTS_NOT_RUN,
+        Err(_) => metric_names::REQUESTS_UNKNOWN,
+    };
+    path.cx().metrics.count(name, 1);
+    result.map_err(|e| e.with_request(&id))
+}
+
+async fn repeatable(
+    path: &RequestPath,
+    req: &Request,
+    terms: &RequestTerms,
+) -> Result<PlainReply, RequestError> {
+    let mut avoid = vec![];
+    let mut may_have_run = false;
+    for attempt in 1..=MAX_ATTEMPTS {
+        refuse_convicted(path, req, terms)?;
+        let slot = match acquire(path, req, terms, &avoid).await {
+            Ok(slot) => slot,
+            Err(e) if may_have_run => return Err(RequestError::unknown(e.code, e.message)),
+            Err(e) => return Err(e),
+        };
+        let error = match send(path, req, &slot, terms, 0).await {
+            Ok(reply) => {
+                path.suspects().clear(req.fingerprint);
+                return Ok(reply);
+            }
+            Err(e) => e,
+        };
+        may_have_run |= error.may_have_run();
+        note_crash(path, req, &slot, &error).await;
+        avoid.push(slot.replica().identity.group.clone());
+        drop(slot);
+        if attempt == MAX_ATTEMPTS || !path.retries().withdraw() {
+            return Err(failure(&error, may_have_run));
+        }
+        path.cx().metrics.count(metric_names::RETRIES, 1);
+    }
+    Err(RequestError::unknown(ErrorCode::UpstreamFailed, "every attempt failed"))
+}
+
+async fn once(
+    path: &RequestPath,
+    req: &Request,
+    terms: &RequestTerms,
+    key: &str,
+) -> Result<PlainReply, RequestError> {
+    let admitted = match refuse_convicted(path, req, terms) {
+        Ok(()) => acquire(path, req, terms, &[]).await,
+        Err(e) => Err(e),
+    };
+    let slot = match admitted {
+        Ok(slot) => slot,
+        Err(e) => return Err(at_most_once::refuse(path, req, key, e).await),
+    };
+    let run = match at_most_once::begin(path, req, key).await? {
+        Begun::Run(run) => run,
+        Begun::Kept { status, answer } => return Ok(PlainReply { status, body: answer }),
+    };
+    run_once(path, req, terms, slot, run).await
+}
+
+async fn run_once(
+    path: &RequestPath,
+    req: &Request,
+    terms: &RequestTerms,
+    first: Slot,
+    run: OnceRun,
+) -> Result<PlainReply, RequestError> {
+    let mut slot = first;
+    let mut avoid = vec![];
+    loop {
+        let error = match send(path, req, &slot, terms, run.epoch()).await {
+            Ok(reply) => {
+                run.done(reply.status, reply.body.clone());
+                return Ok(reply);
+            }
+            Err(e) => e,
+        };
+        note_crash(path, req, &slot, &error).await;
+        if error.may_have_run() {
+            return Err(run.failed(failure(&error, true)).await);
+        }
+        // It certainly did not run, so another upstream may take it under the same entry.
+        avoid.push(slot.replica().identity.group.clone());
+        if avoid.len() as u32 >= MAX_ATTEMPTS || !path.retries().withdraw() {
+            return Err(run.failed(failure(&error, false)).await);
+        }
+        path.cx().metrics.count(metric_names::RETRIES, 1);
+        slot = match acquire(path, req, terms, &avoid).await {
+            Ok(slot) => slot,
+            Err(e) => return Err(run.failed(e).await),
+        };
+    }
+}
+
+async fn acquire(
+    path: &RequestPath,
+    req: &Request,
+    terms: &RequestTerms,
+    avoid: &[GroupId],
+) -> Result<Slot, RequestError> {
+    let left = req.deadline.saturating_duration_since(Instant::now());
+    let suspicion = match path.suspects().verdict(req.fingerprint, terms.crash_limit) {
+        Verdict::Clear => Suspicion::None,
+        Verdict::Suspect => Suspicion::Suspect,
+        Verdict::Isolate | Verdict::Convicted => Suspicion::Isolated,
+    };
+    let ask = Ask {
+        service: req.service_id.clone(),
+        customer: req.customer.clone(),
+        weight: terms.weight,
+        burst: terms.burst,
+        bytes: req.prompt.len(),
+        choice: Choice {
+            hash: req.fingerprint,
+            priority: req.priority,
+            avoid: avoid.to_vec(),
+            only: None,
+            adapter: None,
+            suspicion,
+        },
+        max_wait: terms.queue_wait.min(left),
+    };
+    path.admission().acquire(&ask).await
+}
+
+async fn send(
+    path: &RequestPath,
+    req: &Request,
+    slot: &Slot,
+    terms: &RequestTerms,
+    epoch: u64,
+) -> Result<PlainReply, UpstreamError> {
+    let sent = Instant::now();
+    let plain_req = PlainRequest {
+        request: req.id.clone(),
+        path: req.path.clone(),
+        body: req.prompt.clone(),
+        idempotency_key: req.key.clone(),
+        epoch,
+    };
+    let address = &slot.replica().identity.address;
+    let left = req.deadline.saturating_duration_since(Instant::now());
+    let calling = path.plain().call(address, &plain_req);
+    let result = tokio::time::timeout(left, calling).await.unwrap_or_else(|_| {
+        let reason = format!("no answer within {left:?}");
+        Err(UpstreamError::Interrupted { reason })
+    });
+    match &result {
+        Ok(_) => {
+            path.note_success(slot.replica());
+            slot.replica().observe_first_token(sent.elapsed(), terms.first_token);
+        }
+        Err(_) => path.note_failure(slot.replica()),
+    }
+    result
+}
+
+/// Takes in a crash when the upstream no longer answers on a new connection.
+async fn note_crash(path: &RequestPath, req: &Request, slot: &Slot, error: &UpstreamError) {
+    const PROBE_BOUND: Duration = Duration::from_millis(200);
+    if !matches!(error, UpstreamError::Interrupted { .. }) {
+        return;
+    }
+    let replica = slot.replica();
+    let asking = path.plain().takes_work(&replica.identity.address);
+    if !matches!(tokio::time::timeout(PROBE_BOUND, asking).await, Ok(Ok(_))) {
+        path.suspects().crashed(req.fingerprint, replica.crash_id());
+    }
+}
+
+fn refuse_convicted(
+    path: &RequestPath,
+    req: &Request,
+    terms: &RequestTerms,
+) -> Result<(), RequestError> {
+    match path.suspects().verdict(req.fingerprint, terms.crash_limit) {
+        Verdict::Convicted => {
+            let message = "upstreams crashed while they ran this request";
+            Err(RequestError::not_run(ErrorCode::Poisonous, message))
+        }
+        _ => Ok(()),
+    }
+}
+
+fn failure(error: &UpstreamError, may_have_run: bool) -> RequestError {
+    let code = match error {
+        UpstreamError::Malformed { .. } => ErrorCode::UpstreamMalformed,
+        _ => ErrorCode::UpstreamFailed,
+    };
+    match may_have_run {
+        true => RequestError::unknown(code, error.to_string()),
+        false => {
+            let error = RequestError::not_run(code, error.to_string());
+            error.with_retry_after(Duration::from_secs(1))
+        }
+    }
+}
--- a/lib/src/replica.rs
+++ b/lib/src/replica.rs
@@ -11,6 +11,8 @@
 use crate::ids::RegionId;
 use crate::ids::ServiceId;
 use crate::outlier::Circuit;
+use crate::replica_load::INITIAL_CAPACITY;
+use crate::replica_load::PLAIN_CAPACITY;
 use crate::replica_load::ReplicaLoad;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -54,7 +56,7 @@
     state: Mutex<ReplicaState>,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct ReplicaState {
     load: ReplicaLoad,
     limit: ConcurrencyLimit,
@@ -68,7 +70,15 @@
     /// Returns a replica of which nothing is known yet.
     pub fn new(identity: ReplicaIdentity) -> Self {
         let hash = crate::request::first_u64(&blake3::hash(identity.group.as_bytes()));
-        Self { identity, hash, state: Mutex::default() }
+        let capacity = if identity.epoch == 0 { PLAIN_CAPACITY } else { INITIAL_CAPACITY };
+        let state = ReplicaState {
+            load: ReplicaLoad::new(capacity),
+            limit: ConcurrencyLimit::new(),
+            circuit: Circuit::new(),
+            is_refuted: false,
+            suspects: 0,
+        };
+        Self { identity, hash, state: Mutex::new(state) }
     }
 
     /// Returns the id of this replica's crash, alike on every node.
--- a/lib/src/replica_load.rs
+++ b/lib/src/replica_load.rs
@@ -5,8 +5,10 @@
 use std::collections::VecDeque;
 use tokio::time::Instant;
 
-/// Capacity assumed until the replica has reported one.
+/// Capacity of an engine that has not reported one.
 pub const INITIAL_CAPACITY: u32 = 8;
+/// Capacity of a plain upstream, which reports none; the limit on its requests adapts below it.
+pub const PLAIN_CAPACITY: u32 = 256;
 /// Starts and ends that are remembered for correcting reports.
 const MAX_REMEMBERED: usize = 512;
 
@@ -22,6 +24,8 @@
     /// Requests of this node that run there.
     own_running: u32,
     reported: Option<Report>,
+    /// Capacity while none is reported.
+    assumed_capacity: u32,
     recent: VecDeque<(Instant, Change)>,
 }
 
@@ -34,8 +38,8 @@
 
 impl ReplicaLoad {
     /// Returns the load of a replica that has not reported yet.
-    pub fn new() -> Self {
-        Self { own_running: 0, reported: None, recent: VecDeque::new() }
+    pub fn new(assumed_capacity: u32) -> Self {
+        Self { own_running: 0, reported: None, assumed_capacity, recent: VecDeque::new() }
     }
 
     /// Counts a request that this node sends there.
@@ -84,7 +88,7 @@
 
     /// Returns the largest running batch.
     pub fn capacity(&self) -> u32 {
-        self.reported.map_or(INITIAL_CAPACITY, |report| report.capacity)
+        self.reported.map_or(self.assumed_capacity, |report| report.capacity)
     }
 
     fn remember(&mut self, now: Instant, change: Change) {
@@ -94,9 +98,3 @@
         self.recent.push_back((now, change));
     }
 }
-
-impl Default for ReplicaLoad {
-    fn default() -> Self {
-        Self::new()
-    }
-}
--- a/lib/src/request_path.rs
+++ b/lib/src/request_path.rs
@@ -7,6 +7,7 @@
 use crate::cx::Cx;
 use crate::engine::Engine;
 use crate::facts::FactKind;
+use crate::fleet_key::FleetKey;
 use crate::generated::config::Customer;
 use crate::generated::config::ServiceKind;
 use crate::generated::events::Event;
@@ -15,6 +16,7 @@
 use crate::generated::requests::UsageFact;
 use crate::ids::AttemptId;
 use crate::ids::InstanceId;
+use crate::ledger::Ledger;
 use crate::outlier::MAX_EJECTED_PERCENT;
 use crate::plain_service::PlainService;
 use crate::replica::Replica;
@@ -28,6 +30,7 @@
 use crate::suspects::Suspects;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::path::Path;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
@@ -59,13 +62,13 @@
 
 struct Inner {
     cx: Cx,
-    store: StoreClient,
     engine: Arc<dyn Engine>,
     plain: Arc<dyn PlainService>,
     routes: RouteTable,
     admission: Admission,
     suspects: Suspects,
     retries: RetryBudget,
+    ledger: Ledger,
     attempts: AtomicU64,
     /// Upstreams that said that they are leaving, with the time until which that is remembered.
     leaving: Mutex<BTreeMap<InstanceId, Instant>>,
@@ -100,8 +103,9 @@
         let seed = format!("{} {}", cx.node(), cx.incarnation);
         // The upper half tells the attempts of different nodes and incarnations apart.
         let first_attempt = first_u64(&blake3::hash(seed.as_bytes())) & !0xffff_ffff;
+        let key = FleetKey::read(Path::new(&cx.settings.fleet_key_file)).ok();
         let inner = Inner {
-            store,
+            ledger: Ledger::new(cx.clone(), store, key),
             engine,
             plain,
             admission: Admission::new(cx.clone(), routes.clone()),
@@ -184,11 +188,6 @@
         &self.inner.cx
     }
 
-    /// Returns the store client.
-    pub fn store(&self) -> &StoreClient {
-        &self.inner.store
-    }
-
     /// Returns the engine edge.
     pub fn engine(&self) -> &Arc<dyn Engine> {
         &self.inner.engine
@@ -219,6 +218,11 @@
         &self.inner.retries
     }
 
+    /// Returns the ledger.
+    pub fn ledger(&self) -> &Ledger {
+        &self.inner.ledger
+    }
+
     /// Returns the number of running requests.
     pub fn running(&self) -> usize {
         self.inner.running.load(Ordering::Acquire)
--- /dev/null
+++ b/lib/tests/test_ledger.rs
@@ -0,0 +1,309 @@
+//! Tests of requests that run at most once, under the faults that could run them twice or lose them.
+
+use guavaladder_lib::at_most_once;
+use guavaladder_lib::at_most_once::Begun;
+use guavaladder_lib::generated::engine::PlainReply;
+use guavaladder_lib::generated::requests::ErrorCode;
+use guavaladder_lib::generated::requests::LedgerAnswer;
+use guavaladder_lib::generated::requests::LedgerEntry;
+use guavaladder_lib::generated::requests::LedgerOp;
+use guavaladder_lib::generated::requests::LedgerShard;
+use guavaladder_lib::generated::requests::LedgerState;
+use guavaladder_lib::generated::requests::RequestState;
+use guavaladder_lib::ledger;
+use guavaladder_lib::ledger_key;
+use guavaladder_lib::ledger_key::KEY_WINDOW;
+use guavaladder_lib::ledger_shard::ShardContent;
+use guavaladder_lib::ledger_writer::WRITE_INTERVAL;
+use guavaladder_lib::plain_call;
+use guavaladder_lib::platform::MAX_OBJECT_BYTES;
+use guavaladder_lib::request::Ran;
+use guavaladder_lib::request::Request;
+use guavaladder_lib::request::RequestError;
+use guavaladder_lib::request_path::RequestPath;
+use guavaladder_testutils::engine_options::EngineOptions;
+use guavaladder_testutils::fake_store::StoreFaults;
+use guavaladder_testutils::request_rig::FILING;
+use guavaladder_testutils::request_rig::RequestRig;
+use guavaladder_testutils::request_rig::filing;
+use guavaladder_testutils::request_rig::plain_address;
+use guavaladder_testutils::token_text::plain_answer;
+use rstest::rstest;
+use std::sync::Arc;
+use std::time::Duration;
+
+async fn rig(nodes: usize) -> RequestRig {
+    RequestRig::new(nodes, 0, 1, EngineOptions::new()).await
+}
+
+fn key(rig: &RequestRig, index: usize) -> String {
+    format!("{:013}-random{index:06}", rig.clock.unix().as_millis())
+}
+
+async fn call(path: &RequestPath, req: Request) -> Result<PlainReply, RequestError> {
+    let terms = path.terms(&req.customer, &req.service_id)?;
+    plain_call::call(path, Arc::new(req), terms).await
+}
+
+#[tokio::test(start_paused = true)]
+async fn call_resent_is_answered_from_ledger() {
+    let rig = rig(2).await;
+    let key = key(&rig, 0);
+    let first = call(&rig.nodes[0].path, filing("a1", &key, "pay 5")).await.unwrap();
+    assert_eq!(first.body, plain_answer(FILING, "pay", "pay 5"));
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let again = call(&rig.nodes[1].path, filing("a2", &key, "pay 5")).await.unwrap();
+    assert_eq!(again, first);
+    assert_eq!(rig.world.runs_of(&key), 1);
+    let status = at_most_once::status(&rig.nodes[1].path, "c0", &key).await.unwrap();
+    assert_eq!(status.state, RequestState::Whole);
+}
+
+#[tokio::test(start_paused = true)]
+async fn call_with_used_key_and_other_body_is_refused() {
+    let rig = rig(1).await;
+    let key = key(&rig, 0);
+    call(&rig.nodes[0].path, filing("a1", &key, "pay 5")).await.unwrap();
+    let e = call(&rig.nodes[0].path, filing("a2", &key, "pay 6")).await.unwrap_err();
+    assert_eq!((e.code, e.ran), (ErrorCode::KeyReused, Ran::Not));
+    assert_eq!(rig.world.runs_of(&key), 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn call_at_two_nodes_at_once_runs_once() {
+    let rig = rig(2).await;
+    for index in 0..20 {
+        let key = key(&rig, index);
+        let (a, b) = tokio::join!(
+            call(&rig.nodes[0].path, filing("a", &key, "dispatch")),
+            call(&rig.nodes[1].path, filing("b", &key, "dispatch")),
+        );
+        assert_eq!(rig.world.runs_of(&key), 1);
+        assert_eq!(usize::from(a.is_ok()) + usize::from(b.is_ok()), 1, "{a:?} {b:?}");
+        let e = a.and(b).unwrap_err();
+        assert_eq!((e.code, e.ran), (ErrorCode::InProgress, Ran::Maybe));
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn call_while_store_is_away_is_not_run() {
+    let rig = rig(1).await;
+    rig.store.set_faults(StoreFaults { away: true, ..StoreFaults::default() });
+    let fresh = key(&rig, 0);
+    let e = call(&rig.nodes[0].path, filing("a", &fresh, "pay")).await.unwrap_err();
+    assert_eq!((e.code, e.ran), (ErrorCode::LedgerAway, Ran::Not));
+    assert!(e.retry_after.is_some());
+    tokio::time::sleep(Duration::from_secs(20)).await;
+    // A copy of an older key may have run before the store went away.
+    let e = call(&rig.nodes[0].path, filing("b", &fresh, "pay")).await.unwrap_err();
+    assert_eq!((e.code, e.ran), (ErrorCode::LedgerAway, Ran::Maybe));
+    assert_eq!(rig.world.runs_of(&fresh), 0);
+    rig.store.set_faults(StoreFaults::default());
+    tokio::time::sleep(Duration::from_secs(60)).await;
+    call(&rig.nodes[0].path, filing("c", &key(&rig, 1), "pay")).await.unwrap();
+}
+
+#[tokio::test(start_paused = true)]
+async fn call_with_lost_store_answers_runs_once() {
+    let rig = rig(2).await;
+    rig.store.set_faults(StoreFaults { lose_answers: 0.7, ..StoreFaults::default() });
+    for index in 0..20 {
+        let key = key(&rig, index);
+        let result = call(&rig.nodes[index % 2].path, filing("a", &key, "pay")).await;
+        let _ = call(&rig.nodes[(index + 1) % 2].path, filing("b", &key, "pay")).await;
+        let runs = rig.world.runs_of(&key);
+        assert!(runs <= 1, "{runs} runs");
+        if let Err(e) = result {
+            assert!(runs == 0 || e.ran == Ran::Maybe, "{e:?} after {runs} runs");
+        }
+    }
+}
+
+#[rstest]
+#[case::before_upstream(false)]
+#[case::after_upstream(true)]
+#[tokio::test(start_paused = true)]
+async fn call_after_node_was_killed_is_unknown(#[case] was_sent: bool) {
+    let mut rig = rig(2).await;
+    let key = key(&rig, 0);
+    let req = filing("a", &key, "pay");
+    let begun = at_most_once::begin(&rig.nodes[0].path, &req, &key).await.unwrap();
+    let Begun::Run(run) = begun else { panic!("not begun") };
+    if was_sent {
+        let plain_req = serde_json::from_value(serde_json::json!({
+            "request": "a", "path": "pay", "body": "pay", "idempotency_key": key, "epoch": 1,
+        }));
+        let plain = rig.nodes[0].path.plain();
+        plain.call(&plain_address(0), &plain_req.unwrap()).await.unwrap();
+    }
+    // A killed process neither notes a result nor runs its destructors.
+    std::mem::forget(run);
+    rig.nodes.remove(0);
+    rig.publish();
+    for attempt in ["b", "c"] {
+        let e = call(&rig.nodes[0].path, filing(attempt, &key, "pay")).await.unwrap_err();
+        assert_eq!((e.code, e.ran), (ErrorCode::OutcomeUnknown, Ran::Maybe));
+    }
+    assert_eq!(rig.world.runs_of(&key), usize::from(was_sent));
+    let status = at_most_once::status(&rig.nodes[0].path, "c0", &key).await.unwrap();
+    assert_eq!(status.state, RequestState::Unknown);
+}
+
+#[tokio::test(start_paused = true)]
+async fn call_whose_answer_was_lost_is_never_run_again() {
+    let rig = rig(1).await;
+    let options = EngineOptions { plain_lose_answers: 1.0, ..EngineOptions::new() };
+    for index in 0..3 {
+        rig.world.set_options(&plain_address(index), options.clone());
+    }
+    let key = key(&rig, 0);
+    for attempt in ["a", "b", "c"] {
+        let e = call(&rig.nodes[0].path, filing(attempt, &key, "pay")).await.unwrap_err();
+        assert_eq!(e.ran, Ran::Maybe);
+        tokio::time::sleep(Duration::from_secs(1)).await;
+    }
+    assert_eq!(rig.world.runs_of(&key), 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn call_refused_once_never_runs_under_its_key() {
+    let rig = rig(2).await;
+    for index in 0..3 {
+        rig.world.kill(&plain_address(index));
+    }
+    let key = key(&rig, 0);
+    let e = call(&rig.nodes[0].path, filing("a", &key, "pay")).await.unwrap_err();
+    assert_eq!(e.ran, Ran::Not);
+    for index in 0..3 {
+        rig.world.revive(&plain_address(index));
+    }
+    tokio::time::sleep(Duration::from_secs(40)).await;
+    // A late copy of the same request must not make the refusal untrue.
+    let e = call(&rig.nodes[1].path, filing("b", &key, "pay")).await.unwrap_err();
+    assert_eq!((e.code, e.ran), (ErrorCode::KeyRefused, Ran::Not));
+    assert_eq!(rig.world.runs_of(&key), 0);
+}
+
+#[tokio::test(start_paused = true)]
+async fn call_tries_next_upstream_when_one_is_unreachable() {
+    let rig = rig(1).await;
+    rig.world.kill(&plain_address(0));
+    rig.world.kill(&plain_address(1));
+    for index in 0..6 {
+        let key = key(&rig, index);
+        call(&rig.nodes[0].path, filing("a", &key, &format!("pay {index}"))).await.unwrap();
+        assert_eq!(rig.world.runs_of(&key), 1);
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn call_here_merges_writes_of_a_paused_writer() {
+    let rig = rig(2).await;
+    let entry = |index: usize, node: &str| LedgerEntry {
+        key: key(&rig, index),
+        customer: "c0".to_string(),
+        fingerprint: 1,
+        node: node.to_string(),
+        incarnation: 1,
+        attempt: format!("{node} {index}"),
+        epoch: 0,
+        state: LedgerState::Started,
+        status: 0,
+        answer: None,
+    };
+    // The first node wrote the shard, pauses, and wakes with an old copy of it in memory.
+    let put = |entry: LedgerEntry| LedgerOp::Put(entry);
+    let (old, new) = (rig.nodes[0].path.ledger(), rig.nodes[1].path.ledger());
+    old.call_here(3, put(entry(0, "n0"))).await;
+    new.call_here(3, put(entry(1, "n1"))).await;
+    let LedgerAnswer::Entry(held) = old.call_here(3, put(entry(1, "n0"))).await else {
+        panic!("no entry");
+    };
+    assert_eq!(held.attempt, "n1 1");
+    old.call_here(3, put(entry(2, "n0"))).await;
+    let object = rig.store.peek("ledger/3").unwrap();
+    let shard: LedgerShard = serde_json::from_str(&object.value).unwrap();
+    assert_eq!(shard.entries.len(), 3);
+}
+
+#[tokio::test(start_paused = true)]
+async fn call_writes_grow_with_shards_and_not_with_requests() {
+    let rig = rig(1).await;
+    let before = rig.store.calls().writes();
+    let started = rig.clock.now();
+    let mut calls = vec![];
+    for index in 0..2000 {
+        let (path, req) =
+            (rig.nodes[0].path.clone(), filing(&format!("a{index}"), &key(&rig, index), "pay"));
+        calls.push(tokio::spawn(async move { call(&path, req).await.is_ok() }));
+        if index % 20 == 0 {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+    let mut whole = 0;
+    for call in calls {
+        whole += usize::from(call.await.unwrap());
+    }
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let elapsed = rig.clock.now() - started;
+    let writes = rig.store.calls().writes() - before;
+    let intervals = elapsed.as_millis().div_ceil(WRITE_INTERVAL.as_millis()) as u64 + 1;
+    assert!(writes <= intervals * u64::from(ledger::SHARDS), "{writes} writes in {elapsed:?}");
+    assert!(whole > 1500, "{whole}");
+}
+
+#[rstest]
+#[case::now(0, None)]
+#[case::old_enough(-599, None)]
+#[case::too_old(-601, Some(Ran::Maybe))]
+#[case::skewed(29, None)]
+#[case::future(31, Some(Ran::Not))]
+fn check_window_by_age(#[case] offset: i64, #[case] expected: Option<Ran>) {
+    let unix = Duration::from_secs(1_700_000_000);
+    let made = (1_700_000_000 + offset) * 1000;
+    let result = ledger_key::check(&format!("{made}-abcdefgh"), unix);
+    assert_eq!(result.err().map(|e| e.ran), expected);
+}
+
+#[rstest]
+#[case::empty("")]
+#[case::no_random("1700000000000")]
+#[case::short_random("1700000000000-abc")]
+#[case::short_time("170000000000-abcdefgh")]
+#[case::sign("+170000000000-abcdefgh")]
+#[case::slash("1700000000000-abcd/fgh")]
+#[case::long("1700000000000-aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa")]
+fn check_malformed(#[case] key: &str) {
+    let e = ledger_key::check(key, Duration::from_secs(1_700_000_000)).unwrap_err();
+    assert_eq!((e.code, e.ran), (ErrorCode::KeyMalformed, Ran::Not));
+}
+
+#[test]
+fn apply_keeps_shard_below_bound() {
+    let unix = Duration::from_secs(1_700_000_000);
+    let mut shard = ShardContent::new(0);
+    let mut refused = 0;
+    for index in 0..10_000 {
+        let entry = LedgerEntry {
+            key: format!("{}-{index:08}", unix.as_millis()),
+            customer: "customer".to_string(),
+            fingerprint: u64::MAX,
+            node: "node".to_string(),
+            incarnation: u64::MAX,
+            attempt: "f".repeat(48),
+            epoch: u64::MAX,
+            state: LedgerState::Done,
+            status: 200,
+            answer: Some("\"".repeat(500)),
+        };
+        let (answer, _) = shard.apply(&LedgerOp::Put(entry));
+        refused += usize::from(matches!(answer, LedgerAnswer::NotWritten(_)));
+    }
+    let text = serde_json::to_string(&shard.to_stored("w".to_string())).unwrap();
+    assert!(text.len() < MAX_OBJECT_BYTES, "{}", text.len());
+    assert!(refused > 0 && shard.len() > 1000, "{refused} refused, {} kept", shard.len());
+    shard.forget(unix + KEY_WINDOW);
+    assert!(!shard.is_empty());
+    shard.forget(unix + KEY_WINDOW + Duration::from_secs(61));
+    assert!(shard.is_empty());
+}
--- a/lib/testutils/src/request_rig.rs
+++ b/lib/testutils/src/request_rig.rs
@@ -287,7 +287,7 @@
 fn plain_info(index: usize, service: &str) -> InstanceInfo {
     InstanceInfo {
         instance: format!("p{index}"),
-        address: format!("10.255.0.{index}:80"),
+        address: plain_address(index),
         role: InstanceRole::Plain,
         domain: String::new(),
         accelerators: 0,
@@ -314,6 +314,23 @@
     }
 }
 
+/// Returns the address of an instance of a plain service.
+pub fn plain_address(index: usize) -> String {
+    format!("10.255.0.{index}:80")
+}
+
+/// Returns a call with a key for the filing service.
+pub fn filing(id: &str, key: &str, body: &str) -> Request {
+    Request {
+        id: id.to_string(),
+        service_id: FILING.to_string(),
+        path: "pay".to_string(),
+        key: Some(key.to_string()),
+        fingerprint: fingerprint(FILING, None, "pay", body),
+        ..drafting(id, "c0", body, 0)
+    }
+}
+
 /// Sends a request by way of a node and waits for its whole answer.
 pub async fn answer(
     path: &RequestPath,
