groups: own fabric domains by lease and assemble groups from members' own reports

Cause: groups need one owner for each fabric domain, safe against pauses, lost answers and store outages, and have to be formed and kept whole.

Measured: not measured.

--- /dev/null
+++ b/lib/src/domain_orders.rs
@@ -0,0 +1,111 @@
+//! The orders of a domain's owner.
+
+use crate::domain_owner::DomainOwner;
+use crate::domain_step::Facts;
+use crate::domain_step::kind_of;
+use crate::generated::config::FleetConfig;
+use crate::generated::config::UpstreamKind;
+use crate::generated::engine::MemberState;
+use crate::generated::engine::OrderAction;
+use crate::generated::groups::GroupRecord;
+use crate::generated::groups::GroupState;
+use crate::generated::platform::InstanceInfo;
+use crate::group_orders::NeededOrder;
+use crate::group_orders::needed_orders;
+use crate::group_verify::is_standby;
+use crate::ids::InstanceId;
+use crate::load_schedule;
+use crate::order_sender::OrderOutcome;
+use crate::planner_types::ServiceTarget;
+use futures_util::future::join_all;
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+/// Length of a slot in which a domain may start to load a standby.
+const STANDBY_SLOT: Duration = Duration::from_secs(10);
+
+impl DomainOwner {
+    /// Gives the orders that the record asks for and returns how many were sent.
+    pub(crate) async fn give_orders(
+        &mut self,
+        facts: &Facts,
+        targets: &[ServiceTarget],
+        config: &FleetConfig,
+        own: &[&InstanceInfo],
+    ) -> usize {
+        let mut needed = needed_orders(&self.record.groups, facts, targets);
+        self.hold_back_standbys(&mut needed, facts, config.defaults.load_concurrency);
+        let kinds: BTreeMap<&str, UpstreamKind> =
+            own.iter().map(|info| (info.instance.as_str(), kind_of(config, info))).collect();
+        self.fence_members(&mut needed, facts, &kinds);
+        let sender = &self.sender;
+        let right = &self.right;
+        let sends = needed.iter().filter_map(|order| {
+            let kind = kinds.get(order.instance.as_str())?;
+            Some(sender.send(order, kind, right))
+        });
+        let outcomes = join_all(sends).await;
+        for (order, outcome) in needed.iter().zip(outcomes) {
+            match (&order.action, outcome) {
+                (_, OrderOutcome::Fenced(epoch)) if epoch > self.right.epoch => {
+                    return self.lose_to(epoch);
+                }
+                (OrderAction::Regroup(_), OrderOutcome::Refused(_)) => {
+                    self.history.refused_regroup(&order.instance);
+                }
+                _ => {}
+            }
+        }
+        needed.len()
+    }
+
+    pub(crate) fn lose_to(&mut self, epoch: u64) -> usize {
+        self.lose(&format!("a newer owner of epoch {epoch} gave orders"));
+        0
+    }
+
+    /// Lets every instance that checks fencing numbers learn the owner's, before anything else.
+    pub(crate) fn fence_members(
+        &self,
+        needed: &mut Vec<NeededOrder>,
+        facts: &Facts,
+        kinds: &BTreeMap<&str, UpstreamKind>,
+    ) {
+        let ordered: BTreeSet<InstanceId> = needed.iter().map(|o| o.instance.clone()).collect();
+        for (id, facts) in facts.iter().filter(|(_, facts)| facts.is_answering()) {
+            let checks = kinds.get(id.as_str()).is_some_and(|kind| kind.checks_fencing);
+            let knows = facts.report.as_ref().is_some_and(|r| r.highest_epoch >= self.right.epoch);
+            if checks && !knows && !ordered.contains(id) {
+                needed.push(NeededOrder::fence(id, &facts.address));
+            }
+        }
+    }
+
+    /// Lets at most one standby of the domain load at a time, and only in the domain's turn.
+    pub(crate) fn hold_back_standbys(
+        &self,
+        needed: &mut Vec<NeededOrder>,
+        facts: &Facts,
+        concurrency: u32,
+    ) {
+        let records = self.shared.records.all();
+        let groups = || records.values().flat_map(|known| &known.record.groups);
+        let is_loading =
+            |g: &&GroupRecord| matches!(g.state, GroupState::Loading | GroupState::Reserved);
+        let loading: u32 = groups().filter(is_loading).map(|group| group.loads).sum();
+        let index = records.keys().position(|domain| *domain == self.domain).unwrap_or(0);
+        let slot = self.shared.cx.clock.unix().as_secs() / STANDBY_SLOT.as_secs();
+        let is_turn =
+            load_schedule::is_standby_turn(loading, concurrency, index, records.len(), slot);
+        let is_busy = facts.values().any(|facts| {
+            let is_loading = facts.state() == Some(MemberState::Loading);
+            is_loading && facts.held().is_some_and(is_standby)
+        });
+        let mut may_load = is_turn && !is_busy;
+        needed.retain(|order| match &order.action {
+            OrderAction::Join(wanted) if is_standby(wanted) => std::mem::take(&mut may_load),
+            _ => true,
+        });
+    }
+}
--- /dev/null
+++ b/lib/src/domain_owner.rs
@@ -0,0 +1,287 @@
+//! The owner of one fabric domain: holds its lease, polls its instances, plans its groups, records
+//! the plan and gives the orders that follow from it.
+
+use crate::cx::Cx;
+use crate::domain_lease::HeldLease;
+use crate::domain_records::DomainRecords;
+use crate::domain_records::domain_key;
+use crate::engine::Engine;
+use crate::generated::events::Event;
+use crate::generated::groups::DomainRecord;
+use crate::generated::groups::GroupRecord;
+use crate::generated::platform::PutObject;
+use crate::generated::platform::PutOutcome;
+use crate::ids::DomainId;
+use crate::ids::GroupId;
+use crate::ids::InstanceId;
+use crate::ids::ObjectVersion;
+use crate::ids::ServiceId;
+use crate::member_history::MemberHistory;
+use crate::object_view::ViewedObject;
+use crate::order_sender::OrderRight;
+use crate::order_sender::OrderSender;
+use crate::placement::DomainPlace;
+use crate::store_client::CallClass;
+use crate::store_client::StoreClient;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio_util::sync::CancellationToken;
+
+/// Period of the owner's steps.
+const STEP_PERIOD: Duration = Duration::from_secs(1);
+
+/// What all owners of a node share.
+pub struct ControlShared {
+    /// Context.
+    pub cx: Cx,
+    /// Store client.
+    pub store: StoreClient,
+    /// Engines.
+    pub engine: Arc<dyn Engine>,
+    /// Records of all domains.
+    pub records: DomainRecords,
+}
+
+/// Owner of one domain.
+pub struct DomainOwner {
+    pub(crate) shared: Arc<ControlShared>,
+    pub(crate) domain: DomainId,
+    pub(crate) right: OrderRight,
+    pub(crate) record: DomainRecord,
+    pub(crate) history: MemberHistory,
+    pub(crate) sender: OrderSender,
+    pub(crate) next_group: u64,
+    pub(crate) draining_since: BTreeMap<GroupId, Duration>,
+    pub(crate) shortages: BTreeMap<ServiceId, usize>,
+    pub(crate) next_poll: Duration,
+    pub(crate) dark_since: Option<Duration>,
+    /// Whether another node found the domain dark before it was taken.
+    pub(crate) was_found_dark: bool,
+    /// Whether the record in memory is ahead of the store.
+    pub(crate) is_unsaved: bool,
+    is_lost: bool,
+}
+
+/// What came of a write of the record.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum WriteEnd {
+    /// The record is stored.
+    Written,
+    /// The store did not answer; the record may or may not be stored.
+    NoAnswer,
+    /// Another node owns the domain.
+    Lost,
+}
+
+impl DomainOwner {
+    /// Tries to become the owner of a domain; `None` when another node was first or the store did
+    /// not answer.
+    pub async fn take(
+        shared: Arc<ControlShared>,
+        domain: &str,
+        place: &DomainPlace,
+        reason: &str,
+    ) -> Option<Self> {
+        let known = shared.records.get(domain);
+        let version = known.as_ref().map_or(0, |known| known.version);
+        let before = known.map(|known| (*known.record).clone());
+        let lease = shared.cx.config.get()?.config.defaults.lease;
+        let from = before.as_ref().map(|record| record.owner.clone()).unwrap_or_default();
+        let record = new_record(&shared.cx, domain, place, before, lease);
+        let counted_from = shared.cx.clock.now();
+        let version = match store_record(&shared, &record, version).await {
+            Ok(PutOutcome::Written(version)) => version,
+            Ok(PutOutcome::Conflict(_)) => {
+                read_record(&shared, domain).await;
+                return None;
+            }
+            Err(_) => return None,
+        };
+        shared.cx.record(Event::DomainTaken {
+            domain: domain.to_string(),
+            node: shared.cx.node().to_string(),
+            epoch: record.epoch,
+            from: from.clone(),
+            reason: reason.to_string(),
+        });
+        let unfenced_from = match from.is_empty() {
+            true => Duration::ZERO,
+            false => shared.cx.clock.now() + longest_order(&shared.cx),
+        };
+        let lease = HeldLease::new(version, counted_from, lease);
+        let right = OrderRight { epoch: record.epoch, lease, unfenced_from };
+        let sender = OrderSender::new(shared.cx.clone(), shared.engine.clone(), domain);
+        Some(Self {
+            was_found_dark: is_found_dark(&record),
+            shared,
+            domain: domain.to_string(),
+            right,
+            record,
+            history: MemberHistory::new(),
+            sender,
+            next_group: 1,
+            draining_since: BTreeMap::new(),
+            shortages: BTreeMap::new(),
+            next_poll: Duration::ZERO,
+            dark_since: None,
+            is_unsaved: false,
+            is_lost: false,
+        })
+    }
+
+    /// Owns the domain until the lease is lost or `stop` asks to hand it back.
+    pub async fn run(mut self, stop: CancellationToken) {
+        let mut ticks = self.shared.cx.timers.subscribe(Duration::ZERO, STEP_PERIOD).await;
+        while !self.is_lost {
+            tokio::select! {
+                tick = ticks.next() => match tick {
+                    Some(_) => self.step().await,
+                    None => return,
+                },
+                () = stop.cancelled() => return self.hand_back("another node is to own it").await,
+            }
+        }
+    }
+
+    /// Gives the domain up. No order is in flight, since each step waits for its own.
+    pub(crate) async fn hand_back(&mut self, reason: &str) {
+        let groups = self.record.groups.clone();
+        let unavailable = self.record.unavailable.clone();
+        let owner = std::mem::take(&mut self.record.owner);
+        let written = self.write(groups, unavailable).await;
+        self.record.owner = owner;
+        self.is_lost = true;
+        if written == WriteEnd::Written {
+            self.shared.cx.record(Event::DomainHandedBack {
+                domain: self.domain.clone(),
+                node: self.shared.cx.node().to_string(),
+                epoch: self.record.epoch,
+                reason: reason.to_string(),
+            });
+        }
+    }
+
+    /// Writes the record, which also renews the lease.
+    pub(crate) async fn write(
+        &mut self,
+        groups: Vec<GroupRecord>,
+        unavailable: Vec<InstanceId>,
+    ) -> WriteEnd {
+        let renewals = self.record.renewals + 1;
+        self.record.renewals = renewals;
+        let write_id = write_id(&self.shared.cx, renewals);
+        let next = DomainRecord { renewals, write_id, groups, unavailable, ..self.record.clone() };
+        let counted_from = self.shared.cx.clock.now();
+        let version = self.right.lease.version;
+        match store_record(&self.shared, &next, version).await {
+            Ok(PutOutcome::Written(version)) => {
+                self.right.lease = HeldLease::new(version, counted_from, next.lease);
+                self.record = next;
+                self.is_unsaved = false;
+                WriteEnd::Written
+            }
+            Ok(PutOutcome::Conflict(_)) => self.read_after_conflict().await,
+            Err(_) => WriteEnd::NoAnswer,
+        }
+    }
+
+    /// Finds out whether a conflict is with an own write that took effect late.
+    async fn read_after_conflict(&mut self) -> WriteEnd {
+        let Some((version, stored)) = read_record(&self.shared, &self.domain).await else {
+            return WriteEnd::NoAnswer;
+        };
+        let is_own = stored.owner == self.shared.cx.node() && stored.epoch == self.right.epoch;
+        if is_own {
+            self.right.lease.version = version;
+            self.record.groups = stored.groups;
+            self.record.renewals = self.record.renewals.max(stored.renewals);
+            return WriteEnd::NoAnswer;
+        }
+        self.lose(&format!("{} took it with epoch {}", stored.owner, stored.epoch));
+        WriteEnd::Lost
+    }
+
+    /// Stops being the owner.
+    pub(crate) fn lose(&mut self, reason: &str) {
+        self.is_lost = true;
+        self.shared.cx.record(Event::DomainLost {
+            domain: self.domain.clone(),
+            node: self.shared.cx.node().to_string(),
+            epoch: self.right.epoch,
+            reason: reason.to_string(),
+        });
+    }
+}
+
+fn new_record(
+    cx: &Cx,
+    domain: &str,
+    place: &DomainPlace,
+    before: Option<DomainRecord>,
+    lease: Duration,
+) -> DomainRecord {
+    let epoch = before.as_ref().map_or(0, |record| record.epoch) + 1;
+    let renewals = before.as_ref().map_or(0, |record| record.renewals) + 1;
+    let (groups, unavailable) =
+        before.map(|record| (record.groups, record.unavailable)).unwrap_or_default();
+    DomainRecord {
+        domain: domain.to_string(),
+        data_centre: place.data_centre.clone(),
+        region: place.region.clone(),
+        owner: cx.node().to_string(),
+        epoch,
+        lease,
+        renewals,
+        write_id: write_id(cx, renewals),
+        groups,
+        unavailable,
+    }
+}
+
+/// Tells whether the owner before found no member of any group answering.
+fn is_found_dark(record: &DomainRecord) -> bool {
+    let mut members = record.groups.iter().flat_map(|group| &group.members);
+    !record.groups.is_empty() && members.all(|m| record.unavailable.contains(&m.instance))
+}
+
+fn write_id(cx: &Cx, renewals: u64) -> String {
+    format!("{}-{}-{renewals}", cx.node(), cx.incarnation)
+}
+
+/// Returns the longest time that an order to an instance which ignores fencing may be in flight.
+fn longest_order(cx: &Cx) -> Duration {
+    let config = cx.config.get();
+    let kinds = config.iter().flat_map(|record| record.config.upstream_kinds.values());
+    let unfenced = kinds.filter(|kind| !kind.checks_fencing).map(|kind| kind.order_timeout);
+    unfenced.max().unwrap_or_default().max(crate::domain_step::DEFAULT_ORDER_TIMEOUT)
+}
+
+/// Writes a record and takes it into the view.
+async fn store_record(
+    shared: &ControlShared,
+    record: &DomainRecord,
+    if_version: ObjectVersion,
+) -> Result<PutOutcome, crate::store_error::StoreError> {
+    let key = domain_key(&record.domain);
+    // Serializing plain records with string keys does not fail.
+    let value = serde_json::to_string(record).unwrap_or_default();
+    let put = PutObject { key: key.clone(), if_version, value: value.clone() };
+    let outcome = shared.store.put(CallClass::Control, put).await?;
+    if let PutOutcome::Written(version) = outcome {
+        let value = Some(Arc::from(value.as_str()));
+        shared.cx.view.apply(ViewedObject { key, version, value });
+    }
+    Ok(outcome)
+}
+
+/// Reads a record from the store into the view.
+async fn read_record(
+    shared: &ControlShared,
+    domain: &str,
+) -> Option<(ObjectVersion, DomainRecord)> {
+    let object = shared.store.get(CallClass::Control, &domain_key(domain)).await.ok()??;
+    shared.cx.view.apply_stored(&object);
+    let record = serde_json::from_str(&object.value).ok()?;
+    Some((object.version, record))
+}
--- /dev/null
+++ b/lib/src/group_orders.rs
@@ -0,0 +1,155 @@
+//! Orders that follow from the difference between a domain's record and its members' reports.
+
+use crate::generated::engine::Assignment;
+use crate::generated::engine::MemberState;
+use crate::generated::engine::OrderAction;
+use crate::generated::groups::GroupRecord;
+use crate::generated::groups::GroupState;
+use crate::group_verify::assignment_of;
+use crate::group_verify::has_weights;
+use crate::group_verify::is_standby;
+use crate::ids::Address;
+use crate::ids::InstanceId;
+use crate::planner_types::MemberFacts;
+use crate::planner_types::ModelSpec;
+use crate::planner_types::ServiceTarget;
+use std::collections::BTreeMap;
+
+/// An order that an instance needs now.
+#[derive(Debug, Clone, PartialEq)]
+pub struct NeededOrder {
+    /// The instance.
+    pub instance: InstanceId,
+    /// Its address.
+    pub address: Address,
+    /// What is asked.
+    pub action: OrderAction,
+}
+
+/// Group that no instance is in; an order about it only carries the fencing number.
+pub const FENCE_GROUP: &str = "-";
+
+impl NeededOrder {
+    /// Returns an order that changes nothing but the highest fencing number seen.
+    pub fn fence(instance: &str, address: &str) -> Self {
+        let action = OrderAction::Release(FENCE_GROUP.to_string());
+        Self { instance: instance.to_string(), address: address.to_string(), action }
+    }
+
+    /// Tells whether the order only carries the fencing number.
+    pub fn is_fence(&self) -> bool {
+        self.action == OrderAction::Release(FENCE_GROUP.to_string())
+    }
+}
+
+/// What the record wants of an instance.
+enum Claim<'a> {
+    Member { group: &'a GroupRecord, shard: usize },
+    Standby { group: &'a GroupRecord, index: usize },
+    None,
+}
+
+/// Returns the orders that bring the members closer to the record, at most one for each instance.
+pub fn needed_orders(
+    groups: &[GroupRecord],
+    members: &BTreeMap<InstanceId, MemberFacts>,
+    targets: &[ServiceTarget],
+) -> Vec<NeededOrder> {
+    let claims = claims(groups);
+    let answering = members.iter().filter(|(_, facts)| facts.is_answering());
+    let order = |(id, facts): (&InstanceId, &MemberFacts)| {
+        let claim = claims.get(id.as_str()).unwrap_or(&Claim::None);
+        let action = action_for(claim, facts, targets)?;
+        Some(NeededOrder { instance: id.clone(), address: facts.address.clone(), action })
+    };
+    answering.filter_map(order).collect()
+}
+
+fn claims(groups: &[GroupRecord]) -> BTreeMap<&str, Claim<'_>> {
+    let mut claims = BTreeMap::new();
+    for group in groups {
+        for (index, standby) in group.standbys.iter().enumerate() {
+            claims.insert(standby.as_str(), Claim::Standby { group, index });
+        }
+    }
+    for group in groups {
+        for (shard, member) in group.members.iter().enumerate() {
+            claims.insert(member.instance.as_str(), Claim::Member { group, shard });
+        }
+    }
+    claims
+}
+
+fn action_for(
+    claim: &Claim<'_>,
+    facts: &MemberFacts,
+    targets: &[ServiceTarget],
+) -> Option<OrderAction> {
+    let state = facts.state()?;
+    match claim {
+        Claim::Member { group, shard } => member_action(group, *shard, facts, state),
+        Claim::Standby { group, index } => {
+            let spec = ModelSpec::of_group(group);
+            let is_kept = facts
+                .held()
+                .is_some_and(|held| is_standby(held) && ModelSpec::of_assignment(held) == spec);
+            match state {
+                MemberState::Idle => {
+                    let shard = group.members.len() + index;
+                    Some(OrderAction::Join(assignment_of(group, shard)))
+                }
+                MemberState::Loading | MemberState::Ready if is_kept => None,
+                _ => release(facts),
+            }
+        }
+        Claim::None => {
+            let is_useful = facts.is_eligible() && holds_wanted_weights(facts, targets);
+            if is_useful { None } else { release(facts) }
+        }
+    }
+}
+
+fn member_action(
+    group: &GroupRecord,
+    shard: usize,
+    facts: &MemberFacts,
+    state: MemberState,
+) -> Option<OrderAction> {
+    let wanted = assignment_of(group, shard);
+    let holds_it = facts.held() == Some(&wanted);
+    match group.state {
+        GroupState::Draining => {
+            let is_taking_work = holds_it && state == MemberState::Ready;
+            is_taking_work.then(|| OrderAction::Drain(group.group.clone()))
+        }
+        GroupState::Released => release(facts),
+        // A serving group whose members differ is judged first.
+        GroupState::Serving => None,
+        GroupState::Reserved | GroupState::Loading | GroupState::Verifying => {
+            if holds_it && matches!(state, MemberState::Ready | MemberState::Loading) {
+                return None;
+            }
+            if has_weights(facts, &ModelSpec::of_group(group), shard) {
+                return Some(OrderAction::Regroup(wanted));
+            }
+            let may_load = group.state != GroupState::Reserved;
+            match state {
+                MemberState::Idle => may_load.then_some(OrderAction::Join(wanted)),
+                _ => release(facts),
+            }
+        }
+    }
+}
+
+fn release(facts: &MemberFacts) -> Option<OrderAction> {
+    facts.held().map(|held: &Assignment| OrderAction::Release(held.group.clone()))
+}
+
+/// Tells whether a member of no group has weights that its domain may need again.
+fn holds_wanted_weights(facts: &MemberFacts, targets: &[ServiceTarget]) -> bool {
+    let Some(held) = facts.held() else { return false };
+    let spec = ModelSpec::of_assignment(held);
+    targets
+        .iter()
+        .any(|target| target.spec == spec && has_weights(facts, &spec, held.shard as usize))
+}
