testutils: add a fleet of control nodes over the fakes

Cause: ownership, assembly and repair need tests over the fake store and engines.

Change: a fleet of nodes with gates that hold back a node's calls as a suspension does; first tests of forming, repair, takeover and a store outage, and of the store client.

--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -2,6 +2,8 @@
 
 mod test_engine_world;
 mod test_fake_store;
+mod test_groups;
 mod test_object_view;
 mod test_operator_api;
 mod test_settings;
+mod test_store_client;
--- /dev/null
+++ b/lib/tests/test_groups.rs
@@ -0,0 +1,91 @@
+//! Tests of the group control over the fake store and the fake engines.
+
+use guavaladder_lib::generated::engine::MemberState;
+use guavaladder_testutils::control_fleet::ControlFleet;
+use guavaladder_testutils::control_fleet::bare_config;
+use guavaladder_testutils::control_fleet::engine_address;
+use guavaladder_testutils::control_fleet::with_service;
+use guavaladder_testutils::engine_options::EngineOptions;
+use guavaladder_testutils::fake_store::StoreFaults;
+use rstest::rstest;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+const BOUND: Duration = Duration::from_secs(60);
+
+/// A fleet of three nodes and two domains of ten instances, with four groups of four wanted.
+async fn fleet(checks_fencing: bool) -> ControlFleet {
+    let mut fleet = ControlFleet::new();
+    let options = EngineOptions::new().with_fencing(checks_fencing);
+    fleet.add_domain("d1", "dc1", 10, &options);
+    fleet.add_domain("d2", "dc2", 10, &options);
+    fleet.configure(&with_service(bare_config(checks_fencing), "draft", 4, 4));
+    for (node, data_centre) in [("n1", "dc1"), ("n2", "dc2"), ("n3", "dc2")] {
+        fleet.start_node(node, data_centre);
+    }
+    fleet
+}
+
+async fn serving_fleet(checks_fencing: bool) -> ControlFleet {
+    let fleet = fleet(checks_fencing).await;
+    fleet.wait_serving("draft", 4, BOUND).await.expect("four groups serve");
+    fleet
+}
+
+fn assert_whole(fleet: &ControlFleet) {
+    let mut seen = BTreeSet::new();
+    for group in fleet.serving("draft") {
+        for (shard, member) in group.members.iter().enumerate() {
+            assert!(seen.insert(member.instance.clone()), "{} is in two groups", member.instance);
+            let status = fleet.world.peek_status(&member.address).expect("known");
+            let held = status.assignment.expect("assigned");
+            assert_eq!((held.group, held.shard as usize), (group.group.clone(), shard));
+            assert_eq!(status.state, MemberState::Ready);
+        }
+    }
+}
+
+#[rstest]
+#[case::fenced(true)]
+#[case::unfenced(false)]
+#[tokio::test(start_paused = true)]
+async fn start_forms_groups(#[case] checks_fencing: bool) {
+    let fleet = serving_fleet(checks_fencing).await;
+    assert_whole(&fleet);
+}
+
+#[tokio::test(start_paused = true)]
+async fn member_death_is_repaired() {
+    let fleet = serving_fleet(true).await;
+    let victim = fleet.serving("draft")[0].members[2].address.clone();
+    fleet.world.kill(&victim);
+    tokio::time::sleep(Duration::from_secs(8)).await;
+    fleet.wait_serving("draft", 4, BOUND).await.expect("repaired");
+    assert_whole(&fleet);
+}
+
+#[tokio::test(start_paused = true)]
+async fn owner_death_is_taken_over() {
+    let mut fleet = serving_fleet(false).await;
+    fleet.kill_node("n1");
+    tokio::time::sleep(Duration::from_secs(20)).await;
+    let owners: BTreeSet<String> = fleet.records().into_iter().map(|r| r.owner).collect();
+    assert!(!owners.contains("n1"), "{owners:?}");
+    let victim = engine_address("d1", 0);
+    fleet.world.kill(&victim);
+    tokio::time::sleep(Duration::from_secs(8)).await;
+    fleet.wait_serving("draft", 4, BOUND).await.expect("repaired by the new owner");
+    assert_whole(&fleet);
+}
+
+#[tokio::test(start_paused = true)]
+async fn store_outage_keeps_serving() {
+    let fleet = serving_fleet(true).await;
+    fleet.store.set_faults(StoreFaults { away: true, ..StoreFaults::default() });
+    tokio::time::sleep(Duration::from_secs(300)).await;
+    assert_whole(&fleet);
+    fleet.store.set_faults(StoreFaults::default());
+    tokio::time::sleep(Duration::from_secs(30)).await;
+    assert_eq!(fleet.serving("draft").len(), 4);
+    assert_whole(&fleet);
+}
--- /dev/null
+++ b/lib/testutils/src/control_fleet.rs
@@ -0,0 +1,270 @@
+//! A small fleet of nodes that run the group control over the fake store and the fake engines.
+
+use crate::engine_options::EngineOptions;
+use crate::engine_world::EngineWorld;
+use crate::fake_store::FakeStore;
+use crate::gated_edges::Gate;
+use crate::gated_edges::GatedEngine;
+use crate::gated_edges::GatedStore;
+use guavaladder_lib::clock::Clock;
+use guavaladder_lib::config_view::CONFIG_KEY;
+use guavaladder_lib::cx::Cx;
+use guavaladder_lib::domain_control;
+use guavaladder_lib::domain_records::DOMAINS_PREFIX;
+use guavaladder_lib::generated::config::FleetConfig;
+use guavaladder_lib::generated::groups::DomainRecord;
+use guavaladder_lib::generated::groups::GroupRecord;
+use guavaladder_lib::generated::groups::GroupState;
+use guavaladder_lib::generated::platform::InstanceInfo;
+use guavaladder_lib::generated::platform::InstanceRole;
+use guavaladder_lib::generated::platform::InstanceState;
+use guavaladder_lib::ids::NodeId;
+use guavaladder_lib::member_view::Member;
+use guavaladder_lib::member_view::MemberState;
+use guavaladder_lib::metrics::Metrics;
+use guavaladder_lib::object_view::ViewedObject;
+use guavaladder_lib::object_watch::ObjectWatch;
+use guavaladder_lib::object_watch::WatchUpdate;
+use guavaladder_lib::platform::InstanceList;
+use guavaladder_lib::store_client::StoreClient;
+use serde_json::json;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::task::JoinHandle;
+use tokio_util::sync::CancellationToken;
+
+/// Calendar time at which the clocks start.
+const UNIX_BASE: Duration = Duration::from_secs(1_800_000_000);
+/// Wait of one watch.
+const WATCH_WAIT: Duration = Duration::from_secs(10);
+/// Period at which nodes read the instance list.
+const LIST_PERIOD: Duration = Duration::from_secs(1);
+/// Pause after a watch that failed.
+const WATCH_RETRY: Duration = Duration::from_secs(1);
+
+/// One node of the fleet.
+pub struct ControlNode {
+    /// Its context.
+    pub cx: Cx,
+    /// Holds back its calls, as a suspended process does.
+    pub gate: Gate,
+    shutdown: CancellationToken,
+    control: JoinHandle<()>,
+    feeds: Vec<JoinHandle<()>>,
+}
+
+/// The fleet.
+pub struct ControlFleet {
+    /// Clock of all parts.
+    pub clock: Clock,
+    /// The platform's store.
+    pub store: FakeStore,
+    /// The engines.
+    pub world: EngineWorld,
+    /// Nodes by id.
+    pub nodes: BTreeMap<NodeId, ControlNode>,
+}
+
+impl ControlFleet {
+    /// Returns a fleet without nodes and instances; call it within a runtime.
+    pub fn new() -> Self {
+        let clock = Clock::with_tokio_time(UNIX_BASE);
+        let store = FakeStore::new(clock.clone());
+        let world = EngineWorld::new(clock.clone());
+        Self { clock, store, world, nodes: BTreeMap::new() }
+    }
+
+    /// Puts a configuration into force without a check.
+    pub fn configure(&self, config: &FleetConfig) {
+        let config = serde_json::to_value(config).expect("a configuration serializes");
+        let version = self.store.peek(CONFIG_KEY).map_or(0, |object| object.version) + 1;
+        let record = json!({
+            "version": version, "change_id": "c", "author": "test", "reason": "test",
+            "accepted_unix_ms": 0, "config": config,
+        });
+        self.store.seed(CONFIG_KEY, &record.to_string());
+    }
+
+    /// Adds `count` engine instances to a domain.
+    pub fn add_domain(
+        &self,
+        domain: &str,
+        data_centre: &str,
+        count: usize,
+        options: &EngineOptions,
+    ) {
+        for index in 0..count {
+            self.world.add_instance(engine_info(domain, data_centre, index), options.clone());
+        }
+    }
+
+    /// Starts a node and tells all nodes about each other.
+    pub fn start_node(&mut self, node: &str, data_centre: &str) {
+        let settings = json!({
+            "node": node, "data_centre": data_centre, "region": "r1", "platform": "127.0.0.1:1",
+            "fleet_key_file": "/none", "caller_listen": "127.0.0.1:1",
+            "operator_listen": "127.0.0.1:2", "peer_listen": "127.0.0.1:3",
+        });
+        let settings = serde_json::from_value(settings).expect("valid settings");
+        let cx = Cx::new(settings, self.clock.clone(), Metrics::new());
+        let gate = Gate::new();
+        let store = GatedStore::new(self.store.clone(), gate.clone());
+        let engine = GatedEngine::new(self.world.clone(), gate.clone());
+        let client = StoreClient::new(cx.clone(), Arc::new(store));
+        let feeds = vec![
+            tokio::spawn(feed_objects(cx.clone(), client.clone(), CONFIG_KEY)),
+            tokio::spawn(feed_objects(cx.clone(), client.clone(), DOMAINS_PREFIX)),
+            tokio::spawn(feed_instances(cx.clone(), self.world.clone())),
+        ];
+        let shutdown = CancellationToken::new();
+        let control = domain_control::start(cx.clone(), client, Arc::new(engine), shutdown.clone());
+        let started = ControlNode { cx, gate, shutdown, control, feeds };
+        self.nodes.insert(node.to_string(), started);
+        self.share_members();
+    }
+
+    /// Kills a node: all its tasks end at once.
+    pub fn kill_node(&mut self, node: &str) {
+        let Some(node) = self.nodes.remove(node) else { return };
+        // Work of owners goes on only through the gate.
+        node.gate.close();
+        node.control.abort();
+        node.feeds.iter().for_each(JoinHandle::abort);
+        self.share_members();
+    }
+
+    /// Shuts a node down gracefully.
+    pub async fn stop_node(&mut self, node: &str) {
+        let Some(node) = self.nodes.remove(node) else { return };
+        self.share_members();
+        node.shutdown.cancel();
+        let _ = node.control.await;
+        node.feeds.iter().for_each(JoinHandle::abort);
+    }
+
+    /// Returns the records in the store.
+    pub fn records(&self) -> Vec<DomainRecord> {
+        let objects = self.store.peek_all(DOMAINS_PREFIX);
+        let parse = |value: &str| serde_json::from_str(value).expect("a domain record");
+        objects.iter().map(|object| parse(&object.value)).collect()
+    }
+
+    /// Returns the serving groups of a service according to the store.
+    pub fn serving(&self, service: &str) -> Vec<GroupRecord> {
+        let groups = self.records().into_iter().flat_map(|record| record.groups);
+        let is_serving = |g: &GroupRecord| g.service == service && g.state == GroupState::Serving;
+        groups.filter(is_serving).collect()
+    }
+
+    /// Waits until `count` groups of a service serve and returns how long it took.
+    pub async fn wait_serving(
+        &self,
+        service: &str,
+        count: usize,
+        bound: Duration,
+    ) -> Option<Duration> {
+        let start = self.clock.now();
+        while self.clock.now() - start <= bound {
+            if self.serving(service).len() == count {
+                return Some(self.clock.now() - start);
+            }
+            tokio::time::sleep(Duration::from_millis(250)).await;
+        }
+        None
+    }
+
+    fn share_members(&self) {
+        let member = |node: &ControlNode| Member {
+            node: node.cx.node().to_string(),
+            incarnation: 1,
+            state: MemberState::Live,
+            data_centre: node.cx.settings.data_centre.clone(),
+            region: node.cx.settings.region.clone(),
+            peer_address: String::new(),
+            caller_address: String::new(),
+            operator_address: String::new(),
+        };
+        let members: BTreeMap<NodeId, Member> =
+            self.nodes.iter().map(|(id, node)| (id.clone(), member(node))).collect();
+        self.nodes.values().for_each(|node| node.cx.members.replace(members.clone()));
+    }
+}
+
+impl Default for ControlFleet {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+/// Returns the address of an engine instance.
+pub fn engine_address(domain: &str, index: usize) -> String {
+    format!("{domain}.{index}:1")
+}
+
+/// Returns the listed information of an engine instance of kind `engine`.
+pub fn engine_info(domain: &str, data_centre: &str, index: usize) -> InstanceInfo {
+    InstanceInfo {
+        instance: format!("{domain}-i{index:02}"),
+        address: engine_address(domain, index),
+        role: InstanceRole::Engine,
+        domain: domain.to_string(),
+        data_centre: data_centre.to_string(),
+        region: "r1".to_string(),
+        accelerators: 1,
+        kind: "engine".to_string(),
+        service: None,
+        state: InstanceState::Live,
+    }
+}
+
+/// Returns a configuration with one kind of upstream, `engine`, and no service.
+pub fn bare_config(checks_fencing: bool) -> FleetConfig {
+    let config = json!({
+        "defaults": {},
+        "upstream_kinds": {
+            "engine": {"checks_fencing": checks_fencing, "order_timeout_ms": 2000},
+        },
+    });
+    serde_json::from_value(config).expect("a valid configuration")
+}
+
+/// Adds an engine service to a configuration.
+pub fn with_service(mut config: FleetConfig, id: &str, replicas: u32, size: u32) -> FleetConfig {
+    let service = json!({
+        "kind": "engine", "model": id, "version": "1",
+        "replicas": replicas, "members_per_replica": size,
+    });
+    let service = serde_json::from_value(service).expect("a valid service");
+    config.services.insert(id.to_string(), service);
+    config
+}
+
+async fn feed_objects(cx: Cx, store: StoreClient, prefix: &'static str) {
+    let mut watch = ObjectWatch::new(store, prefix);
+    loop {
+        match watch.next(WATCH_WAIT).await {
+            Ok(WatchUpdate::Snapshot { objects, .. }) => {
+                objects.iter().for_each(|object| {
+                    cx.view.apply_stored(object);
+                });
+            }
+            Ok(WatchUpdate::Changes(changes)) => {
+                for change in changes {
+                    let value = change.value.as_deref().map(Arc::from);
+                    cx.view.apply(ViewedObject { key: change.key, version: change.version, value });
+                }
+            }
+            Err(_) => tokio::time::sleep(WATCH_RETRY).await,
+        }
+    }
+}
+
+async fn feed_instances(cx: Cx, world: EngineWorld) {
+    loop {
+        if let Ok(instances) = world.instances().await {
+            cx.instances.replace(instances);
+        }
+        tokio::time::sleep(LIST_PERIOD).await;
+    }
+}
--- /dev/null
+++ b/lib/testutils/src/gated_edges.rs
@@ -0,0 +1,181 @@
+//! Edges that hold back a node's calls while its gate is closed, as a suspended process does.
+
+use crate::engine_world::EngineWorld;
+use crate::fake_store::FakeStore;
+use async_trait::async_trait;
+use guavaladder_lib::engine::Engine;
+use guavaladder_lib::engine::RecordStream;
+use guavaladder_lib::engine::UpstreamError;
+use guavaladder_lib::generated::engine::CacheEvent;
+use guavaladder_lib::generated::engine::EngineStatus;
+use guavaladder_lib::generated::engine::GenerateRequest;
+use guavaladder_lib::generated::engine::Order;
+use guavaladder_lib::generated::engine::OrderReply;
+use guavaladder_lib::generated::platform::ObjectList;
+use guavaladder_lib::generated::platform::PutObject;
+use guavaladder_lib::generated::platform::PutOutcome;
+use guavaladder_lib::generated::platform::VersionedObject;
+use guavaladder_lib::generated::platform::WatchBatch;
+use guavaladder_lib::ids::AttemptId;
+use guavaladder_lib::ids::ObjectVersion;
+use guavaladder_lib::platform::ObjectStore;
+use guavaladder_lib::platform::PlatformError;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::watch;
+
+/// A gate that calls pass before they take effect and before their answer is seen.
+#[derive(Debug, Clone)]
+pub struct Gate {
+    tx: Arc<watch::Sender<bool>>,
+}
+
+impl Gate {
+    /// Returns an open gate.
+    pub fn new() -> Self {
+        Self { tx: Arc::new(watch::channel(true).0) }
+    }
+
+    /// Holds back all calls.
+    pub fn close(&self) {
+        self.tx.send_replace(false);
+    }
+
+    /// Lets the calls go on.
+    pub fn open(&self) {
+        self.tx.send_replace(true);
+    }
+
+    /// Waits until the gate is open.
+    pub async fn pass(&self) {
+        let mut rx = self.tx.subscribe();
+        // The sender lives as long as this gate.
+        let _ = rx.wait_for(|is_open| *is_open).await;
+    }
+}
+
+impl Default for Gate {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+/// The fake store behind a gate.
+pub struct GatedStore {
+    inner: FakeStore,
+    gate: Gate,
+}
+
+impl GatedStore {
+    /// Returns the store behind the gate.
+    pub fn new(inner: FakeStore, gate: Gate) -> Self {
+        Self { inner, gate }
+    }
+
+    async fn through<T>(&self, call: impl Future<Output = T>) -> T {
+        self.gate.pass().await;
+        let answer = call.await;
+        self.gate.pass().await;
+        answer
+    }
+}
+
+#[async_trait]
+impl ObjectStore for GatedStore {
+    async fn get(&self, key: &str) -> Result<Option<VersionedObject>, PlatformError> {
+        self.through(self.inner.get(key)).await
+    }
+
+    async fn list(&self, prefix: &str) -> Result<ObjectList, PlatformError> {
+        self.through(self.inner.list(prefix)).await
+    }
+
+    async fn put(&self, put: &PutObject) -> Result<PutOutcome, PlatformError> {
+        self.through(self.inner.put(put)).await
+    }
+
+    async fn delete(
+        &self,
+        key: &str,
+        if_version: ObjectVersion,
+    ) -> Result<PutOutcome, PlatformError> {
+        self.through(self.inner.delete(key, if_version)).await
+    }
+
+    async fn watch(
+        &self,
+        prefix: &str,
+        after: u64,
+        wait: Duration,
+    ) -> Result<WatchBatch, PlatformError> {
+        self.through(self.inner.watch(prefix, after, wait)).await
+    }
+}
+
+/// The fake engines behind a gate.
+pub struct GatedEngine {
+    inner: EngineWorld,
+    gate: Gate,
+}
+
+impl GatedEngine {
+    /// Returns the engines behind the gate.
+    pub fn new(inner: EngineWorld, gate: Gate) -> Self {
+        Self { inner, gate }
+    }
+
+    async fn through<T>(&self, call: impl Future<Output = T>) -> T {
+        self.gate.pass().await;
+        let answer = call.await;
+        self.gate.pass().await;
+        answer
+    }
+}
+
+#[async_trait]
+impl Engine for GatedEngine {
+    async fn status(&self, address: &str) -> Result<EngineStatus, UpstreamError> {
+        self.through(self.inner.status(address)).await
+    }
+
+    async fn order(&self, address: &str, order: &Order) -> Result<OrderReply, UpstreamError> {
+        self.through(self.inner.order(address, order)).await
+    }
+
+    async fn generate(
+        &self,
+        address: &str,
+        req: &GenerateRequest,
+    ) -> Result<RecordStream, UpstreamError> {
+        self.through(self.inner.generate(address, req)).await
+    }
+
+    async fn cancel(&self, address: &str, attempt: AttemptId) -> Result<(), UpstreamError> {
+        self.through(self.inner.cancel(address, attempt)).await
+    }
+
+    async fn export_kv(
+        &self,
+        address: &str,
+        request: &str,
+    ) -> Result<Option<Vec<u8>>, UpstreamError> {
+        self.through(self.inner.export_kv(address, request)).await
+    }
+
+    async fn import_kv(
+        &self,
+        address: &str,
+        request: &str,
+        state: &[u8],
+    ) -> Result<(), UpstreamError> {
+        self.through(self.inner.import_kv(address, request, state)).await
+    }
+
+    async fn cache_events(
+        &self,
+        address: &str,
+        after: u64,
+    ) -> Result<Vec<CacheEvent>, UpstreamError> {
+        self.through(self.inner.cache_events(address, after)).await
+    }
+}
