cli: add the operators' command line

Cause: operators need one tool for status, configuration, services, exceptions, instances and reasons. Change: guavaladder with tables of subcommands and options, endpoints tried in turn, documented exit statuses, and a hint with each error; the client of the operators' API stands in the library.

--- /dev/null
+++ b/cli/tests/runner.rs
@@ -0,0 +1,5 @@
+//! Runs the integration tests of the command line.
+
+mod test_arguments;
+mod test_calls;
+mod world;
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod object_view;
 pub mod object_watch;
 pub mod operator_api;
+pub mod operator_client;
 pub mod operator_error;
 pub mod operator_status;
 pub mod operator_why;
--- a/lib/src/schema_check.rs
+++ b/lib/src/schema_check.rs
@@ -161,7 +161,7 @@
 }
 
 /// Tells whether two keys differ by at most two edits.
-fn is_similar(a: &str, b: &str) -> bool {
+pub fn is_similar(a: &str, b: &str) -> bool {
     let (a, b): (Vec<char>, Vec<char>) = (a.chars().collect(), b.chars().collect());
     let mut row: Vec<usize> = (0..=b.len()).collect();
     for (i, x) in a.iter().enumerate() {
