bench: add stand-ins for platform, engines and plain services

Cause: the daemon needs something to run against on one machine. Change: one loopback listener for each instance over the fakes, so that a kill refuses connections and open connections can go silent while new ones work; `guavaladder-bench standins` runs them.

--- /dev/null
+++ b/bench/src/lib.rs
@@ -0,0 +1,8 @@
+//! Stand-ins for the platform and the upstreams, and measurements over them. Not shipped.
+
+pub mod standin_engine;
+pub mod standin_fleet;
+pub mod standin_plain;
+pub mod standin_platform;
+pub mod standin_server;
+pub mod standins;
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -1,2 +1,43 @@
-//! Placeholder.
-fn main() {}
+//! `guavaladder-bench`: stand-ins and measurements.
+
+use anyhow::Result;
+use guavaladder_bench::standins;
+use std::process::ExitCode;
+
+/// Exit status for wrong arguments.
+const EXIT_USAGE: u8 = 2;
+
+const HELP: &str = "usage: guavaladder-bench SUBCOMMAND [OPTIONS]
+
+  standins   runs a platform and upstreams on loopback until interrupted
+";
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    let args: Vec<String> = std::env::args().skip(1).collect();
+    match run(&args).await {
+        Ok(code) => code,
+        Err(e) => {
+            eprintln!("error: {e:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn run(args: &[String]) -> Result<ExitCode> {
+    let (name, rest) = match args {
+        [name, rest @ ..] => (name.as_str(), rest),
+        [] => ("help", args),
+    };
+    match name {
+        "standins" => standins::run(rest).await,
+        "help" | "--help" | "-h" => {
+            print!("{HELP}");
+            Ok(ExitCode::SUCCESS)
+        }
+        other => {
+            eprintln!("error: unknown subcommand {other}\n\n{HELP}");
+            Ok(ExitCode::from(EXIT_USAGE))
+        }
+    }
+}
--- /dev/null
+++ b/bench/src/standins.rs
@@ -0,0 +1,51 @@
+//! `standins`: runs a platform and upstreams by hand until it is interrupted.
+
+use crate::standin_fleet::DomainPlan;
+use crate::standin_fleet::PlainPlan;
+use crate::standin_fleet::StandinFleet;
+use anyhow::Context;
+use anyhow::Result;
+use getopts::Options;
+use guavaladder_testutils::engine_options::EngineOptions;
+use std::process::ExitCode;
+
+/// Data centres of the stand-ins.
+const DATA_CENTRES: [&str; 2] = ["norte", "sul"];
+
+/// Runs the stand-ins.
+pub async fn run(args: &[String]) -> Result<ExitCode> {
+    let mut options = Options::new();
+    options.optopt("", "platform", "address of the platform", "IP:PORT");
+    options.optopt("", "domains", "fabric domains", "N");
+    options.optopt("", "instances", "engines of each domain", "N");
+    let matches = options.parse(args)?;
+    let platform = matches.opt_str("platform").unwrap_or_else(|| "127.0.0.1:8600".to_string());
+    let domains: usize = matches.opt_get_default("domains", 2)?;
+    let instances = matches.opt_get_default("instances", 8)?;
+    let mut fleet = StandinFleet::start_on(&platform).await.context("the platform")?;
+    for index in 0..domains {
+        let plan = DomainPlan {
+            domain: format!("fabric-{index}"),
+            data_centre: DATA_CENTRES[index % DATA_CENTRES.len()].to_string(),
+            kind: "fenced".to_string(),
+            instances,
+            options: EngineOptions::default(),
+        };
+        fleet.add_domain(&plan).await?;
+    }
+    for data_centre in DATA_CENTRES {
+        let plan = PlainPlan {
+            service: "work-orders".to_string(),
+            data_centre: data_centre.to_string(),
+            instances: 2,
+            options: EngineOptions::default(),
+        };
+        fleet.add_plain(&plan).await?;
+    }
+    println!("platform at {}", fleet.platform_address());
+    for info in fleet.world.all_instances() {
+        println!("{} {} at {}", info.role.name(), info.instance, info.address);
+    }
+    tokio::signal::ctrl_c().await?;
+    Ok(ExitCode::SUCCESS)
+}
--- /dev/null
+++ b/bench/tests/runner.rs
@@ -0,0 +1,3 @@
+//! Runs the tests of the stand-ins and of the oracles.
+
+mod test_standins;
