--- a/lib/src/metric_names.rs
+++ b/lib/src/metric_names.rs
@@ -6,10 +6,58 @@
 pub const STORE_CALL_FAILURES: &str = "store.call_failures";
 /// Calls to the platform's store that the queue shed.
 pub const STORE_CALLS_SHED: &str = "store.calls_shed";
+/// Requests received.
+pub const REQUESTS: &str = "requests.received";
+/// Requests answered wholly.
+pub const REQUESTS_WHOLE: &str = "requests.whole";
+/// Requests refused without having run.
+pub const REQUESTS_NOT_RUN: &str = "requests.not_run";
+/// Requests that ended with an unknown outcome.
+pub const REQUESTS_UNKNOWN: &str = "requests.unknown";
+/// Waiting requests that were refused.
+pub const REQUESTS_SHED: &str = "requests.shed";
+/// Requests whose caller went away.
+pub const REQUESTS_ABANDONED: &str = "requests.abandoned";
+/// Attempts after the first one of a request.
+pub const RETRIES: &str = "requests.retries";
+/// Streams that went on after an interruption.
+pub const STREAMS_RESUMED: &str = "requests.streams_resumed";
+/// Streams handed back to their callers at shutdown.
+pub const STREAMS_MOVED: &str = "requests.streams_moved";
+/// Records of other attempts, and repeated tokens.
+pub const RECORDS_DISCARDED: &str = "requests.records_discarded";
+/// Tokens sent to callers.
+pub const TOKENS: &str = "requests.tokens";
+/// Attempts that failed at a replica.
+pub const UPSTREAM_FAILURES: &str = "requests.upstream_failures";
+/// Writes of ledger shards.
+pub const LEDGER_WRITES: &str = "ledger.writes";
+/// Operations on ledger entries.
+pub const LEDGER_OPS: &str = "ledger.ops";
+/// Writes of ledger shards that another node's write superseded.
+pub const LEDGER_CONFLICTS: &str = "ledger.conflicts";
+/// Operations sent to the shard's preferred writer.
+pub const LEDGER_FORWARDS: &str = "ledger.forwards";
 
 /// Every metric name with its meaning.
 pub const ALL: &[(&str, &str)] = &[
     (STORE_CALLS, "Calls made to the platform's store."),
     (STORE_CALL_FAILURES, "Calls to the platform's store that had no answer."),
     (STORE_CALLS_SHED, "Calls to the platform's store that the queue shed."),
+    (REQUESTS, "Requests received."),
+    (REQUESTS_WHOLE, "Requests answered wholly."),
+    (REQUESTS_NOT_RUN, "Requests refused without having run."),
+    (REQUESTS_UNKNOWN, "Requests that ended with an unknown outcome."),
+    (REQUESTS_SHED, "Waiting requests that were refused."),
+    (REQUESTS_ABANDONED, "Requests whose caller went away."),
+    (RETRIES, "Attempts after the first one of a request."),
+    (STREAMS_RESUMED, "Streams that went on after an interruption."),
+    (STREAMS_MOVED, "Streams handed back to their callers at shutdown."),
+    (RECORDS_DISCARDED, "Records of other attempts, and repeated tokens."),
+    (TOKENS, "Tokens sent to callers."),
+    (UPSTREAM_FAILURES, "Attempts that failed at a replica."),
+    (LEDGER_WRITES, "Writes of ledger shards."),
+    (LEDGER_OPS, "Operations on ledger entries."),
+    (LEDGER_CONFLICTS, "Writes of ledger shards that another node's write superseded."),
+    (LEDGER_FORWARDS, "Operations sent to the shard's preferred writer."),
 ];
