--- a/lib/src/metric_names.rs
+++ b/lib/src/metric_names.rs
@@ -39,11 +39,15 @@
 /// Operations sent to the shard's preferred writer.
 pub const LEDGER_FORWARDS: &str = "ledger.forwards";
 
+/// Orders sent to instances.
+pub const GROUP_ORDERS: &str = "groups.orders";
+
 /// Every metric name with its meaning.
 pub const ALL: &[(&str, &str)] = &[
     (STORE_CALLS, "Calls made to the platform's store."),
     (STORE_CALL_FAILURES, "Calls to the platform's store that had no answer."),
     (STORE_CALLS_SHED, "Calls to the platform's store that the queue shed."),
+    (GROUP_ORDERS, "Orders sent to instances."),
     (REQUESTS, "Requests received."),
     (REQUESTS_WHOLE, "Requests answered wholly."),
     (REQUESTS_NOT_RUN, "Requests refused without having run."),
