suspects: let copies of a request that crashes replicas meet on one of them

Cause: three copies of a request that crashes replicas, sent to three nodes at once, cost four replicas: each node chose the next one by its own knowledge, before the others' records arrived.

Change: a suspect runs only at the replica that every node would choose for it. Where that one takes no work, or refuses, the node waits a second for the others' records before it tries the next. The recovery of answers moves into a module of its own.

--- a/lib/src/admission.rs
+++ b/lib/src/admission.rs
@@ -95,6 +95,11 @@
         Self { cx, routes, place, services: Arc::default() }
     }
 
+    /// Returns where this node is.
+    pub fn place(&self) -> &Place {
+        &self.place
+    }
+
     /// Gives a place at a replica, or refuses; a refused request was not sent to any replica.
     pub async fn acquire(&self, ask: &Ask) -> Result<Slot, RequestError> {
         let (rx, shed) = match self.try_acquire(ask)? {
--- a/lib/src/answer.rs
+++ b/lib/src/answer.rs
@@ -4,7 +4,6 @@
 //! The caller of `next` drives everything, so an answer that nobody reads costs nothing, and one
 //! that is dropped cancels its attempt.
 
-use crate::admission::Ask;
 use crate::admission::Slot;
 use crate::attempt::Attempt;
 use crate::attempt::Break;
@@ -15,7 +14,6 @@
 use crate::generated::engine::GenerateRequest;
 use crate::generated::engine::MemberState;
 use crate::generated::events::Event;
-use crate::generated::requests::ErrorCode;
 use crate::ids::GroupId;
 use crate::metric_names;
 use crate::replica::Replica;
@@ -25,21 +23,11 @@
 use crate::request_path::RequestPath;
 use crate::request_path::Running;
 use crate::request_terms::RequestTerms;
-use crate::router::Choice;
-use crate::router::Suspicion;
-use crate::suspects::Verdict;
 use std::ops::Range;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// Attempts of one request.
-const MAX_ATTEMPTS: u32 = 8;
-/// Pause before looking again for a replica for an answer that has begun.
-const REPLICA_PAUSE: Duration = Duration::from_millis(50);
-/// Time that other nodes' records of a crash take to arrive.
-const CRASH_SETTLE: Duration = Duration::from_secs(1);
-
 /// Part of an answer.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Part {
@@ -53,26 +41,26 @@
 
 /// An answer in the making.
 pub struct Answer {
-    path: RequestPath,
-    req: Arc<Request>,
-    terms: RequestTerms,
-    emitted: Vec<String>,
+    pub(crate) path: RequestPath,
+    pub(crate) req: Arc<Request>,
+    pub(crate) terms: RequestTerms,
+    pub(crate) emitted: Vec<String>,
     /// Tokens that an earlier connection of the caller received.
-    resumed_at: usize,
-    attempt: Option<Attempt>,
+    pub(crate) resumed_at: usize,
+    pub(crate) attempt: Option<Attempt>,
     /// Place that was got before the answer was promised.
-    slot: Option<Slot>,
-    avoid: Vec<GroupId>,
+    pub(crate) slot: Option<Slot>,
+    pub(crate) avoid: Vec<GroupId>,
     /// Replica whose stream was interrupted although it lives, to go on there.
-    only: Option<GroupId>,
-    interrupted: Vec<GroupId>,
-    cached_state: Option<Vec<u8>>,
-    attempts: u32,
-    may_have_run: bool,
-    started: Instant,
-    first_token: Option<Duration>,
-    broke_at: Option<(Instant, String)>,
-    is_finished: bool,
+    pub(crate) only: Option<GroupId>,
+    pub(crate) interrupted: Vec<GroupId>,
+    pub(crate) cached_state: Option<Vec<u8>>,
+    pub(crate) attempts: u32,
+    pub(crate) may_have_run: bool,
+    pub(crate) started: Instant,
+    pub(crate) first_token: Option<Duration>,
+    pub(crate) broke_at: Option<(Instant, String)>,
+    pub(crate) is_finished: bool,
     _running: Running,
 }
 
@@ -180,7 +168,10 @@
     async fn open(&mut self) -> Result<Result<Attempt, Break>, RequestError> {
         let slot = match self.slot.take() {
             Some(slot) => slot,
-            None => self.acquire_again().await?,
+            None => {
+                self.keep_meeting_place().await?;
+                self.acquire_again().await?
+            }
         };
         self.attempts += 1;
         let replica = slot.replica().clone();
@@ -231,205 +222,6 @@
         }
     }
 
-    /// Decides how to go on after an attempt gave nothing more.
-    async fn recover(&mut self, broken: Break) -> Result<(), RequestError> {
-        let (slot, is_accepted) = match self.attempt.take() {
-            Some(attempt) => {
-                self.path
-                    .cx()
-                    .metrics
-                    .count(metric_names::RECORDS_DISCARDED, i64::from(attempt.discarded));
-                self.path.cancel(attempt.slot.replica(), attempt.id);
-                let is_accepted = attempt.is_accepted();
-                (attempt.slot, is_accepted)
-            }
-            None => match self.slot.take() {
-                Some(slot) => (slot, false),
-                None => return Err(RequestError::unknown(ErrorCode::Internal, "no attempt")),
-            },
-        };
-        let replica = slot.replica().clone();
-        // The place is given back before the next one is asked for.
-        drop(slot);
-        let now = Instant::now();
-        self.may_have_run |= !matches!(broken, Break::NotTaken(_));
-        self.broke_at.get_or_insert((now, format!("{broken:?}")));
-        if broken == Break::Deadline || now >= self.req.deadline {
-            return Err(RequestError::not_run(ErrorCode::Deadline, "the deadline passed"));
-        }
-        if self.attempts >= MAX_ATTEMPTS {
-            let message = format!("{} attempts failed, the last one: {broken:?}", self.attempts);
-            return Err(RequestError::not_run(ErrorCode::UpstreamFailed, message));
-        }
-        self.refuse_second_run(&broken)?;
-        self.path.cx().metrics.count(metric_names::RETRIES, 1);
-        let group = replica.identity.group.clone();
-        match &broken {
-            Break::Drained => {
-                replica.refute();
-                self.path.told_leaving(&replica);
-                self.avoid.push(group);
-                self.cached_state = self.path.export_kv(&replica, &self.req.id).await;
-            }
-            Break::WrongGroup => {
-                replica.refute();
-                self.avoid.push(group);
-            }
-            Break::NotTaken(_) => {
-                self.path.note_failure(&replica);
-                self.avoid.push(group);
-                self.spend_retry(&broken)?;
-            }
-            Break::Malformed(_) => {
-                self.path.note_failure(&replica);
-                self.avoid.push(group);
-                self.spend_retry(&broken)?;
-            }
-            Break::Cut(_) | Break::Silent => {
-                self.look_at(&replica, &broken, is_accepted).await?;
-            }
-            Break::Moved | Break::Deadline => {}
-        }
-        Ok(())
-    }
-
-    /// Looks on a new connection whether the replica lives, to go on there or elsewhere.
-    async fn look_at(
-        &mut self,
-        replica: &Arc<Replica>,
-        broken: &Break,
-        is_accepted: bool,
-    ) -> Result<(), RequestError> {
-        let group = replica.identity.group.clone();
-        let is_again = self.interrupted.contains(&group);
-        if self.path.lives(replica, self.terms.probe_bound()).await {
-            match is_again {
-                true => {
-                    self.path.note_failure(replica);
-                    self.avoid.push(group);
-                    self.only = None;
-                }
-                false => {
-                    self.interrupted.push(group.clone());
-                    self.only = Some(group);
-                }
-            }
-            return Ok(());
-        }
-        self.only = None;
-        self.path.note_failure(replica);
-        self.avoid.push(group.clone());
-        if is_accepted {
-            self.note_crash(replica, &group).await?;
-        }
-        // A crash has a bounded number of requests, so their first retries need no budget.
-        match self.attempts > 2 {
-            true => self.spend_retry(broken),
-            false => Ok(()),
-        }
-    }
-
-    async fn note_crash(&mut self, replica: &Replica, group: &str) -> Result<(), RequestError> {
-        let suspects = self.path.suspects().clone();
-        let crashes = suspects.crashed(self.req.fingerprint, replica.crash_id());
-        self.path.cx().record(Event::RequestSuspected {
-            request: self.req.id.clone(),
-            fingerprint: format!("{:016x}", self.req.fingerprint),
-            group: group.to_string(),
-            crashes: crashes as u64,
-        });
-        if crashes >= self.terms.crash_limit as usize {
-            tokio::time::sleep(CRASH_SETTLE).await;
-            suspects.refresh();
-        }
-        self.refuse_convicted()
-    }
-
-    /// Refuses a request that crashes replicas.
-    fn refuse_convicted(&self) -> Result<(), RequestError> {
-        let suspects = self.path.suspects();
-        if suspects.verdict(self.req.fingerprint, self.terms.crash_limit) != Verdict::Convicted {
-            return Ok(());
-        }
-        let crashes = suspects.crashes(self.req.fingerprint);
-        self.path.cx().record(Event::RequestConvicted {
-            request: self.req.id.clone(),
-            fingerprint: format!("{:016x}", self.req.fingerprint),
-            crashes: crashes as u64,
-        });
-        let message = format!("{crashes} replicas crashed while they ran this request");
-        Err(RequestError::not_run(ErrorCode::Poisonous, message))
-    }
-
-    /// Ends a request that runs at most once where going on could run it again.
-    fn refuse_second_run(&self, broken: &Break) -> Result<(), RequestError> {
-        if self.req.key.is_none() || !self.may_have_run {
-            return Ok(());
-        }
-        let message = format!("the replica's stream was interrupted: {broken:?}");
-        Err(RequestError::unknown(ErrorCode::OutcomeUnknown, message))
-    }
-
-    fn spend_retry(&self, broken: &Break) -> Result<(), RequestError> {
-        if self.path.retries().withdraw() {
-            return Ok(());
-        }
-        let message = format!("the retry budget is used up; the last attempt: {broken:?}");
-        let error = RequestError::not_run(ErrorCode::RetryLimit, message);
-        Err(error.with_retry_after(Duration::from_secs(1)))
-    }
-
-    /// Gets a place for a further attempt. An answer that has begun waits for a replica up to its
-    /// deadline, since its caller has been promised the whole.
-    async fn acquire_again(&mut self) -> Result<Slot, RequestError> {
-        let has_begun = self.emitted.len() > self.resumed_at || self.may_have_run;
-        loop {
-            let error = match self.acquire().await {
-                Ok(slot) => return Ok(slot),
-                Err(e) => e,
-            };
-            let waits = has_begun && Instant::now() < self.req.deadline;
-            if !waits {
-                return Err(error);
-            }
-            // Where every other replica has failed, those that failed first are tried again.
-            self.only = None;
-            self.avoid.clear();
-            tokio::time::sleep(REPLICA_PAUSE).await;
-        }
-    }
-
-    async fn acquire(&mut self) -> Result<Slot, RequestError> {
-        let suspects = self.path.suspects();
-        let suspicion = match suspects.verdict(self.req.fingerprint, self.terms.crash_limit) {
-            Verdict::Clear => Suspicion::None,
-            Verdict::Suspect => Suspicion::Suspect,
-            Verdict::Isolate | Verdict::Convicted => Suspicion::Isolated,
-        };
-        let hash = match suspicion {
-            Suspicion::None => self.req.prefix,
-            Suspicion::Suspect | Suspicion::Isolated => self.req.fingerprint,
-        };
-        let left = self.req.deadline.saturating_duration_since(Instant::now());
-        let ask = Ask {
-            service: self.req.service_id.clone(),
-            customer: self.req.customer.clone(),
-            weight: self.terms.weight,
-            burst: self.terms.burst,
-            bytes: self.req.prompt.len(),
-            choice: Choice {
-                hash,
-                priority: self.req.priority,
-                avoid: self.avoid.clone(),
-                only: self.only.clone(),
-                adapter: self.req.adapter.clone(),
-                suspicion,
-            },
-            max_wait: self.terms.queue_wait.min(left),
-        };
-        self.path.admission().acquire(&ask).await
-    }
-
     fn note_tokens(&mut self) {
         if let Some((broke_at, cause)) = self.broke_at.take() {
             let Some(attempt) = &self.attempt else { return };
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod admission;
 pub mod answer;
+pub mod answer_recovery;
 pub mod at_most_once;
 pub mod attempt;
 pub mod call_queue;
--- a/lib/src/router.rs
+++ b/lib/src/router.rs
@@ -78,6 +78,21 @@
     }
 }
 
+/// Returns the replica that every node would choose for a suspect, whatever it knows of replicas.
+pub fn meeting_place<'a>(
+    replicas: &'a [Arc<Replica>],
+    fingerprint: u64,
+    avoid: &[GroupId],
+    place: &Place,
+) -> Option<&'a Arc<Replica>> {
+    let usable = replicas.iter().filter(|replica| !avoid.contains(&replica.identity.group));
+    let rank = |replica: &&Arc<Replica>| {
+        let is_near = replica.identity.region == place.region;
+        (is_near, mix(replica.hash, fingerprint))
+    };
+    usable.max_by_key(rank)
+}
+
 fn best<'a>(
     replicas: impl Iterator<Item = &'a Arc<Replica>>,
     choice: &Choice,
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -10,3 +10,4 @@
 mod test_operator_api;
 mod test_settings;
 mod test_store_client;
+mod test_suspects;
--- /dev/null
+++ b/lib/tests/test_suspects.rs
@@ -0,0 +1,195 @@
+//! Tests of requests that crash the replicas that run them, and of those that run beside them.
+
+use guavaladder_lib::answer::Part;
+use guavaladder_lib::clock::Clock;
+use guavaladder_lib::cx::Cx;
+use guavaladder_lib::generated::engine::MemberState;
+use guavaladder_lib::generated::requests::ErrorCode;
+use guavaladder_lib::metrics::Metrics;
+use guavaladder_lib::request_path::RequestPath;
+use guavaladder_lib::suspects::Suspects;
+use guavaladder_lib::suspects::Verdict;
+use guavaladder_testutils::engine_options::EngineOptions;
+use guavaladder_testutils::request_rig::RequestRig;
+use guavaladder_testutils::request_rig::address;
+use guavaladder_testutils::request_rig::answer;
+use guavaladder_testutils::request_rig::drafting;
+use guavaladder_testutils::token_text::Answer;
+use guavaladder_testutils::token_text::POISON_MARKER;
+use proptest::prelude::*;
+use proptest::test_runner::Config;
+use rstest::rstest;
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Crashes that one request may cost the fleet.
+const CRASH_BOUND: usize = 3;
+
+fn crashed(rig: &RequestRig, replicas: u32) -> usize {
+    let is_ready = |replica: &u32| {
+        let status = rig.world.peek_status(&address(*replica, 0));
+        status.is_some_and(|status| status.state == MemberState::Ready)
+    };
+    (0..replicas).filter(|replica| !is_ready(replica)).count()
+}
+
+async fn bystander(path: RequestPath, prompt: String) {
+    let (text, _) = answer(&path, drafting(&prompt, "c1", &prompt, 200)).await.unwrap();
+    assert_eq!(text, Answer::new("m", "1", None, &prompt, 200).text());
+}
+
+#[rstest]
+#[case::one_after_another(1)]
+#[case::three_at_once(3)]
+#[tokio::test(start_paused = true)]
+async fn poison_costs_at_most_three_replicas(#[case] at_once: usize) {
+    const REPLICAS: u32 = 12;
+    let rig = RequestRig::new(3, REPLICAS, 2, EngineOptions::new()).await;
+    let mut bystanders = vec![];
+    for index in 0..60 {
+        let path = rig.nodes[index % 3].path.clone();
+        let prompt = format!("beside {index} length:150");
+        bystanders.push(tokio::spawn(bystander(path, prompt)));
+    }
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    let poison = format!("label {POISON_MARKER}");
+    let mut refusals = 0;
+    for round in 0..8 {
+        let mut sent = vec![];
+        for copy in 0..at_once {
+            let path = rig.nodes[(round + copy) % 3].path.clone();
+            let req = drafting(&format!("p{round}-{copy}"), "c0", &poison, 50);
+            sent.push(tokio::spawn(async move { answer(&path, req).await }));
+        }
+        while !sent.iter().all(|sent| sent.is_finished()) {
+            tokio::time::sleep(Duration::from_millis(200)).await;
+            rig.gossip();
+        }
+        for sent in sent {
+            let e = sent.await.unwrap().unwrap_err();
+            refusals += usize::from(e.code == ErrorCode::Poisonous);
+        }
+    }
+    for bystander in bystanders {
+        bystander.await.unwrap();
+    }
+    let crashes = crashed(&rig, REPLICAS);
+    assert!(crashes <= CRASH_BOUND, "{crashes} replicas crashed");
+    assert_eq!(refusals, 8 * at_once);
+    assert_eq!(rig.world.violations(), vec![]);
+}
+
+#[tokio::test(start_paused = true)]
+async fn verdict_clears_what_ran_to_its_end() {
+    let rig = RequestRig::new(1, 3, 1, EngineOptions::new()).await;
+    let path = &rig.nodes[0].path;
+    let prompt = "length:100";
+    let req = drafting("r", "c0", prompt, 100);
+    let fingerprint = req.fingerprint;
+    let terms = path.terms("c0", "drafting").unwrap();
+    let mut answer = path.generate(Arc::new(req), terms, vec![]).await.unwrap();
+    answer.next().await.unwrap();
+    let busy = (0..3).find(|r| rig.world.open_streams(&address(*r, 0)) > 0).unwrap();
+    rig.world.kill(&address(busy, 0));
+    while !matches!(answer.next().await.unwrap(), Part::End(_)) {}
+    assert_eq!(path.suspects().verdict(fingerprint, 2), Verdict::Clear);
+}
+
+fn suspects() -> Suspects {
+    let settings = serde_json::from_value(serde_json::json!({
+        "node": "n", "data_centre": "dc", "region": "r", "platform": "127.0.0.1:1",
+        "fleet_key_file": "/dev/null", "caller_listen": "127.0.0.1:0",
+        "operator_listen": "127.0.0.1:0", "peer_listen": "127.0.0.1:0",
+    }))
+    .unwrap();
+    let clock = Clock::with_tokio_time(Duration::from_secs(1_700_000_000));
+    Suspects::new(Cx::new(settings, clock, Metrics::new()))
+}
+
+#[tokio::test(start_paused = true)]
+async fn verdict_tells_poison_from_bystander() {
+    let suspects = suspects();
+    suspects.crashed(1, 10);
+    suspects.crashed(2, 10);
+    assert_eq!(suspects.verdict(1, 2), Verdict::Suspect);
+    suspects.crashed(1, 11);
+    assert_eq!(suspects.verdict(1, 2), Verdict::Convicted);
+    assert_eq!(suspects.verdict(2, 2), Verdict::Suspect);
+    suspects.crashed(2, 11);
+    assert_eq!(suspects.verdict(1, 2), Verdict::Isolate);
+    assert_eq!(suspects.verdict(2, 2), Verdict::Isolate);
+    suspects.clear(2);
+    assert_eq!(suspects.verdict(1, 2), Verdict::Convicted);
+    assert_eq!(suspects.verdict(2, 2), Verdict::Clear);
+}
+
+#[derive(Debug, Clone, Copy)]
+enum Sight {
+    Crashed(u64, u64),
+    Cleared(u64),
+}
+
+fn sights() -> impl Strategy<Value = Vec<Sight>> {
+    let sight = prop_oneof![
+        3 => (0..5u64, 0..8u64).prop_map(|(f, crash)| Sight::Crashed(f, crash)),
+        1 => (0..5u64).prop_map(Sight::Cleared),
+    ];
+    proptest::collection::vec(sight, 0..30)
+}
+
+/// The rule on plain sets: crashes known when a request was cleared no longer count.
+fn expected(sights: &[Sight], fingerprint: u64, limit: usize) -> Verdict {
+    let mut all: BTreeMap<u64, BTreeSet<u64>> = BTreeMap::new();
+    let mut cleared: BTreeMap<u64, BTreeSet<u64>> = BTreeMap::new();
+    for sight in sights {
+        match *sight {
+            Sight::Crashed(f, crash) => {
+                all.entry(f).or_default().insert(crash);
+            }
+            Sight::Cleared(f) => {
+                let known = all.get(&f).cloned().unwrap_or_default();
+                cleared.entry(f).or_default().extend(known);
+            }
+        }
+    }
+    let counts = |f: &u64| {
+        let no_crashes = BTreeSet::new();
+        let cleared = cleared.get(f).unwrap_or(&no_crashes);
+        all.get(f).unwrap_or(&no_crashes).difference(cleared).copied().collect::<BTreeSet<u64>>()
+    };
+    let own = counts(&fingerprint);
+    let is_shared = all.keys().any(|f| *f != fingerprint && counts(f).is_superset(&own));
+    match own.len() {
+        0 => Verdict::Clear,
+        3.. => Verdict::Convicted,
+        n if n < limit => Verdict::Suspect,
+        _ if is_shared => Verdict::Isolate,
+        _ => Verdict::Convicted,
+    }
+}
+
+proptest! {
+    #![proptest_config(Config { failure_persistence: None, cases: 200, ..Config::default() })]
+
+    #[test]
+    fn verdict_agrees_with_plain_sets(sights in sights(), limit in 1..=3usize) {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+        runtime.block_on(async {
+            let suspects = suspects();
+            for sight in &sights {
+                match *sight {
+                    Sight::Crashed(f, crash) => {
+                        suspects.crashed(f, crash);
+                    }
+                    Sight::Cleared(f) => suspects.clear(f),
+                }
+            }
+            for fingerprint in 0..5 {
+                let verdict = suspects.verdict(fingerprint, limit as u32);
+                assert_eq!(verdict, expected(&sights, fingerprint, limit));
+            }
+        });
+    }
+}
