service_levels: keep bounded windows of each service's objectives

Cause: the burn report needs what each node served, and nodes have no disk. It hangs on the shared context. Measured: not measured.

--- /dev/null
+++ b/lib/src/config_change.rs
@@ -0,0 +1,293 @@
+//! Changes of the fleet configuration: conditional on the version that the change was based on,
+//! applied once under the operator's change id, and kept in a history.
+//!
+//! An accepted change is always the version after the one it was based on. A resend is therefore
+//! recognized by looking at that one version, in the current object or in the history.
+
+use crate::config_check;
+use crate::config_view::CONFIG_KEY;
+use crate::cx::Cx;
+use crate::facts::FactKind;
+use crate::generated::config::ConfigChangeReply;
+use crate::generated::config::ConfigChangeRequest;
+use crate::generated::config::ConfigDifference;
+use crate::generated::config::ConfigProblem;
+use crate::generated::config::ConfigRecord;
+use crate::generated::config::FleetConfig;
+use crate::generated::config::InForceReport;
+use crate::generated::config::NodeInForce;
+use crate::generated::events::Event;
+use crate::generated::platform::PutObject;
+use crate::generated::platform::PutOutcome;
+use crate::generated::platform::VersionedObject;
+use crate::member_view::MemberState;
+use crate::object_view::ViewedObject;
+use crate::store_client::CallClass;
+use crate::store_client::StoreClient;
+use crate::store_error::StoreError;
+use std::sync::Arc;
+use tokio_util::sync::CancellationToken;
+
+/// Prefix of the records of earlier configurations.
+pub const HISTORY_PREFIX: &str = "config/history/";
+/// Earlier configurations that are kept.
+const HISTORY_LEN: u64 = 500;
+
+/// Errors of a change; only [`ConfigChangeError::Unclear`] may have taken effect.
+#[derive(Debug, Clone, PartialEq, thiserror::Error)]
+pub enum ConfigChangeError {
+    /// The configuration has problems.
+    #[error("the configuration has {} problems", .0.len())]
+    Invalid(Vec<ConfigProblem>),
+    /// Another change came first.
+    #[error("version {} by {} is in force instead of {}", .0.version, .0.author, .0.based_on)]
+    Conflict(Box<ConfigConflict>),
+    /// The store is away; the change was not accepted.
+    #[error("the store is unavailable; the change was not accepted")]
+    Unavailable(#[source] StoreError),
+    /// It is not known whether the change was accepted; send it again under the same id.
+    #[error("it is unclear whether the change was accepted; send it again under the same id")]
+    Unclear(#[source] StoreError),
+    /// The record in the store does not parse.
+    #[error("the stored configuration is malformed: {reason}")]
+    Malformed {
+        /// What the parser said.
+        reason: String,
+    },
+}
+
+/// What stands in the way of a change.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ConfigConflict {
+    /// Version that the change was based on.
+    pub based_on: u64,
+    /// Version in force; 0 when there is none.
+    pub version: u64,
+    /// Who made it.
+    pub author: String,
+    /// Why it was made.
+    pub reason: String,
+    /// Values in which it differs from the refused change.
+    pub differences: Vec<ConfigDifference>,
+}
+
+/// Applies a change.
+pub async fn apply(
+    cx: &Cx,
+    store: &StoreClient,
+    req: &ConfigChangeRequest,
+) -> Result<ConfigChangeReply, ConfigChangeError> {
+    let result = try_apply(cx, store, req).await;
+    match &result {
+        Ok(reply) if !reply.repeated => cx.record(Event::ConfigAccepted {
+            change: req.change_id.clone(),
+            version: reply.version,
+            author: req.author.clone(),
+            reason: req.reason.clone(),
+        }),
+        Ok(_) => {}
+        Err(e) => cx.record(Event::ConfigRefused {
+            change: req.change_id.clone(),
+            author: req.author.clone(),
+            reason: e.to_string(),
+        }),
+    }
+    result
+}
+
+async fn try_apply(
+    cx: &Cx,
+    store: &StoreClient,
+    req: &ConfigChangeRequest,
+) -> Result<ConfigChangeReply, ConfigChangeError> {
+    let config = config_check::check(cx, &req.config).map_err(ConfigChangeError::Invalid)?;
+    let stored = read_current(cx, store).await?;
+    let current = stored.as_ref().map(|(_, record)| record);
+    let version = current.map_or(0, |record| record.version);
+    if let Some(reply) = find_earlier(store, req, current).await? {
+        return Ok(reply);
+    }
+    if version != req.based_on {
+        return Err(conflict(req, current, &config));
+    }
+    if let Some(record) = current {
+        keep_history(store, record).await?;
+    }
+    let record = ConfigRecord {
+        version: version + 1,
+        change_id: req.change_id.clone(),
+        author: req.author.clone(),
+        reason: req.reason.clone(),
+        accepted_unix: cx.clock.unix(),
+        config,
+    };
+    let text = render(&record)?;
+    let if_version = stored.as_ref().map_or(0, |(object, _)| object.version);
+    let put = PutObject { key: CONFIG_KEY.to_string(), if_version, value: text.clone() };
+    match store.put(CallClass::Config, put).await {
+        Ok(PutOutcome::Written(object_version)) => {
+            let value = Some(Arc::from(text.as_str()));
+            let key = CONFIG_KEY.to_string();
+            cx.view.apply(ViewedObject { key, version: object_version, value });
+            Ok(ConfigChangeReply { version: record.version, repeated: false })
+        }
+        Ok(PutOutcome::Conflict(_)) => after_conflict(cx, store, req, &record.config).await,
+        Err(e) if e.may_have_effect() => Err(ConfigChangeError::Unclear(e)),
+        Err(e) => Err(ConfigChangeError::Unavailable(e)),
+    }
+}
+
+/// Decides what a lost race was: with a resend of the same change, or with another one.
+async fn after_conflict(
+    cx: &Cx,
+    store: &StoreClient,
+    req: &ConfigChangeRequest,
+    config: &FleetConfig,
+) -> Result<ConfigChangeReply, ConfigChangeError> {
+    // Our write may have been accepted and replaced since; only the store can tell.
+    let stored = read_current(cx, store).await.map_err(unclear)?;
+    let current = stored.as_ref().map(|(_, record)| record);
+    match find_earlier(store, req, current).await.map_err(unclear)? {
+        Some(reply) => Ok(reply),
+        None => Err(conflict(req, current, config)),
+    }
+}
+
+fn unclear(error: ConfigChangeError) -> ConfigChangeError {
+    match error {
+        ConfigChangeError::Unavailable(e) => ConfigChangeError::Unclear(e),
+        other => other,
+    }
+}
+
+async fn read_current(
+    cx: &Cx,
+    store: &StoreClient,
+) -> Result<Option<(VersionedObject, ConfigRecord)>, ConfigChangeError> {
+    let object = store.get(CallClass::Config, CONFIG_KEY).await;
+    let object = object.map_err(ConfigChangeError::Unavailable)?;
+    let Some(object) = object else { return Ok(None) };
+    cx.view.apply_stored(&object);
+    let record = parse(&object.value)?;
+    Ok(Some((object, record)))
+}
+
+/// Finds the version that this change was given by an earlier attempt.
+async fn find_earlier(
+    store: &StoreClient,
+    req: &ConfigChangeRequest,
+    current: Option<&ConfigRecord>,
+) -> Result<Option<ConfigChangeReply>, ConfigChangeError> {
+    let version = req.based_on + 1;
+    let Some(current) = current.filter(|current| current.version >= version) else {
+        return Ok(None);
+    };
+    let is_ours = if current.version == version {
+        current.change_id == req.change_id
+    } else {
+        let key = history_key(version);
+        let object = store.get(CallClass::Config, &key).await;
+        match object.map_err(ConfigChangeError::Unavailable)? {
+            Some(object) => parse(&object.value)?.change_id == req.change_id,
+            None => false,
+        }
+    };
+    Ok(is_ours.then_some(ConfigChangeReply { version, repeated: true }))
+}
+
+/// Writes the record that is about to be replaced into the history.
+async fn keep_history(store: &StoreClient, record: &ConfigRecord) -> Result<(), ConfigChangeError> {
+    let put =
+        PutObject { key: history_key(record.version), if_version: 0, value: render(record)? };
+    // A conflict means that another change has kept the same record.
+    store.put(CallClass::Config, put).await.map_err(ConfigChangeError::Unavailable)?;
+    let Some(oldest) = record.version.checked_sub(HISTORY_LEN).filter(|oldest| *oldest > 0) else {
+        return Ok(());
+    };
+    let key = history_key(oldest);
+    if let Ok(Some(object)) = store.get(CallClass::Report, &key).await {
+        let _ = store.delete(CallClass::Report, &key, object.version).await;
+    }
+    Ok(())
+}
+
+fn history_key(version: u64) -> String {
+    format!("{HISTORY_PREFIX}{version:010}")
+}
+
+fn conflict(
+    req: &ConfigChangeRequest,
+    current: Option<&ConfigRecord>,
+    config: &FleetConfig,
+) -> ConfigChangeError {
+    let theirs = current.map(|record| &record.config);
+    ConfigChangeError::Conflict(Box::new(ConfigConflict {
+        based_on: req.based_on,
+        version: current.map_or(0, |record| record.version),
+        author: current.map(|record| record.author.clone()).unwrap_or_default(),
+        reason: current.map(|record| record.reason.clone()).unwrap_or_default(),
+        differences: config_check::differences(config, theirs),
+    }))
+}
+
+fn parse(text: &str) -> Result<ConfigRecord, ConfigChangeError> {
+    serde_json::from_str(text)
+        .map_err(|e| ConfigChangeError::Malformed { reason: e.to_string() })
+}
+
+fn render(record: &ConfigRecord) -> Result<String, ConfigChangeError> {
+    serde_json::to_string(record)
+        .map_err(|e| ConfigChangeError::Malformed { reason: e.to_string() })
+}
+
+/// Publishes the version in force on this node, until shutdown.
+pub async fn publish_in_force(cx: Cx, shutdown: CancellationToken) {
+    let mut changes = cx.view.subscribe();
+    let mut published = 0;
+    loop {
+        if let Some(record) = cx.config.get()
+            && record.version != published
+        {
+            published = record.version;
+            let value = postcard::to_stdvec(&record.version).unwrap_or_default();
+            cx.facts.publish(cx.node(), cx.incarnation, FactKind::ConfigInForce, value);
+            let change = record.change_id.clone();
+            cx.record(Event::ConfigInForce { change, version: record.version });
+        }
+        tokio::select! {
+            changed = changes.changed() => if changed.is_err() { return },
+            () = shutdown.cancelled() => return,
+        }
+    }
+}
+
+/// Reports on which nodes a version or a later one is in force, as far as this node knows.
+pub fn in_force(cx: &Cx, version: u64) -> InForceReport {
+    let members = cx.members.get();
+    let facts = cx.facts.all(FactKind::ConfigInForce);
+    let mut report = InForceReport { version, members: 0, in_force: 0, missing: vec![] };
+    for member in members.values() {
+        let fact = facts.iter().find(|fact| fact.node == member.node);
+        let known = fact
+            .filter(|fact| fact.incarnation == member.incarnation)
+            .and_then(|fact| postcard::from_bytes::<u64>(&fact.value).ok())
+            .unwrap_or(0);
+        if member.state == MemberState::Dead && known < version {
+            continue;
+        }
+        report.members += 1;
+        if known >= version {
+            report.in_force += 1;
+            continue;
+        }
+        let why = match member.state {
+            MemberState::Dead | MemberState::Suspect => "the node does not answer",
+            MemberState::Leaving => "the node is leaving",
+            MemberState::Live if known == 0 => "the node has not yet confirmed any version",
+            MemberState::Live => "the node still confirms an earlier version",
+        };
+        let node = member.node.clone();
+        report.missing.push(NodeInForce { node, version: known, why: why.to_string() });
+    }
+    report
+}
--- a/lib/src/cx.rs
+++ b/lib/src/cx.rs
@@ -11,6 +11,7 @@
 use crate::member_view::MemberView;
 use crate::metrics::Metrics;
 use crate::object_view::ObjectView;
+use crate::service_levels::ServiceLevels;
 use crate::timer::Timers;
 use std::sync::Arc;
 
@@ -39,6 +40,8 @@
     pub members: MemberView,
     /// Facts shared among the nodes.
     pub facts: Facts,
+    /// Service levels of the requests that this node took.
+    pub service_levels: ServiceLevels,
 }
 
 impl Cx {
@@ -56,6 +59,7 @@
             instances: InstanceView::new(),
             members: MemberView::new(),
             facts: Facts::new(),
+            service_levels: ServiceLevels::new(clock.clone()),
             clock,
         }
     }
--- /dev/null
+++ b/lib/src/gossip_merge.rs
@@ -0,0 +1,164 @@
+//! Taking in what a peer told.
+
+use crate::facts::Fact;
+use crate::generated::events::Event;
+use crate::generated::peer::Gossip;
+use crate::generated::peer::MemberHealth;
+use crate::generated::peer::MemberRow;
+use crate::generated::peer::ObjectStamp;
+use crate::generated::peer::PeerObject;
+use crate::gossip_build::MAX_FACT_BYTES;
+use crate::gossip_queue::GossipItem;
+use crate::gossip_state::GossipState;
+use crate::ids::NodeId;
+use crate::member_table::Merged;
+use crate::object_digest;
+use crate::object_digest::SHARED_PREFIXES;
+use crate::object_view::ViewedObject;
+use std::sync::Arc;
+use std::time::Duration;
+
+impl GossipState {
+    /// Takes in the news of a message and returns the keys of objects that have to be pulled.
+    pub fn take_in(&mut self, gossip: &Gossip, now: Duration) -> Vec<String> {
+        for row in &gossip.members {
+            self.merge_row(row, now);
+        }
+        self.table.merge_beats(&gossip.beats, now);
+        for fact in &gossip.facts {
+            self.merge_fact(fact);
+        }
+        let wanted = gossip.objects.iter().filter(|stamp| self.needs_pull(stamp));
+        let wanted: Vec<String> = wanted.map(|stamp| stamp.key.clone()).collect();
+        self.note_objects();
+        wanted
+    }
+
+    /// Takes in one member's row.
+    pub fn merge_row(&mut self, row: &MemberRow, now: Duration) {
+        let old = self.table.get(&row.node).cloned();
+        match self.table.merge(row, now) {
+            Merged::Known => {}
+            Merged::Refuted => {
+                self.urgent = true;
+                let refutation = u64::from(self.table.own().refutation);
+                self.push(GossipItem::Member(row.node.clone()));
+                self.cx.record(Event::SuspicionRefuted {
+                    node: row.node.clone(),
+                    refutation,
+                    late_by: Duration::ZERO,
+                });
+            }
+            Merged::Changed => {
+                self.urgent |= old.as_ref().is_none_or(|old| {
+                    old.health != row.health || old.leaving != row.leaving
+                });
+                self.push(GossipItem::Member(row.node.clone()));
+                self.record_change(old.as_ref(), row);
+            }
+        }
+    }
+
+    /// Adds an accusation by this node or by a witness.
+    pub fn accuse(&mut self, node: &str, accuser: &str, now: Duration) {
+        if !self.table.accuse(node, accuser, now) {
+            return;
+        }
+        self.urgent = true;
+        self.push(GossipItem::Member(node.to_string()));
+        let accusers = self.table.get(node).map(|row| row.accusers.join(" "));
+        self.cx.record(Event::MemberSuspected {
+            node: node.to_string(),
+            accusers: accusers.unwrap_or_default(),
+        });
+    }
+
+    /// Declares members dead whose suspicion is over, and drops old rows.
+    pub fn expire(&mut self, now: Duration) {
+        let suspected_for = crate::member_table::SUSPICION_TIMEOUT;
+        for node in self.table.expire_suspicions(now) {
+            self.urgent = true;
+            self.push(GossipItem::Member(node.clone()));
+            self.cx.facts.forget(&node);
+            let accusers = self.table.get(&node).map(|row| row.accusers.join(" "));
+            let accusers = accusers.unwrap_or_default();
+            self.cx.record(Event::MemberDead { node, accusers, suspected_for });
+        }
+        for node in self.table.prune(now) {
+            self.cx.facts.forget(&node);
+        }
+    }
+
+    /// Takes in an object that was pulled from a peer.
+    pub fn merge_object(&mut self, object: PeerObject) {
+        if !is_shared(&object.key) {
+            return;
+        }
+        let value = object.value.map(Arc::from);
+        self.cx.view.apply(ViewedObject { key: object.key, version: object.version, value });
+    }
+
+    /// Takes in a fact; facts of unknown and dead nodes are dropped, which bounds their memory.
+    pub fn merge_fact(&mut self, fact: &Fact) {
+        let row = self.table.get(&fact.node);
+        let is_alive = row.is_some_and(|row| row.health != MemberHealth::Dead);
+        let is_own = fact.node == self.cx.node();
+        if !is_alive || is_own || fact.value.len() > MAX_FACT_BYTES {
+            return;
+        }
+        if self.cx.facts.merge(fact.clone()) {
+            self.push(GossipItem::Fact(fact.kind, fact.node.clone()));
+        }
+    }
+
+    /// Tells whether an object is to be pulled; applies a mere renewal from its stamp.
+    fn needs_pull(&self, stamp: &ObjectStamp) -> bool {
+        if !is_shared(&stamp.key) {
+            return false;
+        }
+        let Some(known) = self.stamps.get(&stamp.key) else { return true };
+        if known.version >= stamp.version {
+            return false;
+        }
+        if known.content != stamp.content {
+            return true;
+        }
+        let object = self.cx.view.get(&stamp.key);
+        if let Some(renewed) = object.and_then(|object| object_digest::renewed(&object, stamp)) {
+            self.cx.view.apply(renewed);
+        }
+        false
+    }
+
+    fn record_change(&self, old: Option<&MemberRow>, row: &MemberRow) {
+        let node: NodeId = row.node.clone();
+        let is_new_run = old.is_none_or(|old| old.incarnation != row.incarnation);
+        let was = old.map(|old| old.health);
+        let event = match row.health {
+            MemberHealth::Dead if was != Some(MemberHealth::Dead) => Event::MemberDead {
+                node: node.clone(),
+                accusers: row.accusers.join(" "),
+                suspected_for: Duration::ZERO,
+            },
+            MemberHealth::Live if is_new_run || was == Some(MemberHealth::Dead) => {
+                Event::MemberJoined {
+                    node: node.clone(),
+                    data_centre: row.data_centre.clone(),
+                    incarnation: row.incarnation,
+                }
+            }
+            MemberHealth::Live if row.leaving && old.is_some_and(|old| !old.leaving) => {
+                Event::MemberLeaving { node: node.clone() }
+            }
+            _ => return,
+        };
+        if row.health == MemberHealth::Dead {
+            self.cx.facts.forget(&node);
+        }
+        self.cx.record(event);
+    }
+}
+
+fn is_shared(key: &str) -> bool {
+    SHARED_PREFIXES.iter().any(|prefix| key.starts_with(prefix))
+}
--- /dev/null
+++ b/lib/src/peer_bulk.rs
@@ -0,0 +1,243 @@
+//! Bulk exchange over TCP: a node that lacks objects, or whose tables differ from a peer's for long,
+//! pulls what is newer there.
+
+use crate::generated::peer::Gossip;
+use crate::generated::peer::MemberHealth;
+use crate::generated::peer::PeerBody;
+use crate::generated::peer::PeerMessage;
+use crate::generated::peer::PeerObject;
+use crate::generated::peer::PullReply;
+use crate::generated::peer::PullRequest;
+use crate::gossip::Gossiper;
+use crate::gossip_state::GossipState;
+use crate::object_digest::SHARED_PREFIXES;
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+use tokio_util::sync::CancellationToken;
+
+/// Time for which tables must differ from every peer's before all is pulled.
+const DIFFERENCE_TIME: Duration = Duration::from_secs(3);
+/// Shortest time between two pulls of all.
+const PULL_ALL_PERIOD: Duration = Duration::from_secs(5);
+/// Pulls that run at once.
+const MAX_PULLS: usize = 8;
+/// Wait after an error of the listener.
+const ACCEPT_RETRY: Duration = Duration::from_millis(100);
+
+/// Which pulls run, and how long the tables have differed.
+#[derive(Debug, Default)]
+pub struct PullState {
+    inner: Mutex<Inner>,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    keys: BTreeSet<String>,
+    running: usize,
+    differs_since: Option<Duration>,
+    last_pull_all: Option<Duration>,
+}
+
+impl PullState {
+    /// Returns the state without pulls.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Compares the tables with a peer's digests and tells whether all is to be pulled from it.
+    pub fn compare(&self, state: &GossipState, gossip: &Gossip, now: Duration) -> bool {
+        let mut inner = self.lock();
+        let is_same = state.table.digest() == gossip.member_digest
+            && state.stamps.digest() == gossip.object_digest;
+        if is_same {
+            inner.differs_since = None;
+            return false;
+        }
+        let since = *inner.differs_since.get_or_insert(now);
+        let live = state.table.rows().filter(|row| row.health == MemberHealth::Live).count();
+        let is_new = inner.last_pull_all.is_none() || live <= 1;
+        let is_lasting = now.saturating_sub(since) >= DIFFERENCE_TIME;
+        let is_due = inner.last_pull_all.is_none_or(|last| now >= last + PULL_ALL_PERIOD);
+        let is_wanted = is_due && (is_new || is_lasting);
+        if is_wanted {
+            inner.last_pull_all = Some(now);
+            inner.differs_since = None;
+        }
+        is_wanted
+    }
+
+    /// Marks keys as being pulled and returns those that were not.
+    fn begin(&self, keys: Vec<String>) -> Vec<String> {
+        let mut inner = self.lock();
+        if inner.running >= MAX_PULLS {
+            return vec![];
+        }
+        let begun: Vec<String> =
+            keys.into_iter().filter(|key| inner.keys.insert(key.clone())).collect();
+        if !begun.is_empty() {
+            inner.running += 1;
+        }
+        begun
+    }
+
+    fn end(&self, keys: &[String]) {
+        let mut inner = self.lock();
+        inner.running -= 1;
+        for key in keys {
+            inner.keys.remove(key);
+        }
+    }
+
+    fn pull_all_failed(&self) {
+        self.lock().last_pull_all = None;
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Gossiper {
+    /// Serves pulls until shutdown.
+    pub async fn serve_pulls(self: Arc<Self>, shutdown: CancellationToken) {
+        let gossiper = self.clone();
+        let answer = move |message: PeerMessage| gossiper.answer_pull(message);
+        loop {
+            let served = tokio::select! {
+                served = self.link.serve_exchange(&answer) => served,
+                () = shutdown.cancelled() => return,
+            };
+            if served.is_err() {
+                tokio::time::sleep(ACCEPT_RETRY).await;
+            }
+        }
+    }
+
+    /// Pulls objects from a peer that has newer ones; another peer is tried when it fails.
+    pub fn pull_objects(self: &Arc<Self>, sender: &str, from: SocketAddr, keys: Vec<String>) {
+        let keys = self.pulls.begin(keys);
+        if keys.is_empty() {
+            return;
+        }
+        let gossiper = self.clone();
+        let address = self.state().address(sender).and_then(|address| address.parse().ok());
+        let first = address.unwrap_or(from);
+        tokio::spawn(async move {
+            for to in [Some(first), gossiper.other_peer(first)].into_iter().flatten() {
+                let req = gossiper.request(keys.clone());
+                if gossiper.pull(to, req).await.is_some() {
+                    break;
+                }
+            }
+            gossiper.pulls.end(&keys);
+        });
+    }
+
+    /// Pulls everything that is newer at a peer.
+    pub fn pull_all(self: &Arc<Self>, from: SocketAddr) {
+        let gossiper = self.clone();
+        tokio::spawn(async move {
+            let mut req = gossiper.request(vec![]);
+            req.facts = true;
+            if gossiper.pull(from, req).await.is_none() {
+                gossiper.pulls.pull_all_failed();
+            }
+        });
+    }
+
+    /// Asks a peer and takes in its answer; `None` when it did not answer.
+    pub async fn pull(&self, to: SocketAddr, req: PullRequest) -> Option<PullReply> {
+        let answer = self.link.exchange(to, PeerBody::PullRequest(req)).await.ok()?;
+        let PeerBody::PullReply(mut reply) = answer.body else { return None };
+        let now = self.cx.clock.now();
+        let objects = std::mem::take(&mut reply.objects);
+        self.budget.timed(|| {
+            let mut state = self.state();
+            for row in &reply.members {
+                state.merge_row(row, now);
+            }
+            for object in objects {
+                state.merge_object(object);
+            }
+            for fact in &reply.facts {
+                state.merge_fact(fact);
+            }
+        });
+        self.note_news();
+        Some(reply)
+    }
+
+    /// Returns a request for objects, or for everything newer when `keys` is empty.
+    pub fn request(&self, keys: Vec<String>) -> PullRequest {
+        let state = self.state();
+        let is_all = keys.is_empty();
+        PullRequest {
+            members: if is_all { state.table.stamps() } else { vec![] },
+            objects: if is_all { state.stamps.all() } else { vec![] },
+            keys,
+            facts: false,
+            service_levels: false,
+        }
+    }
+
+    fn answer_pull(&self, message: PeerMessage) -> Option<PeerBody> {
+        let PeerBody::PullRequest(req) = message.body else { return None };
+        let reply = self.budget.timed(|| {
+            let state = self.state();
+            let is_all = req.keys.is_empty() && !req.service_levels;
+            PullReply {
+                members: if is_all { state.table.newer_than(&req.members) } else { vec![] },
+                objects: if req.service_levels { vec![] } else { newer_objects(&state, &req) },
+                facts: if req.facts { self.cx.facts.snapshot() } else { vec![] },
+                service_levels: if req.service_levels { self.levels() } else { vec![] },
+            }
+        });
+        Some(PeerBody::PullReply(reply))
+    }
+
+    fn levels(&self) -> Vec<u8> {
+        let snapshot = self.cx.service_levels.snapshot(self.cx.node());
+        postcard::to_stdvec(&snapshot).unwrap_or_default()
+    }
+
+    /// Chooses another live node of the data centre.
+    fn other_peer(&self, but: SocketAddr) -> Option<SocketAddr> {
+        let members = self.cx.members.get();
+        let own = self.cx.node();
+        let data_centre = &self.cx.settings.data_centre;
+        let live = crate::election::live_in_data_centre(&members, data_centre)
+            .filter(|member| member.node != own && member.peer_address != but.to_string())
+            .collect();
+        self.choose(live, 1).first().and_then(|member| member.peer_address.parse().ok())
+    }
+}
+
+/// Returns the objects that the request names or that differ, as far as they are newer here.
+fn newer_objects(state: &GossipState, req: &PullRequest) -> Vec<PeerObject> {
+    let known: BTreeMap<&str, _> =
+        req.objects.iter().map(|s| (s.key.as_str(), (s.version, s.content))).collect();
+    let is_wanted = |key: &str| {
+        if !req.keys.is_empty() {
+            return req.keys.iter().any(|wanted| wanted == key);
+        }
+        let Some(own) = state.stamps.get(key) else { return false };
+        let theirs = known.get(key);
+        theirs.is_none_or(|(version, content)| *version < own.version && *content != own.content)
+    };
+    let mut objects = vec![];
+    for prefix in SHARED_PREFIXES {
+        for object in state.cx.view.list_with_tombstones(prefix) {
+            if is_wanted(&object.key) {
+                let value = object.value.map(|text| text.to_string());
+                objects.push(PeerObject { key: object.key, version: object.version, value });
+            }
+        }
+    }
+    objects
+}
--- /dev/null
+++ b/lib/src/service_levels.rs
@@ -0,0 +1,295 @@
+//! Service level windows that a node keeps in bounded memory, per service.
+//!
+//! Counters stand in one slot a minute for six hours, which the burn rates need; latencies stand in
+//! histograms that cover the current and the previous three hours.
+
+use crate::clock::Clock;
+use crate::ids::CustomerId;
+use crate::ids::ServiceId;
+use guavaladder_proc_macros::common_derives;
+use hdrhistogram::Histogram;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+/// Length of a counter slot.
+pub const SLOT: Duration = Duration::from_secs(60);
+/// Counter slots that are kept.
+pub const SLOTS: usize = 360;
+/// Services that are told apart; samples of further ones are dropped and counted.
+const MAX_SERVICES: usize = 64;
+/// Customers that are told apart in a service; further ones are counted together.
+const MAX_CUSTOMERS: usize = 64;
+/// Name under which further customers are counted.
+const OTHER_CUSTOMERS: &str = "(other)";
+/// Longest latency that the histograms tell apart, in milliseconds.
+const MAX_LATENCY_MS: u64 = 120_000;
+/// Significant digits of the histograms.
+const LATENCY_DIGITS: u8 = 2;
+/// Length of one histogram generation.
+const GENERATION: Duration = Duration::from_secs(3 * 3600);
+
+/// How a request ended for its caller.
+#[common_derives(Copy, Eq)]
+pub enum RequestOutcome {
+    /// The caller got the whole answer.
+    Whole,
+    /// The caller was told that the request was not run.
+    NotRun,
+    /// The caller was told that the request may have run.
+    Unknown,
+    /// The caller closed the connection first.
+    CallerLeft,
+}
+
+/// What one request adds to the service levels.
+#[derive(Debug, Clone, PartialEq)]
+pub struct RequestSample {
+    /// Time from the request to the first token, when there was one.
+    pub first_token: Option<Duration>,
+    /// Mean time between tokens, when there were at least two.
+    pub between_tokens: Option<Duration>,
+    /// Whether the first token met its objective.
+    pub first_token_met: bool,
+    /// Whether the time between tokens met its objective.
+    pub between_tokens_met: bool,
+    /// How it ended.
+    pub outcome: RequestOutcome,
+}
+
+/// Counters of one minute.
+#[common_derives(Copy, Default, Eq)]
+pub struct LevelSlot {
+    /// Number of the minute since the Unix epoch.
+    pub minute: u64,
+    /// Requests that got a first token.
+    pub first_tokens: u32,
+    /// Those of them that met the objective.
+    pub first_tokens_met: u32,
+    /// Requests that got at least two tokens.
+    pub token_intervals: u32,
+    /// Those of them that met the objective.
+    pub token_intervals_met: u32,
+    /// Requests that ended, without those whose callers left.
+    pub answers: u32,
+    /// Those of them that ended with the whole answer.
+    pub whole_answers: u32,
+    /// Sum over samples of groups that were wanted.
+    pub groups_wanted: u32,
+    /// Sum over samples of wanted groups that were serving.
+    pub groups_serving: u32,
+    /// Sum over samples of accelerators that exist.
+    pub accelerators: u32,
+    /// Sum over samples of accelerators outside any serving group.
+    pub accelerators_stranded: u32,
+}
+
+/// Percentiles of the latencies of one service.
+#[common_derives(Default, Eq)]
+pub struct Latencies {
+    /// Serialized buckets: value in milliseconds and count.
+    pub buckets: Vec<(u32, u32)>,
+}
+
+/// Levels of one service.
+#[common_derives(Default)]
+pub struct ServiceWindow {
+    /// Slots in time order; minutes without samples are absent.
+    pub slots: Vec<LevelSlot>,
+    /// Times to the first token.
+    pub first_token: Latencies,
+    /// Times between tokens.
+    pub between_tokens: Latencies,
+    /// Whole answers and all answers by customer.
+    pub customers: BTreeMap<CustomerId, (u32, u32)>,
+}
+
+/// Levels of a node as its peers get them.
+#[common_derives(Default)]
+pub struct LevelSnapshot {
+    /// Node.
+    pub node: String,
+    /// Minute since the Unix epoch at which the node began to record.
+    pub since_minute: u64,
+    /// Levels by service.
+    pub services: BTreeMap<ServiceId, ServiceWindow>,
+}
+
+#[derive(Debug)]
+struct ServiceState {
+    slots: std::collections::VecDeque<LevelSlot>,
+    generation: u64,
+    first_token: [Histogram<u32>; 2],
+    between_tokens: [Histogram<u32>; 2],
+    customers: BTreeMap<CustomerId, (u32, u32)>,
+}
+
+/// Handle to the service levels of a node.
+#[derive(Debug, Clone)]
+pub struct ServiceLevels {
+    clock: Clock,
+    since_minute: u64,
+    services: Arc<Mutex<BTreeMap<ServiceId, ServiceState>>>,
+}
+
+impl ServiceLevels {
+    /// Returns empty service levels.
+    pub fn new(clock: Clock) -> Self {
+        let since_minute = clock.unix().as_secs() / SLOT.as_secs();
+        Self { clock, since_minute, services: Arc::default() }
+    }
+
+    /// Records a request that has ended.
+    pub fn record(&self, service: &str, customer: &str, sample: &RequestSample) {
+        self.update(service, |state, slot| {
+            if let Some(first_token) = sample.first_token {
+                slot.first_tokens += 1;
+                slot.first_tokens_met += u32::from(sample.first_token_met);
+                state.first_token[0].saturating_record(first_token.as_millis() as u64);
+            }
+            if let Some(interval) = sample.between_tokens {
+                slot.token_intervals += 1;
+                slot.token_intervals_met += u32::from(sample.between_tokens_met);
+                state.between_tokens[0].saturating_record(interval.as_millis() as u64);
+            }
+            if sample.outcome != RequestOutcome::CallerLeft {
+                let is_whole = u32::from(sample.outcome == RequestOutcome::Whole);
+                slot.answers += 1;
+                slot.whole_answers += is_whole;
+                let (whole, all) = state.customer(customer);
+                *whole += is_whole;
+                *all += 1;
+            }
+        });
+    }
+
+    /// Records how many of a service's wanted groups serve.
+    pub fn record_groups(&self, service: &str, wanted: u32, serving: u32) {
+        self.update(service, |_, slot| {
+            slot.groups_wanted += wanted;
+            slot.groups_serving += serving.min(wanted);
+        });
+    }
+
+    /// Records how many accelerators exist and how many are outside any serving group.
+    pub fn record_accelerators(&self, service: &str, all: u32, stranded: u32) {
+        self.update(service, |_, slot| {
+            slot.accelerators += all;
+            slot.accelerators_stranded += stranded;
+        });
+    }
+
+    /// Returns what peers need for a report.
+    pub fn snapshot(&self, node: &str) -> LevelSnapshot {
+        let services = self.services.lock().unwrap_or_else(PoisonError::into_inner);
+        LevelSnapshot {
+            node: node.to_string(),
+            since_minute: self.since_minute,
+            services: services.iter().map(|(id, state)| (id.clone(), state.window())).collect(),
+        }
+    }
+
+    fn update(&self, service: &str, change: impl FnOnce(&mut ServiceState, &mut LevelSlot)) {
+        let now = self.clock.unix();
+        let mut services = self.services.lock().unwrap_or_else(PoisonError::into_inner);
+        if !services.contains_key(service) {
+            if services.len() == MAX_SERVICES {
+                return;
+            }
+            let Some(state) = ServiceState::new() else { return };
+            services.insert(service.to_string(), state);
+        }
+        let Some(state) = services.get_mut(service) else { return };
+        state.rotate(now);
+        let mut slot = state.slots.pop_back().unwrap_or_default();
+        change(state, &mut slot);
+        state.slots.push_back(slot);
+    }
+}
+
+impl ServiceState {
+    /// Returns an empty state; `None` only if the histogram's constants were invalid.
+    fn new() -> Option<Self> {
+        let histogram = || Histogram::new_with_bounds(1, MAX_LATENCY_MS, LATENCY_DIGITS).ok();
+        Some(Self {
+            slots: std::collections::VecDeque::new(),
+            generation: 0,
+            first_token: [histogram()?, histogram()?],
+            between_tokens: [histogram()?, histogram()?],
+            customers: BTreeMap::new(),
+        })
+    }
+
+    /// Makes the last slot that of the current minute, and starts a new histogram generation.
+    fn rotate(&mut self, now: Duration) {
+        let minute = now.as_secs() / SLOT.as_secs();
+        if self.slots.back().is_none_or(|slot| slot.minute < minute) {
+            self.slots.push_back(LevelSlot { minute, ..LevelSlot::default() });
+        }
+        while self.slots.front().is_some_and(|slot| slot.minute + SLOTS as u64 <= minute) {
+            self.slots.pop_front();
+        }
+        let generation = now.as_secs() / GENERATION.as_secs();
+        if generation > self.generation {
+            for histograms in [&mut self.first_token, &mut self.between_tokens] {
+                histograms.swap(0, 1);
+                histograms[0].reset();
+            }
+            self.generation = generation;
+        }
+    }
+
+    fn customer(&mut self, customer: &str) -> &mut (u32, u32) {
+        let is_known = self.customers.contains_key(customer);
+        let has_room = self.customers.len() < MAX_CUSTOMERS;
+        let name = if is_known || has_room { customer } else { OTHER_CUSTOMERS };
+        self.customers.entry(name.to_string()).or_default()
+    }
+
+    fn window(&self) -> ServiceWindow {
+        ServiceWindow {
+            slots: self.slots.iter().copied().collect(),
+            first_token: Latencies::from_histograms(&self.first_token),
+            between_tokens: Latencies::from_histograms(&self.between_tokens),
+            customers: self.customers.clone(),
+        }
+    }
+}
+
+impl Latencies {
+    fn from_histograms(histograms: &[Histogram<u32>; 2]) -> Self {
+        let mut buckets: BTreeMap<u32, u32> = BTreeMap::new();
+        for histogram in histograms {
+            for bucket in histogram.iter_recorded() {
+                let value = bucket.value_iterated_to() as u32;
+                *buckets.entry(value).or_default() += bucket.count_at_value();
+            }
+        }
+        Self { buckets: buckets.into_iter().collect() }
+    }
+
+    /// Adds the latencies of another node.
+    pub fn merge(&mut self, other: &Self) {
+        let mut buckets: BTreeMap<u32, u32> = self.buckets.drain(..).collect();
+        for (value, count) in &other.buckets {
+            *buckets.entry(*value).or_default() += count;
+        }
+        self.buckets = buckets.into_iter().collect();
+    }
+
+    /// Returns the latency that a part of the requests, between 0 and 1, does not exceed.
+    pub fn quantile(&self, part: f64) -> Option<Duration> {
+        let all: u64 = self.buckets.iter().map(|(_, count)| u64::from(*count)).sum();
+        let rank = (all as f64 * part).ceil() as u64;
+        let mut seen = 0;
+        for (value, count) in &self.buckets {
+            seen += u64::from(*count);
+            if seen >= rank.max(1) {
+                return Some(Duration::from_millis(u64::from(*value)));
+            }
+        }
+        None
+    }
+}
