peer_link: authenticated messages between nodes over UDP and TCP

Cause: nodes share membership, facts and objects with each other. Change: messages are postcard within an envelope of protocol version and keyed blake3 tag; unknown versions, wrong keys, replays and malformed bodies are refused and counted. Larger messages go over TCP exchanges. Measured: not measured.

--- a/lib/src/metric_names.rs
+++ b/lib/src/metric_names.rs
@@ -6,10 +6,52 @@
 pub const STORE_CALL_FAILURES: &str = "store.call_failures";
 /// Calls to the platform's store that the queue shed.
 pub const STORE_CALLS_SHED: &str = "store.calls_shed";
+/// Bytes sent to other nodes, with the headers of the network.
+pub const PEER_BYTES_SENT: &str = "peer.bytes_sent";
+/// Bytes received from other nodes, with the headers of the network.
+pub const PEER_BYTES_RECEIVED: &str = "peer.bytes_received";
+/// Datagrams sent to other nodes.
+pub const PEER_DATAGRAMS_SENT: &str = "peer.datagrams_sent";
+/// Exchanges begun with other nodes over TCP.
+pub const PEER_EXCHANGES: &str = "peer.exchanges";
+/// Messages from other nodes refused for an unknown protocol version.
+pub const PEER_REFUSED_VERSION: &str = "peer.refused_version";
+/// Messages from other nodes refused for a wrong fleet key.
+pub const PEER_REFUSED_KEY: &str = "peer.refused_key";
+/// Messages from other nodes refused as replayed.
+pub const PEER_REFUSED_REPLAY: &str = "peer.refused_replay";
+/// Messages from other nodes refused as truncated or malformed.
+pub const PEER_REFUSED_MALFORMED: &str = "peer.refused_malformed";
+/// Facts that were not sent because their value is too large.
+pub const FACTS_TOO_LARGE: &str = "facts.too_large";
+/// Facts that a message had no room for under the byte budget.
+pub const FACTS_DEFERRED: &str = "facts.deferred";
+/// Processor time of the protocol between nodes, in microseconds.
+pub const CONTROL_CPU_MICROSECONDS: &str = "control.cpu_us";
+/// Bytes a second that the protocol between nodes sent lately.
+pub const CONTROL_BYTES_PER_SECOND: &str = "control.bytes_per_second";
+/// Resident memory of the process in bytes.
+pub const CONTROL_MEMORY_BYTES: &str = "control.memory_bytes";
+/// Members that this node sees as live.
+pub const MEMBERS_LIVE: &str = "members.live";
 
 /// Every metric name with its meaning.
 pub const ALL: &[(&str, &str)] = &[
     (STORE_CALLS, "Calls made to the platform's store."),
     (STORE_CALL_FAILURES, "Calls to the platform's store that had no answer."),
     (STORE_CALLS_SHED, "Calls to the platform's store that the queue shed."),
+    (PEER_BYTES_SENT, "Bytes sent to other nodes, with the headers of the network."),
+    (PEER_BYTES_RECEIVED, "Bytes received from other nodes, with the headers of the network."),
+    (PEER_DATAGRAMS_SENT, "Datagrams sent to other nodes."),
+    (PEER_EXCHANGES, "Exchanges begun with other nodes over TCP."),
+    (PEER_REFUSED_VERSION, "Messages from other nodes refused for an unknown protocol version."),
+    (PEER_REFUSED_KEY, "Messages from other nodes refused for a wrong fleet key."),
+    (PEER_REFUSED_REPLAY, "Messages from other nodes refused as replayed."),
+    (PEER_REFUSED_MALFORMED, "Messages from other nodes refused as truncated or malformed."),
+    (FACTS_TOO_LARGE, "Facts that were not sent because their value is too large."),
+    (FACTS_DEFERRED, "Facts that a message had no room for under the byte budget."),
+    (CONTROL_CPU_MICROSECONDS, "Processor time of the protocol between nodes, in microseconds."),
+    (CONTROL_BYTES_PER_SECOND, "Bytes a second that the protocol between nodes sent lately."),
+    (CONTROL_MEMORY_BYTES, "Resident memory of the process in bytes."),
+    (MEMBERS_LIVE, "Members that this node sees as live."),
 ];
--- a/lib/src/peer_codec.rs
+++ b/lib/src/peer_codec.rs
@@ -48,8 +48,7 @@
 
 /// Checks and decodes a message; the replay check is the caller's.
 pub fn decode(key: &FleetKey, bytes: &[u8]) -> Result<PeerMessage, PeerCodecError> {
-    let (header, body) =
-        bytes.split_at_checked(HEADER_BYTES).ok_or(PeerCodecError::Truncated)?;
+    let (header, body) = bytes.split_at_checked(HEADER_BYTES).ok_or(PeerCodecError::Truncated)?;
     let version = header[0];
     if version != PROTOCOL_VERSION {
         return Err(PeerCodecError::UnknownVersion(version));
@@ -59,8 +58,7 @@
     if !key.verify(&signed_part(version, body), &tag) {
         return Err(PeerCodecError::WrongKey);
     }
-    let (message, rest) =
-        postcard::take_from_bytes(body).map_err(|_| PeerCodecError::Malformed)?;
+    let (message, rest) = postcard::take_from_bytes(body).map_err(|_| PeerCodecError::Malformed)?;
     match rest {
         [] => Ok(message),
         _ => Err(PeerCodecError::Malformed),
--- a/lib/src/peer_link.rs
+++ b/lib/src/peer_link.rs
@@ -200,9 +200,9 @@
             PeerCodecError::UnknownVersion(_) => metric_names::PEER_REFUSED_VERSION,
             PeerCodecError::WrongKey => metric_names::PEER_REFUSED_KEY,
             PeerCodecError::Replayed => metric_names::PEER_REFUSED_REPLAY,
-            PeerCodecError::Truncated
-            | PeerCodecError::Malformed
-            | PeerCodecError::Unencodable => metric_names::PEER_REFUSED_MALFORMED,
+            PeerCodecError::Truncated | PeerCodecError::Malformed | PeerCodecError::Unencodable => {
+                metric_names::PEER_REFUSED_MALFORMED
+            }
         };
         self.cx.metrics.count(name, 1);
         if reason == PeerCodecError::Replayed {
