--- a/lib/src/election.rs
+++ b/lib/src/election.rs
@@ -21,11 +21,7 @@
 }
 
 /// Returns the `count` nodes of highest weight for a subject, highest first.
-pub fn elect<'a>(
-    subject: &str,
-    nodes: impl Iterator<Item = &'a str>,
-    count: usize,
-) -> Vec<NodeId> {
+pub fn elect<'a>(subject: &str, nodes: impl Iterator<Item = &'a str>, count: usize) -> Vec<NodeId> {
     let mut ranked: Vec<(u64, &str)> = nodes.map(|node| (weight(subject, node), node)).collect();
     ranked.sort_unstable_by(|a, b| b.cmp(a));
     ranked.into_iter().take(count).map(|(_, node)| node.to_string()).collect()
--- a/lib/src/facts.rs
+++ b/lib/src/facts.rs
@@ -27,6 +27,30 @@
     ServiceLevels,
 }
 
+impl FactKind {
+    /// All kinds, most important first.
+    pub const ALL: [Self; 7] = [
+        Self::ConfigInForce,
+        Self::SuspectRequests,
+        Self::LeavingUpstreams,
+        Self::NodeLoad,
+        Self::CustomerUsage,
+        Self::ReplicaLoad,
+        Self::ServiceLevels,
+    ];
+
+    /// Tells whether a fact of this kind goes to all data centres, or stays in its own.
+    pub fn is_fleet_wide(self) -> bool {
+        match self {
+            Self::ConfigInForce
+            | Self::SuspectRequests
+            | Self::LeavingUpstreams
+            | Self::CustomerUsage => true,
+            Self::NodeLoad | Self::ReplicaLoad | Self::ServiceLevels => false,
+        }
+    }
+}
+
 /// One node's current value of one kind, in an encoding that belongs to the kind.
 #[common_derives(Eq)]
 pub struct Fact {
@@ -87,6 +111,11 @@
         self.lock().values().filter(|fact| fact.kind == kind).cloned().collect()
     }
 
+    /// Returns the fact of a kind from one node.
+    pub fn get(&self, kind: FactKind, node: &str) -> Option<Fact> {
+        self.lock().get(&(kind, node.to_string())).cloned()
+    }
+
     /// Returns every fact.
     pub fn snapshot(&self) -> Vec<Fact> {
         self.lock().values().cloned().collect()
--- a/lib/src/gossip.rs
+++ b/lib/src/gossip.rs
@@ -274,7 +274,7 @@
             let mut state = self.state();
             let wanted = state.take_in(gossip, now);
             self.link.set_incarnation(state.table.own().incarnation);
-            let differs = self.pulls.compare(&state, gossip, now);
+            let differs = self.pulls.compare(&state, sender, gossip, now);
             self.publish(&state);
             if state.urgent {
                 self.urgent.notify_one();
--- a/lib/src/gossip_merge.rs
+++ b/lib/src/gossip_merge.rs
@@ -50,9 +50,9 @@
                 });
             }
             Merged::Changed => {
-                self.urgent |= old.as_ref().is_none_or(|old| {
-                    old.health != row.health || old.leaving != row.leaving
-                });
+                self.urgent |= old
+                    .as_ref()
+                    .is_none_or(|old| old.health != row.health || old.leaving != row.leaving);
                 self.push(GossipItem::Member(row.node.clone()));
                 self.record_change(old.as_ref(), row);
             }
--- a/lib/src/gossip_state.rs
+++ b/lib/src/gossip_state.rs
@@ -194,7 +194,8 @@
         let object = self.cx.view.get(&stamp.key);
         let text = object.and_then(|object| object.value);
         let record = text.and_then(|text| serde_json::from_str::<serde_json::Value>(&text).ok());
-        let data_centre = record.and_then(|record| Some(record["data_centre"].as_str()?.to_string()));
+        let data_centre =
+            record.and_then(|record| Some(record["data_centre"].as_str()?.to_string()));
         data_centre.as_ref() == Some(&self.table.own().data_centre)
     }
 
--- a/lib/src/member_table.rs
+++ b/lib/src/member_table.rs
@@ -273,8 +273,11 @@
 
     /// Returns the members as the other parts of the node see them.
     pub fn view(&self, now: Duration) -> Members {
-        let silences: BTreeMap<DataCentreId, Duration> =
-            self.data_centres().into_iter().map(|id| (id.clone(), self.silence(&id, now))).collect();
+        let silences: BTreeMap<DataCentreId, Duration> = self
+            .data_centres()
+            .into_iter()
+            .map(|id| (id.clone(), self.silence(&id, now)))
+            .collect();
         self.rows()
             .map(|row| {
                 let silence = silences.get(&row.data_centre).copied().unwrap_or_default();
--- a/lib/src/peer_bulk.rs
+++ b/lib/src/peer_bulk.rs
@@ -10,6 +10,7 @@
 use crate::generated::peer::PullRequest;
 use crate::gossip::Gossiper;
 use crate::gossip_state::GossipState;
+use crate::ids::DataCentreId;
 use crate::object_digest::SHARED_PREFIXES;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -40,7 +41,8 @@
 struct Inner {
     keys: BTreeSet<String>,
     running: usize,
-    differs_since: Option<Duration>,
+    /// Since when the tables have differed from those of a data centre's nodes.
+    differs_since: BTreeMap<DataCentreId, Duration>,
     last_pull_all: Option<Duration>,
 }
 
@@ -51,15 +53,25 @@
     }
 
     /// Compares the tables with a peer's digests and tells whether all is to be pulled from it.
-    pub fn compare(&self, state: &GossipState, gossip: &Gossip, now: Duration) -> bool {
+    ///
+    /// The data centres are told apart, since all nodes of one may agree on an old table.
+    pub fn compare(
+        &self,
+        state: &GossipState,
+        sender: &str,
+        gossip: &Gossip,
+        now: Duration,
+    ) -> bool {
+        let row = state.table.get(sender);
+        let data_centre = row.map(|row| row.data_centre.clone()).unwrap_or_default();
         let mut inner = self.lock();
         let is_same = state.table.digest() == gossip.member_digest
             && state.stamps.digest() == gossip.object_digest;
         if is_same {
-            inner.differs_since = None;
+            inner.differs_since.remove(&data_centre);
             return false;
         }
-        let since = *inner.differs_since.get_or_insert(now);
+        let since = *inner.differs_since.entry(data_centre).or_insert(now);
         let live = state.table.rows().filter(|row| row.health == MemberHealth::Live).count();
         let is_new = inner.last_pull_all.is_none() || live <= 1;
         let is_lasting = now.saturating_sub(since) >= DIFFERENCE_TIME;
@@ -67,7 +79,7 @@
         let is_wanted = is_due && (is_new || is_lasting);
         if is_wanted {
             inner.last_pull_all = Some(now);
-            inner.differs_since = None;
+            inner.differs_since.clear();
         }
         is_wanted
     }
--- a/lib/src/probe.rs
+++ b/lib/src/probe.rs
@@ -122,12 +122,7 @@
         false
     }
 
-    async fn is_answered(
-        &self,
-        probe: u64,
-        answer: oneshot::Receiver<()>,
-        wait: Duration,
-    ) -> bool {
+    async fn is_answered(&self, probe: u64, answer: oneshot::Receiver<()>, wait: Duration) -> bool {
         let is_answered = matches!(timeout(wait, answer).await, Ok(Ok(())));
         self.link.forget_answer(probe);
         is_answered
