--- a/lib/src/config_change.rs
+++ b/lib/src/config_change.rs
@@ -11,7 +11,6 @@
 use crate::generated::config::ConfigChangeReply;
 use crate::generated::config::ConfigChangeRequest;
 use crate::generated::config::ConfigDifference;
-use crate::generated::config::ConfigProblem;
 use crate::generated::config::ConfigRecord;
 use crate::generated::config::FleetConfig;
 use crate::generated::config::InForceReport;
@@ -22,6 +21,7 @@
 use crate::generated::platform::VersionedObject;
 use crate::member_view::MemberState;
 use crate::object_view::ViewedObject;
+use crate::schema_check::Problem;
 use crate::store_client::CallClass;
 use crate::store_client::StoreClient;
 use crate::store_error::StoreError;
@@ -38,7 +38,7 @@
 pub enum ConfigChangeError {
     /// The configuration has problems.
     #[error("the configuration has {} problems", .0.len())]
-    Invalid(Vec<ConfigProblem>),
+    Invalid(Vec<Problem>),
     /// Another change came first.
     #[error("version {} by {} is in force instead of {}", .0.version, .0.author, .0.based_on)]
     Conflict(Box<ConfigConflict>),
@@ -197,8 +197,7 @@
 
 /// Writes the record that is about to be replaced into the history.
 async fn keep_history(store: &StoreClient, record: &ConfigRecord) -> Result<(), ConfigChangeError> {
-    let put =
-        PutObject { key: history_key(record.version), if_version: 0, value: render(record)? };
+    let put = PutObject { key: history_key(record.version), if_version: 0, value: render(record)? };
     // A conflict means that another change has kept the same record.
     store.put(CallClass::Config, put).await.map_err(ConfigChangeError::Unavailable)?;
     let Some(oldest) = record.version.checked_sub(HISTORY_LEN).filter(|oldest| *oldest > 0) else {
@@ -231,8 +230,7 @@
 }
 
 fn parse(text: &str) -> Result<ConfigRecord, ConfigChangeError> {
-    serde_json::from_str(text)
-        .map_err(|e| ConfigChangeError::Malformed { reason: e.to_string() })
+    serde_json::from_str(text).map_err(|e| ConfigChangeError::Malformed { reason: e.to_string() })
 }
 
 fn render(record: &ConfigRecord) -> Result<String, ConfigChangeError> {
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod call_queue;
 pub mod clock;
 pub mod config_change;
+pub mod config_check;
 pub mod config_diff;
 pub mod config_view;
 pub mod control_budget;
