--- a/lib/src/instance_sync.rs
+++ b/lib/src/instance_sync.rs
@@ -99,9 +99,8 @@
 
 fn is_poller(cx: &Cx) -> bool {
     let members = cx.members.get();
-    let is_candidate = |member: &&Member| {
-        member.region == cx.settings.region && member.state == MemberState::Live
-    };
+    let is_candidate =
+        |member: &&Member| member.region == cx.settings.region && member.state == MemberState::Live;
     let nodes = members.values().filter(is_candidate).map(|member| member.node.as_str());
     let elected = election::elect(POLLER_SUBJECT, nodes, POLLERS);
     // Before it knows any member, a node polls to find its peers.
--- a/lib/src/nodes.rs
+++ b/lib/src/nodes.rs
@@ -119,7 +119,8 @@
 
     async fn levels_of(&self, address: &str) -> Option<LevelSnapshot> {
         let to = address.parse().ok()?;
-        let req = PullRequest { service_levels: true, ..self.gossiper.request(vec![String::new()]) };
+        let req =
+            PullRequest { service_levels: true, ..self.gossiper.request(vec![String::new()]) };
         let reply = self.gossiper.pull(to, req).await?;
         postcard::from_bytes(&reply.service_levels).ok()
     }
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -1,7 +1,11 @@
 //! Runs the integration tests of the library.
 
+mod test_config_change;
+mod test_config_check;
 mod test_engine_world;
 mod test_fake_store;
+mod test_membership;
 mod test_object_view;
 mod test_operator_api;
+mod test_peer_codec;
 mod test_settings;
--- /dev/null
+++ b/lib/tests/test_membership.rs
@@ -0,0 +1,148 @@
+//! Tests of the membership over a network with faults.
+
+use guavaladder_lib::member_view::MemberState;
+use guavaladder_testutils::node_fleet::NodeFleet;
+use guavaladder_testutils::peer_network::NetworkFaults;
+use std::time::Duration;
+
+/// Bound on joining.
+const JOIN_BOUND: Duration = Duration::from_secs(15);
+/// Bound on seeing a dead node as dead, from the target that callers are not sent to it after 5 s.
+const DETECTION_BOUND: Duration = Duration::from_secs(5);
+/// Bound on agreeing again after a fault has ended.
+const HEAL_BOUND: Duration = Duration::from_secs(30);
+
+async fn joined(seed: u64, data_centres: usize, per_data_centre: usize) -> NodeFleet {
+    let mut fleet = NodeFleet::new(seed);
+    fleet.start(data_centres, per_data_centre);
+    let took = fleet.wait_until(JOIN_BOUND, NodeFleet::is_agreed).await;
+    assert!(took.is_some(), "not joined within {JOIN_BOUND:?}");
+    fleet
+}
+
+fn is_out(fleet: &NodeFleet, node: &str) -> bool {
+    let is_unused =
+        |state| matches!(state, None | Some(MemberState::Dead) | Some(MemberState::Suspect));
+    fleet.nodes.keys().all(|viewer| is_unused(fleet.state(viewer, node)))
+}
+
+fn is_dead(fleet: &NodeFleet, node: &str) -> bool {
+    fleet.nodes.keys().all(|viewer| fleet.state(viewer, node) == Some(MemberState::Dead))
+}
+
+#[tokio::test(start_paused = true)]
+async fn join_three_data_centres() {
+    joined(1, 3, 3).await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn kill_is_detected() {
+    let mut fleet = joined(2, 3, 3).await;
+    fleet.kill("n4");
+    let out = fleet.wait_until(DETECTION_BOUND, |fleet| is_out(fleet, "n4")).await;
+    assert!(out.is_some(), "still in use after {DETECTION_BOUND:?}");
+    assert!(fleet.wait_until(HEAL_BOUND, |fleet| is_dead(fleet, "n4")).await.is_some());
+}
+
+#[tokio::test(start_paused = true)]
+async fn leave_is_seen_at_once() {
+    let fleet = joined(3, 3, 3).await;
+    fleet.nodes["n5"].nodes.leave().await;
+    let is_seen = |fleet: &NodeFleet| {
+        fleet.nodes.keys().all(|viewer| fleet.state(viewer, "n5") == Some(MemberState::Leaving))
+    };
+    assert!(fleet.wait_until(Duration::from_secs(2), is_seen).await.is_some());
+}
+
+#[tokio::test(start_paused = true)]
+async fn restart_has_new_incarnation() {
+    let mut fleet = joined(4, 2, 3).await;
+    let before = fleet.cx("n2").incarnation;
+    fleet.start_node(2, "dc1", "r1");
+    let is_new = |fleet: &NodeFleet| {
+        fleet.is_agreed()
+            && fleet.nodes.values().all(|viewer| viewer.cx.members.get()["n2"].incarnation > before)
+    };
+    assert!(fleet.wait_until(JOIN_BOUND, is_new).await.is_some());
+}
+
+#[tokio::test(start_paused = true)]
+async fn loss_reordering_and_duplication_are_survived() {
+    let fleet = joined(5, 3, 4).await;
+    fleet.network.set_faults(NetworkFaults {
+        loss: 0.2,
+        duplication: 0.1,
+        min_delay: Duration::from_millis(1),
+        max_delay: Duration::from_millis(60),
+    });
+    let mut dead_for = Duration::ZERO;
+    for _ in 0..600 {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        let is_any_dead = fleet.nodes.keys().any(|viewer| {
+            fleet.nodes.keys().any(|node| fleet.state(viewer, node) == Some(MemberState::Dead))
+        });
+        dead_for = if is_any_dead { dead_for + Duration::from_millis(100) } else { Duration::ZERO };
+        assert!(dead_for <= DETECTION_BOUND, "a live node stays dead");
+    }
+    fleet.network.set_faults(NetworkFaults::default());
+    assert!(fleet.wait_until(HEAL_BOUND, NodeFleet::is_agreed).await.is_some());
+}
+
+#[tokio::test(start_paused = true)]
+async fn one_way_partition_kills_nobody() {
+    let fleet = joined(6, 2, 4).await;
+    let address = |node: &str| fleet.nodes[node].address;
+    fleet.network.block(address("n1"), address("n2"));
+    for _ in 0..300 {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        for viewer in fleet.nodes.keys() {
+            for node in fleet.nodes.keys() {
+                let state = fleet.state(viewer, node);
+                assert_ne!(state, Some(MemberState::Dead), "{viewer} sees {node} dead");
+            }
+        }
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn region_split_heals() {
+    let fleet = joined(7, 4, 3).await;
+    let r1 = fleet.addresses(|settings| settings.region == "r1");
+    let r2 = fleet.addresses(|settings| settings.region == "r2");
+    fleet.network.split(&r1, &r2);
+    let is_split = |fleet: &NodeFleet| {
+        fleet.state("n1", "n12") == Some(MemberState::Suspect)
+            && fleet.state("n12", "n1") == Some(MemberState::Suspect)
+            && fleet.state("n1", "n4") == Some(MemberState::Live)
+    };
+    assert!(fleet.wait_until(Duration::from_secs(10), is_split).await.is_some());
+    tokio::time::sleep(Duration::from_secs(180)).await;
+    assert_eq!(fleet.state("n1", "n12"), Some(MemberState::Dead));
+    assert_eq!(fleet.state("n1", "n4"), Some(MemberState::Live));
+    fleet.network.heal();
+    let took = fleet.wait_until(HEAL_BOUND, NodeFleet::is_agreed).await;
+    assert!(took.is_some(), "not agreed within {HEAL_BOUND:?}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn all_replaced_in_turn() {
+    let mut fleet = joined(8, 2, 3).await;
+    for number in 1..=6 {
+        let (data_centre, region) = if number <= 3 { ("dc1", "r1") } else { ("dc2", "r2") };
+        fleet.start_node(number, data_centre, region);
+        tokio::time::sleep(Duration::from_secs(6)).await;
+    }
+    assert!(fleet.wait_until(HEAL_BOUND, NodeFleet::is_agreed).await.is_some());
+}
+
+#[tokio::test(start_paused = true)]
+async fn silent_minute_is_refuted() {
+    let fleet = joined(9, 2, 4).await;
+    let paused = fleet.nodes["n3"].address;
+    let others = fleet.addresses(|settings| settings.node != "n3");
+    fleet.network.split(&[paused], &others);
+    tokio::time::sleep(Duration::from_secs(60)).await;
+    assert_eq!(fleet.state("n1", "n3"), Some(MemberState::Dead));
+    fleet.network.heal();
+    assert!(fleet.wait_until(HEAL_BOUND, NodeFleet::is_agreed).await.is_some());
+}
--- a/lib/testutils/src/lib.rs
+++ b/lib/testutils/src/lib.rs
@@ -6,6 +6,8 @@
 pub mod engine_stream;
 pub mod engine_world;
 pub mod fake_store;
+pub mod node_fleet;
+pub mod peer_network;
 pub mod token_text;
 pub mod world_edges;
 pub mod world_oracle;
