--- a/lib/src/config_check.rs
+++ b/lib/src/config_check.rs
@@ -265,13 +265,14 @@
 
 /// Returns the wanted groups of a service, with its exception.
 fn replicas(config: &FleetConfig, id: &str, service: &Service) -> u32 {
-    let overrides = config.exceptions.iter().rev().filter_map(|exception| match &exception.what {
+    let mut exceptions = config.exceptions.iter();
+    let replaced = exceptions.find_map(|exception| match &exception.what {
         ExceptionKind::ServiceReplicas(replicas) if replicas.service == id => {
             Some(replicas.replicas)
         }
         _ => None,
     });
-    overrides.last().unwrap_or(service.replicas)
+    replaced.unwrap_or(service.replicas)
 }
 
 fn differ(path: &str, ours: &Value, theirs: &Value, found: &mut Vec<ConfigDifference>) {
