--- a/lib/src/metric_names.rs
+++ b/lib/src/metric_names.rs
@@ -67,6 +67,9 @@
 /// Operations sent to the shard's preferred writer.
 pub const LEDGER_FORWARDS: &str = "ledger.forwards";
 
+/// Orders sent to instances.
+pub const GROUP_ORDERS: &str = "groups.orders";
+
 /// Every metric name with its meaning.
 pub const ALL: &[(&str, &str)] = &[
     (STORE_CALLS, "Calls made to the platform's store."),
@@ -86,6 +89,7 @@
     (CONTROL_BYTES_PER_SECOND, "Bytes a second that the protocol between nodes sent lately."),
     (CONTROL_MEMORY_BYTES, "Resident memory of the process in bytes."),
     (MEMBERS_LIVE, "Members that this node sees as live."),
+    (GROUP_ORDERS, "Orders sent to instances."),
     (REQUESTS, "Requests received."),
     (REQUESTS_WHOLE, "Requests answered wholly."),
     (REQUESTS_NOT_RUN, "Requests refused without having run."),
