--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -4,8 +4,6 @@
 mod test_config_change;
 mod test_config_check;
 mod test_engine_world;
-mod test_engine_world;
-mod test_fake_store;
 mod test_fake_store;
 mod test_groups;
 mod test_http_adapters;
