daemon: wire the platform, the store client and the callers' API

Cause: a daemon has to serve callers over the real adapters and to stop without cutting answers short. Change: one place starts every task; SIGTERM drains the request path within the bound of the settings, a second one ends at once; a pause of the process is recorded as an event.

--- /dev/null
+++ b/daemon/tests/process.rs
@@ -0,0 +1,132 @@
+//! Runs the daemon as a process.
+
+use serde_json::Value;
+use serde_json::json;
+use std::fs;
+use std::io::BufRead;
+use std::io::BufReader;
+use std::net::TcpListener;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::ChildStderr;
+use std::process::Command;
+use std::process::Output;
+use std::process::Stdio;
+
+/// A folder with settings, removed at the end.
+pub struct Folder {
+    path: PathBuf,
+}
+
+impl Folder {
+    /// Makes a folder named after the test.
+    pub fn new(test: &str) -> Self {
+        let path = std::env::temp_dir().join(format!("guavaladderd-{test}-{}", std::process::id()));
+        fs::create_dir_all(&path).unwrap();
+        fs::write(path.join("key"), format!("{}\n", "ab".repeat(32))).unwrap();
+        Self { path }
+    }
+
+    /// Writes a file and returns its path.
+    pub fn write(&self, name: &str, text: &str) -> String {
+        let path = self.path.join(name);
+        fs::write(&path, text).unwrap();
+        path.display().to_string()
+    }
+
+    /// Returns valid settings with free ports.
+    pub fn settings(&self) -> Value {
+        json!({
+            "node": "entry-1", "data_centre": "dc-1", "region": "agreste",
+            "platform": free_address(), "fleet_key_file": self.path.join("key"),
+            "caller_listen": free_address(), "operator_listen": free_address(),
+            "peer_listen": free_address(), "shutdown_ms": 2000,
+        })
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = fs::remove_dir_all(&self.path);
+    }
+}
+
+/// Returns an address at which nobody listens.
+pub fn free_address() -> String {
+    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap().to_string()
+}
+
+/// Runs the daemon to its end.
+pub fn run(args: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_guavaladderd")).args(args).output().unwrap()
+}
+
+/// A running daemon, ended when it is dropped.
+pub struct Daemon {
+    child: Child,
+    stderr: BufReader<ChildStderr>,
+}
+
+impl Daemon {
+    /// Starts the daemon with a settings file and waits until it says that it started.
+    pub fn start(settings: &str) -> Self {
+        Self::start_until(settings, "GL0001")
+    }
+
+    /// Starts the daemon and waits until its log file has the start event.
+    pub fn start_silent(settings: &str, log: &str) -> Self {
+        let mut daemon = Self::spawn(settings);
+        while !fs::read_to_string(log).unwrap().contains("GL0001") {
+            assert!(daemon.child.try_wait().unwrap().is_none(), "the daemon ended");
+            std::thread::yield_now();
+        }
+        daemon
+    }
+
+    /// Starts the daemon and waits until standard error has this text.
+    pub fn start_until(settings: &str, text: &str) -> Self {
+        let mut daemon = Self::spawn(settings);
+        daemon.wait_for(text);
+        daemon
+    }
+
+    fn spawn(settings: &str) -> Self {
+        let mut child = Command::new(env!("CARGO_BIN_EXE_guavaladderd"))
+            .args(["--config", settings])
+            .stderr(Stdio::piped())
+            .spawn()
+            .unwrap();
+        let stderr = BufReader::new(child.stderr.take().unwrap());
+        Self { child, stderr }
+    }
+
+    /// Reads the log up to the first line with this text, and returns the line.
+    pub fn wait_for(&mut self, text: &str) -> String {
+        let mut line = String::new();
+        while self.stderr.read_line(&mut line).unwrap() > 0 {
+            if line.contains(text) {
+                return line;
+            }
+            line.clear();
+        }
+        panic!("the daemon ended without {text}");
+    }
+
+    /// Sends SIGTERM.
+    pub fn terminate(&self) {
+        let pid = self.child.id().to_string();
+        assert!(Command::new("kill").args(["-TERM", &pid]).status().unwrap().success());
+    }
+
+    /// Waits for the end and returns the exit status.
+    pub fn wait(&mut self) -> i32 {
+        self.child.wait().unwrap().code().unwrap()
+    }
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
--- /dev/null
+++ b/daemon/tests/runner.rs
@@ -0,0 +1,5 @@
+//! Runs the integration tests of the daemon.
+
+mod process;
+mod test_lifecycle;
+mod test_start;
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -36,6 +36,7 @@
 pub mod operator_status;
 pub mod operator_why;
 pub mod outlier;
+pub mod pause_watch;
 pub mod peer_socket;
 pub mod plain_service;
 pub mod plain_service_http;
