daemon tests: choose ports that the system does not hand out

Cause: a test failed in one run because an outgoing connection had taken the port that it had chosen. Change: ports come from below the system's range for outgoing connections. Conclusion: the failure was the test's own; the checks are unchanged.

--- a/daemon/tests/process.rs
+++ b/daemon/tests/process.rs
@@ -6,12 +6,15 @@
 use std::io::BufRead;
 use std::io::BufReader;
 use std::net::TcpListener;
+use std::net::UdpSocket;
 use std::path::PathBuf;
 use std::process::Child;
 use std::process::ChildStderr;
 use std::process::Command;
 use std::process::Output;
 use std::process::Stdio;
+use std::sync::atomic::AtomicU16;
+use std::sync::atomic::Ordering;
 
 /// A folder with settings, removed at the end.
 pub struct Folder {
@@ -52,8 +55,18 @@
 }
 
 /// Returns an address at which nobody listens.
+///
+/// Ports below the range that the system gives to outgoing connections are not taken meanwhile.
 pub fn free_address() -> String {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap().to_string()
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    loop {
+        let step = NEXT.fetch_add(1, Ordering::Relaxed) as u32;
+        let port = 12_000 + (std::process::id() * 64 + step) % 18_000;
+        let address = format!("127.0.0.1:{port}");
+        if TcpListener::bind(&address).is_ok() && UdpSocket::bind(&address).is_ok() {
+            return address;
+        }
+    }
 }
 
 /// Runs the daemon to its end.
