--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -8,6 +8,7 @@
 mod test_groups;
 mod test_http_adapters;
 mod test_membership;
+mod test_ledger;
 mod test_object_view;
 mod test_operator_api;
 mod test_peer_codec;
