caller_api: answer entries, share the node's load and record service levels

Cause: callers could not ask for the entry nodes, service levels had no samples, and an unknown path got a page instead of an error that programs can read. A plain service asked to generate was answered with a missing key instead of the wrong kind of service.

Change: `GET /v1/entries`, a JSON error for every unknown path, samples of each request in the service levels, and the node's load as a fact. The kind of a service is checked before the key.

--- a/lib/src/answer.rs
+++ b/lib/src/answer.rs
@@ -23,6 +23,8 @@
 use crate::request_path::RequestPath;
 use crate::request_path::Running;
 use crate::request_terms::RequestTerms;
+use crate::service_levels::RequestOutcome;
+use crate::service_levels::RequestSample;
 use std::ops::Range;
 use std::sync::Arc;
 use std::time::Duration;
@@ -39,6 +41,15 @@
     Moved,
 }
 
+/// How an answer ended that is not whole.
+#[derive(Debug, Clone, Copy)]
+enum End {
+    /// Its caller was given an error.
+    Failed,
+    /// It goes on at another node.
+    Moved,
+}
+
 /// An answer in the making.
 pub struct Answer {
     pub(crate) path: RequestPath,
@@ -117,11 +128,11 @@
     pub async fn next(&mut self) -> Result<Part, RequestError> {
         match self.next_part().await {
             Err(e) if self.may_have_run => {
-                self.finish("failed");
+                self.finish(End::Failed);
                 Err(RequestError { ran: Ran::Maybe, ..e.with_request(&self.req.id) })
             }
             Err(e) => {
-                self.finish("refused");
+                self.finish(End::Failed);
                 Err(e.with_request(&self.req.id))
             }
             Ok(part) => Ok(part),
@@ -153,7 +164,7 @@
                         Progress::Broken(Break::Moved) => {
                             self.path.cx().metrics.count(metric_names::STREAMS_MOVED, 1);
                             self.path.note_moved();
-                            self.finish("moved");
+                            self.finish(End::Moved);
                             return Ok(Part::Moved);
                         }
                         Progress::Broken(broken) => broken,
@@ -256,26 +267,45 @@
         // The attempt has ended by itself: there is nothing to cancel.
         self.is_finished = true;
         self.attempt = None;
-        self.count(metric_names::REQUESTS_WHOLE);
+        self.count(metric_names::REQUESTS_WHOLE, RequestOutcome::Whole);
     }
 
-    fn finish(&mut self, how: &str) {
+    fn finish(&mut self, end: End) {
         if let Some(attempt) = self.attempt.take() {
             self.path.cancel(attempt.slot.replica(), attempt.id);
         }
         self.slot = None;
         self.is_finished = true;
-        let name = match (how, self.may_have_run) {
-            ("moved", _) => return,
-            (_, true) => metric_names::REQUESTS_UNKNOWN,
-            (_, false) => metric_names::REQUESTS_NOT_RUN,
-        };
-        self.count(name);
+        match (end, self.may_have_run) {
+            (End::Moved, _) => {}
+            (End::Failed, true) => {
+                self.count(metric_names::REQUESTS_UNKNOWN, RequestOutcome::Unknown);
+            }
+            (End::Failed, false) => {
+                self.count(metric_names::REQUESTS_NOT_RUN, RequestOutcome::NotRun);
+            }
+        }
     }
 
-    fn count(&self, name: &'static str) {
+    fn count(&self, name: &'static str, outcome: RequestOutcome) {
         let metrics = &self.path.cx().metrics;
         metrics.count(name, 1);
+        let sent = self.emitted.len() - self.resumed_at;
+        let intervals = u32::try_from(sent).unwrap_or(u32::MAX).saturating_sub(1);
+        let between_tokens = self
+            .first_token
+            .filter(|_| intervals > 0)
+            .map(|first_token| (self.started.elapsed() - first_token) / intervals);
+        let terms = &self.terms;
+        let sample = RequestSample {
+            first_token: self.first_token,
+            between_tokens,
+            first_token_met: self.first_token.is_some_and(|took| took <= terms.first_token),
+            between_tokens_met: between_tokens.is_some_and(|took| took <= terms.between_tokens),
+            outcome,
+        };
+        let levels = &self.path.cx().service_levels;
+        levels.record(&self.req.service_id, &self.req.customer, &sample);
         metrics.count(metric_names::TOKENS, (self.emitted.len() - self.resumed_at) as i64);
     }
 }
@@ -285,7 +315,7 @@
         if self.is_finished {
             return;
         }
-        self.path.cx().metrics.count(metric_names::REQUESTS_ABANDONED, 1);
+        self.count(metric_names::REQUESTS_ABANDONED, RequestOutcome::CallerLeft);
         if let Some(attempt) = self.attempt.take() {
             self.path.cancel(attempt.slot.replica(), attempt.id);
         }
--- a/lib/src/caller_api.rs
+++ b/lib/src/caller_api.rs
@@ -10,6 +10,7 @@
 use crate::caller_error;
 use crate::caller_error::write_json;
 use crate::caller_sse;
+use crate::entries;
 use crate::generated::config::ServiceKind;
 use crate::generated::requests::ErrorCode;
 use crate::generated::requests::GenerateBody;
@@ -52,8 +53,10 @@
         .push(Router::with_path("v1/call/{service}/{**path}").post(Call { path: path.clone() }))
         .push(Router::with_path("v1/requests/{key}").get(RequestStatus { path: path.clone() }))
         .push(Router::with_path(ledger_peer::PATH).post(LedgerOperation { path: path.clone() }))
+        .push(Router::with_path("v1/entries").get(Entries { path: path.clone() }))
         .push(Router::with_path("healthz").get(Health))
         .push(Router::with_path("readyz").get(Ready { path }))
+        .push(Router::with_path("{**rest}").goal(Unknown))
 }
 
 struct Health;
@@ -65,6 +68,38 @@
     }
 }
 
+/// Answers whatever no other route takes.
+struct Unknown;
+
+#[handler]
+impl Unknown {
+    async fn handle(&self, res: &mut Response) {
+        let message = "there is no such path and method";
+        caller_error::render(res, &RequestError::not_run(ErrorCode::NotFound, message));
+    }
+}
+
+/// Tells a caller which nodes to use.
+struct Entries {
+    path: RequestPath,
+}
+
+#[handler]
+impl Entries {
+    async fn handle(&self, req: &mut salvo::Request, res: &mut Response) {
+        let cx = self.path.cx();
+        match caller_auth::customer(cx, req.headers()) {
+            Ok(customer) => {
+                // Callers of one customer spread over the nodes by their own addresses.
+                let caller = format!("{customer} {}", req.remote_addr());
+                let reply = entries::select(cx, &caller);
+                write_json(res, &serde_json::to_vec(&reply).unwrap_or_default());
+            }
+            Err(e) => caller_error::render(res, &e),
+        }
+    }
+}
+
 struct Ready {
     path: RequestPath,
 }
@@ -106,6 +141,7 @@
         let body = read_body(&self.path, req).await?;
         let body: GenerateBody = parse(&body)?;
         let is_stream = body.stream;
+        self.path.check_kind(&body.service, ServiceKind::Engine)?;
         at_most_once::check_key(&self.path, &body.service, body.idempotency_key.as_deref())?;
         let (req, emitted) = request(&self.path, customer, body)?;
         let terms = self.path.terms(&req.customer, &req.service_id)?;
@@ -208,7 +244,6 @@
     customer: CustomerId,
     body: GenerateBody,
 ) -> Result<(Request, Vec<String>), RequestError> {
-    path.check_kind(&body.service, ServiceKind::Engine)?;
     let terms = path.terms(&customer, &body.service)?;
     if body.max_tokens == 0 || body.max_tokens > MAX_TOKENS {
         let message = format!("max_tokens must be within 1 and {MAX_TOKENS}");
--- a/lib/src/request_path.rs
+++ b/lib/src/request_path.rs
@@ -6,6 +6,7 @@
 use crate::answer::is_group_ready;
 use crate::cx::Cx;
 use crate::engine::Engine;
+use crate::entries::NodeLoad;
 use crate::facts::FactKind;
 use crate::fleet_key::FleetKey;
 use crate::generated::config::Customer;
@@ -47,6 +48,8 @@
 const FACT_PERIOD: Duration = Duration::from_millis(250);
 /// Requests that a node runs at once.
 const MAX_RUNNING: usize = 16_384;
+/// Step in which the number of running requests is shared, so that it does not change all the time.
+const LOAD_STEP: u32 = 64;
 /// Time for which an upstream that said it is leaving is remembered.
 const LEAVING_MEMORY: Duration = Duration::from_secs(120);
 /// Time in which streams notice that they are to be handed back.
@@ -341,6 +344,9 @@
         };
         let fact = LeavingFact { instances: own_leaving };
         publish(cx, FactKind::LeavingUpstreams, postcard::to_stdvec(&fact));
+        let running = self.running() as u32 / LOAD_STEP * LOAD_STEP;
+        let load = NodeLoad { running, capacity: MAX_RUNNING as u32 };
+        publish(cx, FactKind::NodeLoad, Ok(load.encode()));
         let usage = UsageFact { running: self.inner.admission.running() };
         publish(cx, FactKind::CustomerUsage, postcard::to_stdvec(&usage));
         let mut leaving = BTreeSet::new();
