http client: let calls carry headers

Cause: callers' requests need a bearer token and an idempotency key. Change: HttpCall has headers and is built by new and with_ methods. Measured: not measured.

--- a/lib/src/engine_http.rs
+++ b/lib/src/engine_http.rs
@@ -96,8 +96,7 @@
 
 /// Builds a call that reads.
 pub(crate) fn get(address: &str, path: String) -> HttpCall {
-    let address = address.to_string();
-    HttpCall { method: Method::Get, address, path, body: Bytes::new() }
+    HttpCall::new(Method::Get, address, path)
 }
 
 /// Builds a call that sends a value as JSON.
@@ -108,8 +107,7 @@
 ) -> Result<HttpCall, UpstreamError> {
     let body =
         serde_json::to_vec(value).map_err(|e| UpstreamError::Refused { reason: e.to_string() })?;
-    let address = address.to_string();
-    Ok(HttpCall { method: Method::Post, address, path, body: body.into() })
+    Ok(HttpCall::new(Method::Post, address, path).with_body(body))
 }
 
 #[async_trait]
@@ -165,7 +163,7 @@
     ) -> Result<(), UpstreamError> {
         let path = format!("/v1/kv?request={}", encode_component(request));
         let body = Bytes::copy_from_slice(state);
-        let call = HttpCall { method: Method::Put, address: address.to_string(), path, body };
+        let call = HttpCall::new(Method::Put, address, path).with_body(body);
         parse(&self.call(call, KV).await?)
     }
 
--- a/lib/src/http_client.rs
+++ b/lib/src/http_client.rs
@@ -5,6 +5,7 @@
 use http::Request;
 use http::Response;
 use http::StatusCode;
+use http::header::HeaderName;
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use http_body_util::LengthLimitError;
@@ -95,10 +96,32 @@
     pub address: Address,
     /// Path and query, percent-encoded.
     pub path: String,
+    /// Headers besides the content type.
+    pub headers: Vec<(HeaderName, String)>,
     /// Body, empty for none.
     pub body: Bytes,
 }
 
+impl HttpCall {
+    /// Returns a call without headers and body.
+    pub fn new(method: Method, address: &str, path: String) -> Self {
+        let address = address.to_string();
+        Self { method, address, path, headers: vec![], body: Bytes::new() }
+    }
+
+    /// Sets the body.
+    pub fn with_body(mut self, body: impl Into<Bytes>) -> Self {
+        self.body = body.into();
+        self
+    }
+
+    /// Adds a header.
+    pub fn with_header(mut self, name: HeaderName, value: String) -> Self {
+        self.headers.push((name, value));
+        self
+    }
+}
+
 /// Bounds of a call.
 #[derive(Debug, Clone, Copy)]
 pub struct HttpBounds {
@@ -253,12 +276,14 @@
         Method::Put => http::Method::PUT,
         Method::Delete => http::Method::DELETE,
     };
-    Request::builder()
+    let mut builder = Request::builder()
         .method(method)
         .uri(format!("http://{}{}", call.address, call.path))
-        .header(http::header::CONTENT_TYPE, "application/json")
-        .body(Full::new(call.body))
-        .map_err(|e| HttpError::Invalid { reason: e.to_string() })
+        .header(http::header::CONTENT_TYPE, "application/json");
+    for (name, value) in call.headers {
+        builder = builder.header(name, value);
+    }
+    builder.body(Full::new(call.body)).map_err(|e| HttpError::Invalid { reason: e.to_string() })
 }
 
 fn classify(e: hyper_util::client::legacy::Error) -> HttpError {
--- a/lib/src/platform_http.rs
+++ b/lib/src/platform_http.rs
@@ -61,7 +61,7 @@
             Method::Get => Effect::Read,
             Method::Post | Method::Put | Method::Delete => Effect::Write,
         };
-        let call = HttpCall { method, address: self.address.clone(), path, body };
+        let call = HttpCall::new(method, &self.address, path).with_body(body);
         let bounds = HttpBounds { timeout, max_body: MAX_ANSWER_BYTES };
         self.client.call(call, bounds).await.map_err(|e| to_platform_error(e, effect))
     }
