--- a/bench/tests/runner.rs
+++ b/bench/tests/runner.rs
@@ -1,3 +1,4 @@
 //! Runs the tests of the stand-ins and of the oracles.
 
+mod test_call_oracle;
 mod test_standins;
