--- a/lib/src/ledger_peer.rs
+++ b/lib/src/ledger_peer.rs
@@ -11,7 +11,6 @@
 use crate::http_client::HttpClient;
 use crate::http_client::Method;
 use crate::ledger_key::MAX_CLOCK_SKEW;
-use bytes::Bytes;
 use std::sync::OnceLock;
 use std::time::Duration;
 
@@ -25,12 +24,8 @@
 /// Sends an operation to another node; `None` when no answer came that can be trusted.
 pub async fn send(key: &FleetKey, address: &str, call: &LedgerCall) -> Option<LedgerAnswer> {
     let text = serde_json::to_vec(call).ok()?;
-    let http_call = HttpCall {
-        method: Method::Post,
-        address: address.to_string(),
-        path: format!("/{PATH}"),
-        body: Bytes::from(sealed(key, &text)),
-    };
+    let http_call =
+        HttpCall::new(Method::Post, address, format!("/{PATH}")).with_body(sealed(key, &text));
     let bounds = HttpBounds { timeout: FORWARD_TIMEOUT, max_body: MAX_MESSAGE_BYTES };
     let reply = client().call(http_call, bounds).await.ok()?;
     let text = opened(key, &reply.body)?;
