daemon: wire membership, groups and changes of the configuration

Cause: the parts had landed without a daemon that runs them together. One comparison of configurations replaces two.

--- a/daemon/tests/test_start.rs
+++ b/daemon/tests/test_start.rs
@@ -58,6 +58,7 @@
 #[rstest]
 #[case::callers("caller_listen")]
 #[case::operators("operator_listen")]
+#[case::peers("peer_listen")]
 fn start_busy_port(#[case] setting: &str) {
     let folder = Folder::new(setting);
     let settings = folder.settings();
--- a/lib/src/config_change.rs
+++ b/lib/src/config_change.rs
@@ -5,17 +5,18 @@
 //! recognized by looking at that one version, in the current object or in the history.
 
 use crate::config_check;
+use crate::config_diff;
 use crate::config_view::CONFIG_KEY;
 use crate::cx::Cx;
 use crate::facts::FactKind;
 use crate::generated::config::ConfigChangeReply;
 use crate::generated::config::ConfigChangeRequest;
-use crate::generated::config::ConfigDifference;
 use crate::generated::config::ConfigRecord;
 use crate::generated::config::FleetConfig;
 use crate::generated::config::InForceReport;
 use crate::generated::config::NodeInForce;
 use crate::generated::events::Event;
+use crate::generated::operator::ConfigDifference;
 use crate::generated::platform::PutObject;
 use crate::generated::platform::PutOutcome;
 use crate::generated::platform::VersionedObject;
@@ -210,7 +211,8 @@
     Ok(())
 }
 
-fn history_key(version: u64) -> String {
+/// Returns the key under which an earlier version is kept.
+pub fn history_key(version: u64) -> String {
     format!("{HISTORY_PREFIX}{version:010}")
 }
 
@@ -225,7 +227,7 @@
         version: current.map_or(0, |record| record.version),
         author: current.map(|record| record.author.clone()).unwrap_or_default(),
         reason: current.map(|record| record.reason.clone()).unwrap_or_default(),
-        differences: config_check::differences(config, theirs),
+        differences: config_diff::diff(theirs, Some(config)),
     }))
 }
 
--- a/lib/src/config_check.rs
+++ b/lib/src/config_check.rs
@@ -1,8 +1,8 @@
 //! Checks of a fleet configuration before it is accepted: schema, references, contradictions and
 //! capacity. All problems are found at once.
 
+use crate::config_diff::escape;
 use crate::cx::Cx;
-use crate::generated::config::ConfigDifference;
 use crate::generated::config::ExceptionKind;
 use crate::generated::config::FleetConfig;
 use crate::generated::config::Service;
@@ -15,8 +15,6 @@
 use std::collections::BTreeMap;
 use std::sync::LazyLock;
 
-/// Differences that a conflict shows at most.
-const MAX_DIFFERENCES: usize = 50;
 /// Schema of the configuration, with the one definition that it takes from another file.
 static SCHEMA: LazyLock<String> = LazyLock::new(bundled_schema);
 
@@ -37,15 +35,6 @@
     if problems.is_empty() { Ok(config) } else { Err(problems) }
 }
 
-/// Lists the values in which a refused configuration differs from the one in force.
-pub fn differences(ours: &FleetConfig, theirs: Option<&FleetConfig>) -> Vec<ConfigDifference> {
-    let value = |config| serde_json::to_value(config).unwrap_or_default();
-    let mut found = vec![];
-    differ("", &value(Some(ours)), &value(theirs), &mut found);
-    found.truncate(MAX_DIFFERENCES);
-    found
-}
-
 fn bundled_schema() -> String {
     let parse = |text| serde_json::from_str::<Value>(text).unwrap_or_default();
     let mut schema = parse(include_str!("../../schema/config.json"));
@@ -274,28 +263,3 @@
     });
     replaced.unwrap_or(service.replicas)
 }
-
-fn differ(path: &str, ours: &Value, theirs: &Value, found: &mut Vec<ConfigDifference>) {
-    if ours == theirs || found.len() > MAX_DIFFERENCES {
-        return;
-    }
-    if let (Value::Object(a), Value::Object(b)) = (ours, theirs) {
-        let keys: std::collections::BTreeSet<&String> = a.keys().chain(b.keys()).collect();
-        for key in keys {
-            let path = format!("{path}/{}", escape(key));
-            let value = |object: &serde_json::Map<String, Value>| object.get(key).cloned();
-            differ(&path, &value(a).unwrap_or_default(), &value(b).unwrap_or_default(), found);
-        }
-        return;
-    }
-    let show = |value: &Value| match value {
-        Value::Null => String::new(),
-        value => schema_check::show(value),
-    };
-    found.push(ConfigDifference { path: path.to_string(), ours: show(ours), theirs: show(theirs) });
-}
-
-/// Escapes a key for a JSON pointer.
-fn escape(key: &str) -> String {
-    key.replace('~', "~0").replace('/', "~1")
-}
--- a/lib/src/config_diff.rs
+++ b/lib/src/config_diff.rs
@@ -6,10 +6,14 @@
 use serde_json::Value;
 use std::collections::BTreeSet;
 
+/// Most differences that are told.
+const MAX_DIFFERENCES: usize = 200;
+
 /// Returns the places in which two configurations differ, in path order.
 pub fn diff(before: Option<&FleetConfig>, after: Option<&FleetConfig>) -> Vec<ConfigDifference> {
     let json = |config: Option<&FleetConfig>| {
-        config.and_then(|config| serde_json::to_value(config).ok()).unwrap_or(Value::Null)
+        let value = config.and_then(|config| serde_json::to_value(config).ok());
+        value.unwrap_or_else(|| Value::Object(Map::new()))
     };
     diff_json(&json(before), &json(after))
 }
@@ -18,6 +22,7 @@
 pub fn diff_json(before: &Value, after: &Value) -> Vec<ConfigDifference> {
     let mut differences = vec![];
     walk("", before, after, &mut differences);
+    differences.truncate(MAX_DIFFERENCES);
     differences
 }
 
@@ -45,7 +50,7 @@
     let keys: BTreeSet<&String> = before.keys().chain(after.keys()).collect();
     for key in keys {
         let (before, after) = (before.get(key), after.get(key));
-        let path = format!("{path}/{key}");
+        let path = format!("{path}/{}", escape(key));
         walk(&path, before.unwrap_or(&Value::Null), after.unwrap_or(&Value::Null), out);
     }
 }
@@ -55,6 +60,11 @@
     walk_objects(path, &keyed(before), &keyed(after), out);
 }
 
+/// Escapes a key for a JSON pointer.
+pub fn escape(key: &str) -> String {
+    key.replace('~', "~0").replace('/', "~1")
+}
+
 fn keyed(items: &[Value]) -> Map<String, Value> {
     let key = |i: usize, item: &Value| match item["id"].as_str() {
         Some(id) => id.to_string(),
--- a/lib/src/http_server.rs
+++ b/lib/src/http_server.rs
@@ -25,7 +25,7 @@
 
 /// Errors of a listener.
 #[derive(Debug, thiserror::Error)]
-pub enum HttpServerError {
+pub enum ListenError {
     /// Another process listens there.
     #[error(
         "{setting}: {address} is in use; hint: stop the process that listens there or choose \
@@ -51,7 +51,7 @@
     },
 }
 
-impl HttpServerError {
+impl ListenError {
     /// Words an error of the operating system about the address in a setting.
     pub fn with_io(setting: &'static str, address: &str, e: &io::Error) -> Self {
         let address = address.to_string();
@@ -78,8 +78,8 @@
 
 impl HttpListener {
     /// Binds the address that a setting holds.
-    pub async fn bind(setting: &'static str, address: &str) -> Result<Self, HttpServerError> {
-        let refused = |e: &io::Error| HttpServerError::with_io(setting, address, e);
+    pub async fn bind(setting: &'static str, address: &str) -> Result<Self, ListenError> {
+        let refused = |e: &io::Error| ListenError::with_io(setting, address, e);
         let listener = TcpListener::bind(address).await.map_err(|e| refused(&e))?;
         let acceptor = TcpAcceptor::try_from(listener).map_err(|e| refused(&e))?;
         Ok(Self { acceptor })
--- a/lib/src/operator_api.rs
+++ b/lib/src/operator_api.rs
@@ -1,12 +1,12 @@
 //! The operators' API: authentication and dispatch of its operations.
 
-use crate::config_diff;
+use crate::config_change;
 use crate::cx::Cx;
-use crate::generated::config::FleetConfig;
-use crate::generated::operator::ConfigDiffReply;
+use crate::fault_socket::FaultSwitches;
 use crate::generated::operator::ConfigReply;
 use crate::generated::operator::InstancesReply;
 use crate::generated::operator::ServicesReply;
+use crate::operator_config;
 use crate::operator_error::OperatorApiError;
 use crate::operator_error::write_json;
 use crate::operator_status;
@@ -39,6 +39,7 @@
 pub struct OperatorApi {
     cx: Cx,
     store: Option<StoreClient>,
+    faults: Option<FaultSwitches>,
 }
 
 /// One operation of the API.
@@ -47,21 +48,29 @@
     Status,
     Config,
     ConfigDiff,
+    ConfigApply,
+    ConfigInForce,
+    ConfigHistory,
     Services,
     Instances,
     Why,
+    PeerFaults,
     Metrics,
     Unknown,
 }
 
 /// Every operation with its method and path.
-const OPERATIONS: [(Method, &str, Operation); 7] = [
+const OPERATIONS: [(Method, &str, Operation); 11] = [
     (Method::GET, "status", Operation::Status),
     (Method::GET, "config", Operation::Config),
     (Method::POST, "config/diff", Operation::ConfigDiff),
+    (Method::POST, "config/apply", Operation::ConfigApply),
+    (Method::GET, "config/in-force", Operation::ConfigInForce),
+    (Method::GET, "config/history", Operation::ConfigHistory),
     (Method::GET, "services", Operation::Services),
     (Method::GET, "instances", Operation::Instances),
     (Method::GET, "why", Operation::Why),
+    (Method::POST, "test/peer-faults", Operation::PeerFaults),
     (Method::GET, "metrics", Operation::Metrics),
 ];
 
@@ -76,7 +85,7 @@
 impl OperatorApi {
     /// Returns the API over a node's context.
     pub fn new(cx: Cx) -> Self {
-        Self { cx, store: None }
+        Self { cx, store: None, faults: None }
     }
 
     /// Adds the store's client, which changes of the configuration need.
@@ -85,6 +94,12 @@
         self
     }
 
+    /// Adds the fault switches of the peers' connections, for tests.
+    pub fn with_faults(mut self, faults: FaultSwitches) -> Self {
+        self.faults = Some(faults);
+        self
+    }
+
     /// Returns the router of the operators' listener.
     pub fn router(self) -> Router {
         Router::with_path("{**rest}").goal(Endpoint { api: self })
@@ -97,20 +112,26 @@
         match operation(req) {
             Operation::Status => to_json(&self.status()),
             Operation::Config => to_json(&self.config()),
-            Operation::ConfigDiff => to_json(&self.config_diff(&read_json(req).await?)),
+            Operation::ConfigDiff => {
+                let proposed: Value = read_json(req).await?;
+                to_json(&operator_config::diff(&self.cx, &proposed.to_string()))
+            }
+            Operation::ConfigApply => self.config_apply(req).await,
+            Operation::ConfigInForce => {
+                to_json(&config_change::in_force(&self.cx, number(req, "version")?))
+            }
+            Operation::ConfigHistory => self.config_history(req).await,
             Operation::Services => to_json(&self.services()),
             Operation::Instances => to_json(&self.instances()),
-            Operation::Why => to_json(&operator_why::local(&self.cx, &query(req, "id")?)),
+            Operation::Why => self.why(req).await,
+            Operation::PeerFaults => self.peer_faults(req).await,
             Operation::Metrics => to_json(&self.cx.metrics.values()),
             Operation::Unknown => Err(OperatorApiError::UnknownOperation),
         }
     }
 
     fn is_authorized(&self, req: &Request) -> bool {
-        let header = req.headers().get(AUTHORIZATION).and_then(|value| value.to_str().ok());
-        let Some(token) = header.and_then(|text| text.strip_prefix("Bearer ")) else {
-            return false;
-        };
+        let Some(token) = bearer_token(req) else { return false };
         let config = self.cx.config.get();
         let operators = config.as_ref().map_or(&[][..], |record| &record.config.operators);
         // Every hash is compared, so that the time does not tell which one matched.
@@ -128,16 +149,37 @@
         ConfigReply { record: self.cx.config.get().map(|record| (*record).clone()) }
     }
 
-    fn config_diff(&self, proposed: &FleetConfig) -> ConfigDiffReply {
-        let current = self.cx.config.get();
-        let before = current.as_ref().map(|record| &record.config);
-        ConfigDiffReply {
-            version: current.as_ref().map_or(0, |record| record.version),
-            differences: config_diff::diff(before, Some(proposed)),
-            problems: vec![],
+    fn store(&self) -> Result<&StoreClient, OperatorApiError> {
+        self.store.as_ref().ok_or(OperatorApiError::Disabled { part: "store" })
+    }
+
+    async fn config_apply(&self, req: &mut Request) -> Answer {
+        let change = read_json(req).await?;
+        to_json(&operator_config::apply(&self.cx, self.store()?, &change).await?)
+    }
+
+    async fn why(&self, req: &Request) -> Answer {
+        let id = query(req, "id")?;
+        let is_local = req.query::<bool>("local").unwrap_or(false);
+        let token = bearer_token(req).unwrap_or_default();
+        match is_local {
+            true => to_json(&operator_why::local(&self.cx, &id)),
+            false => to_json(&operator_why::fleet(&self.cx, &id, token).await),
         }
     }
 
+    async fn peer_faults(&self, req: &mut Request) -> Answer {
+        let disabled = OperatorApiError::Disabled { part: "test hooks" };
+        let switches = self.faults.as_ref().ok_or(disabled)?;
+        switches.set(read_json(req).await?);
+        to_json(&switches.get())
+    }
+
+    async fn config_history(&self, req: &Request) -> Answer {
+        let limit = number(req, "limit")?;
+        to_json(&operator_config::history(&self.cx, self.store()?, limit).await?)
+    }
+
     fn services(&self) -> ServicesReply {
         ServicesReply { services: operator_status::services(&self.cx, true) }
     }
@@ -163,6 +205,11 @@
     }
 }
 
+fn bearer_token(req: &Request) -> Option<&str> {
+    let header = req.headers().get(AUTHORIZATION).and_then(|value| value.to_str().ok());
+    header.and_then(|text| text.strip_prefix("Bearer "))
+}
+
 /// Finds the operation that a request names.
 fn operation(req: &Request) -> Operation {
     let path = req.uri().path().trim_start_matches('/');
@@ -194,6 +241,15 @@
     req.query::<String>(name).filter(|value| !value.is_empty()).ok_or_else(missing)
 }
 
+/// Returns a whole number from the query.
+fn number(req: &Request, name: &str) -> Result<u64, OperatorApiError> {
+    let text = query(req, name)?;
+    let wrong = || OperatorApiError::BadRequest {
+        reason: format!("the parameter {name}: found {text:?}; allowed: a whole number"),
+    };
+    text.parse().map_err(|_| wrong())
+}
+
 fn to_json(body: &impl Serialize) -> Answer {
     serde_json::to_value(body)
         .map_err(|e| OperatorApiError::Unavailable { reason: format!("unreadable answer: {e}") })
--- a/lib/src/operator_error.rs
+++ b/lib/src/operator_error.rs
@@ -39,11 +39,15 @@
         problems: Vec<String>,
     },
     /// Another change came first.
-    #[error("the configuration changed meanwhile: version {version} is in force")]
+    #[error("version {version} by {author} is in force instead of the one read: {reason}")]
     Conflict {
         /// Version in force.
         version: u64,
-        /// How the configuration in force differs from the proposed one.
+        /// Who made it.
+        author: String,
+        /// Why it was made.
+        reason: String,
+        /// How the proposed configuration differs from the one in force.
         differences: Vec<ConfigDifference>,
     },
     /// A part that the request needs does not answer.
@@ -52,6 +56,12 @@
         /// What was seen.
         reason: String,
     },
+    /// It is not known whether the change was accepted.
+    #[error("{reason}")]
+    Unclear {
+        /// What was seen.
+        reason: String,
+    },
     /// The daemon was started without this part.
     #[error("this daemon has no {part}")]
     Disabled {
@@ -71,7 +81,7 @@
             Self::TooSlow => StatusCode::REQUEST_TIMEOUT,
             Self::Invalid { .. } => StatusCode::UNPROCESSABLE_ENTITY,
             Self::Conflict { .. } => StatusCode::CONFLICT,
-            Self::Unavailable { .. } => StatusCode::SERVICE_UNAVAILABLE,
+            Self::Unavailable { .. } | Self::Unclear { .. } => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
 
@@ -86,6 +96,7 @@
             Self::Invalid { .. } => "invalid_config",
             Self::Conflict { .. } => "conflict",
             Self::Unavailable { .. } => "unavailable",
+            Self::Unclear { .. } => "unclear",
             Self::Disabled { .. } => "disabled",
         }
     }
@@ -100,6 +111,7 @@
             Self::Invalid { .. } => "correct the places named in `problems` and apply again",
             Self::Conflict { .. } => "read the configuration again, repeat the edit and apply it",
             Self::Unavailable { .. } => "wait and try again, or ask another node",
+            Self::Unclear { .. } => "send the same change again under the same change id",
             Self::Disabled { .. } => "ask another node or check the settings",
         }
     }
--- a/lib/src/operator_why.rs
+++ b/lib/src/operator_why.rs
@@ -5,12 +5,56 @@
 use crate::event_log::render;
 use crate::generated::operator::WhyEvent;
 use crate::generated::operator::WhyReply;
+use crate::http_client::encode_component;
+use crate::member_view::Member;
+use crate::member_view::MemberState;
+use crate::operator_client::OperatorClient;
+use futures_util::future::join_all;
+use std::time::Duration;
+
+/// Longest wait for the events of another node.
+const NODE_TIMEOUT: Duration = Duration::from_secs(3);
+/// Most events in one answer; the oldest are left out first.
+const MAX_EVENTS: usize = 500;
 
 /// Returns this node's recent events about an id.
 pub fn local(cx: &Cx, id: &str) -> WhyReply {
     let events = cx.events.about(id);
     let events = events.into_iter().map(|recorded| why_event(cx.node(), recorded)).collect();
-    WhyReply { id: id.to_string(), events, missing: vec![] }
+    WhyReply { id: id.to_string(), events: newest(events), missing: vec![] }
+}
+
+/// Returns all nodes' recent events about an id; the others are asked with the operator's token.
+pub async fn fleet(cx: &Cx, id: &str, token: &str) -> WhyReply {
+    let mut reply = local(cx, id);
+    let members = cx.members.get();
+    let others = members.values().filter(|m| m.node != cx.node() && m.state != MemberState::Dead);
+    for answer in join_all(others.map(|member| ask(member, id, token))).await {
+        match answer {
+            Ok(events) => reply.events.extend(events),
+            Err(missing) => reply.missing.push(missing),
+        }
+    }
+    reply.events = newest(reply.events);
+    reply
+}
+
+/// Asks one node for its own events, or tells why it did not answer.
+async fn ask(member: &Member, id: &str, token: &str) -> Result<Vec<WhyEvent>, String> {
+    let client = OperatorClient::new(vec![member.operator_address.clone()], token.to_string());
+    let path = format!("why?local=true&id={}", encode_component(id));
+    match tokio::time::timeout(NODE_TIMEOUT, client.get::<WhyReply>(&path)).await {
+        Ok(Ok(reply)) => Ok(reply.events),
+        Ok(Err(e)) => Err(format!("{}: {e}", member.node)),
+        Err(_) => Err(format!("{}: no answer in time", member.node)),
+    }
+}
+
+/// Sorts events by time and keeps the newest.
+fn newest(mut events: Vec<WhyEvent>) -> Vec<WhyEvent> {
+    events.sort_by(|a, b| (a.unix, &a.node).cmp(&(b.unix, &b.node)));
+    let surplus = events.len().saturating_sub(MAX_EVENTS);
+    events.split_off(surplus)
 }
 
 fn why_event(node: &str, recorded: RecordedEvent) -> WhyEvent {
--- a/lib/tests/test_config_change.rs
+++ b/lib/tests/test_config_change.rs
@@ -86,9 +86,9 @@
     let shown: Vec<_> = conflict
         .differences
         .iter()
-        .map(|d| (d.path.as_str(), d.ours.as_str(), d.theirs.as_str()))
+        .map(|d| (d.path.as_str(), d.after.as_deref(), d.before.as_deref()))
         .collect();
-    assert_eq!(shown, [("/defaults/queue_wait_ms", "2", "1")]);
+    assert_eq!(shown, [("/defaults/queue_wait_ms", Some("2"), Some("1"))]);
 }
 
 #[tokio::test(start_paused = true)]
