--- a/lib/tests/test_config_check.rs
+++ b/lib/tests/test_config_check.rs
@@ -84,3 +84,12 @@
     }}});
     assert_eq!(paths(&cx, config), expected);
 }
+
+#[tokio::test]
+async fn check_accepts_what_was_read() {
+    let config = serde_json::json!({"defaults": {}, "services": {"s": {"kind": "plain"}}});
+    let accepted = config_check::check(&cx(), &config.to_string()).unwrap();
+    let read = serde_json::to_string(&accepted).unwrap();
+    assert!(read.contains("null"));
+    assert_eq!(config_check::check(&cx(), &read), Ok(accepted));
+}
