--- a/bench/src/demo.rs
+++ b/bench/src/demo.rs
@@ -20,14 +20,19 @@
 use futures_util::future::join_all;
 use guavaladder_lib::generated::groups::GroupRecord;
 use guavaladder_testutils::engine_options::EngineOptions;
+use guavaladder_testutils::engine_world::EngineWorld;
 use nix::sys::signal::Signal;
 use std::process::ExitCode;
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::time::Instant;
 
 /// Longest time for a change to be in force on every node.
 const IN_FORCE_BOUND: Duration = Duration::from_secs(4);
 
+/// Longest time for the nodes to know each other.
+const JOIN_BOUND: Duration = Duration::from_secs(10);
+
 /// Longest time for the first groups to serve.
 const ASSEMBLY_BOUND: Duration = Duration::from_secs(20);
 
@@ -43,6 +48,9 @@
 /// Generations and calls of each customer in one round.
 const ROUND: usize = 12;
 
+/// Pause between two looks at the stand-ins.
+const POLL_PAUSE: Duration = Duration::from_millis(10);
+
 /// Weight loading time of the stand-ins.
 const LOAD_TIME: Duration = Duration::from_secs(1);
 
@@ -103,8 +111,20 @@
     })
 }
 
+/// Waits until a service has all its groups whole again and returns the time since the kill.
+async fn wait_whole(world: EngineWorld, service: String, since: Instant) -> Result<Duration> {
+    while world.whole_groups(&service) < fleet_plan::REPLICAS as usize {
+        if since.elapsed() > ASSEMBLY_BOUND {
+            bail!("{service} has no whole groups {ASSEMBLY_BOUND:?} after the kill");
+        }
+        tokio::time::sleep(POLL_PAUSE).await;
+    }
+    Ok(since.elapsed())
+}
+
 impl Demo {
     async fn play(&mut self) -> Result<()> {
+        self.wait_nodes().await?;
         self.create_services().await?;
         self.round("first", ROUND, 60).await;
         self.kill_a_member().await?;
@@ -115,6 +135,17 @@
         Ok(())
     }
 
+    async fn wait_nodes(&mut self) -> Result<()> {
+        let mut slowest = Duration::ZERO;
+        for daemon in &self.daemons {
+            let operator = Operator::new(vec![daemon.settings.operator_listen.clone()], "demo");
+            slowest += operator.wait_nodes(self.daemons.len(), JOIN_BOUND).await?;
+        }
+        let took = slowest.as_secs_f64();
+        self.timeline.note(format!("the daemons know each other after {took:.2} s"));
+        Ok(())
+    }
+
     async fn create_services(&mut self) -> Result<()> {
         let reason = "both users' services";
         let accepted = self.operator.apply(0, &fleet_plan::config(), reason).await?;
@@ -174,7 +205,7 @@
         let gap = records.iter().map(|record| record.longest_gap).max().unwrap_or_default();
         let first = records.iter().filter_map(|record| record.first_token).max();
         self.timeline.note(format!(
-            "{name}: {whole} of {} whole, {resumes} resumed by callers, slowest first token \
+            "{name}: {whole} of {} whole, {resumes} sent again by callers, slowest first token \
              {:.0} ms, longest gap {:.0} ms",
             records.len(),
             first.unwrap_or_default().as_secs_f64() * 1000.0,
@@ -192,7 +223,7 @@
             let first = group.members.first();
             first.map_or(0, |member| self.fleet.world.open_streams(&member.address))
         });
-        let busy = busy.context("no group")?;
+        let busy = busy.context("no group")?.clone();
         let victim = busy.members.last().context("the group has no members")?.clone();
         let streams = self.fleet.world.open_streams(&busy.members[0].address);
         self.fleet.kill(&victim.address);
@@ -203,11 +234,18 @@
         if streams == 0 {
             bail!("no stream was running on the killed group");
         }
+        let killed_at = Instant::now();
+        let world = self.fleet.world.clone();
+        let repair = tokio::spawn(wait_whole(world, busy.service.clone(), killed_at));
         let records = join_all(calls).await;
         self.note_round(name, records);
-        let took = self.operator.wait_serving(ASSEMBLY_BOUND).await?;
-        self.timeline
-            .note(format!("all groups serve again after {:.2} s more", took.as_secs_f64()));
+        let took = repair.await??;
+        self.operator.wait_serving(ASSEMBLY_BOUND).await?;
+        self.timeline.note(format!(
+            "{}: whole groups again {:.2} s after the kill",
+            busy.service,
+            took.as_secs_f64()
+        ));
         Ok(())
     }
 
@@ -234,7 +272,7 @@
         let calls = self.calls(name, ROUND, 120);
         tokio::time::sleep(INTO_STREAMS).await;
         let daemon = &mut self.daemons[0];
-        let began = tokio::time::Instant::now();
+        let began = Instant::now();
         daemon.signal(Signal::SIGTERM)?;
         let status = daemon.wait(SHUTDOWN_BOUND + Duration::from_secs(2)).await?;
         let node = daemon.settings.node.clone();
--- a/bench/src/operator.rs
+++ b/bench/src/operator.rs
@@ -8,6 +8,7 @@
 use guavaladder_lib::generated::config::InForceReport;
 use guavaladder_lib::generated::operator::ConfigReply;
 use guavaladder_lib::generated::operator::ServicesReply;
+use guavaladder_lib::generated::operator::StatusReply;
 use guavaladder_lib::operator_client::OperatorClient;
 use serde_json::Value;
 use std::time::Duration;
@@ -80,6 +81,22 @@
         }
     }
 
+    /// Waits until the answering node knows this many live nodes.
+    pub async fn wait_nodes(&self, nodes: usize, bound: Duration) -> Result<Duration> {
+        let began = Instant::now();
+        loop {
+            let status: StatusReply = self.client.get("status").await?;
+            let live = status.nodes.iter().filter(|node| node.state == "live").count();
+            if live >= nodes {
+                return Ok(began.elapsed());
+            }
+            if began.elapsed() > bound {
+                bail!("{} knows {live} of {nodes} nodes after {bound:?}", status.node);
+            }
+            tokio::time::sleep(POLL_PAUSE).await;
+        }
+    }
+
     /// Returns the services with their groups.
     pub async fn services(&self) -> Result<ServicesReply> {
         Ok(self.client.get("services").await?)
--- a/lib/testutils/src/engine_world.rs
+++ b/lib/testutils/src/engine_world.rs
@@ -97,6 +97,14 @@
         self.lock().instances.get(address).is_some_and(|known| known.is_alive)
     }
 
+    /// Returns the number of groups of a service whose members are all alive, ready and joined.
+    pub fn whole_groups(&self, service: &str) -> usize {
+        let state = self.lock();
+        let assignments = state.instances.values().filter_map(|known| known.assignment.as_ref());
+        let firsts = assignments.filter(|a| a.shard == 0 && a.service == service);
+        firsts.filter(|a| state.is_whole(a)).count()
+    }
+
     /// Returns the starts of requests so far.
     pub fn executions(&self) -> Vec<Execution> {
         self.lock().oracle.executions.clone()
