config: take a null for an absent key, and tell which version each node confirmed

Cause: records write optional values as null, and the check refused them: after the first service no change read from the fleet and sent back was accepted (seen against real daemons). Change: the schema check drops nulls of optional keys; the command line prints none; status shows the version that each node confirmed; `token hash` prints what settings and configuration hold.

--- a/cli/src/connection.rs
+++ b/cli/src/connection.rs
@@ -39,7 +39,8 @@
     Ok(endpoints)
 }
 
-fn token(invocation: &Invocation) -> Result<String, CliError> {
+/// Returns the token from the file or the environment.
+pub fn token(invocation: &Invocation) -> Result<String, CliError> {
     let token = match invocation.value("token-file") {
         Some(path) => {
             let read = fs::read_to_string(&path);
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -15,6 +15,7 @@
 use args::Command;
 use args::Invocation;
 use error::CliError;
+use guavaladder_lib::token_hash::hash_token;
 use std::process::ExitCode;
 use subcommands::Subcommand;
 
@@ -39,6 +40,9 @@
 }
 
 async fn dispatch(invocation: &Invocation) -> Result<(), CliError> {
+    if invocation.subcommand == Subcommand::TokenHash {
+        return output::print(&hash_token(&connection::token(invocation)?));
+    }
     let client = connection::client(invocation)?;
     match invocation.subcommand {
         Subcommand::Status => view::status(&client, invocation).await,
@@ -55,5 +59,6 @@
         Subcommand::InstanceList => view::instances(&client, invocation).await,
         Subcommand::Why => view::why(&client, invocation).await,
         Subcommand::ReportBurn => view::report_burn(&client, invocation).await,
+        Subcommand::TokenHash => Ok(()),
     }
 }
--- a/cli/src/output.rs
+++ b/cli/src/output.rs
@@ -1,6 +1,7 @@
 //! Prints tables, texts and JSON.
 
 use crate::error::CliError;
+use guavaladder_lib::schema_check::without_nulls;
 use serde::Serialize;
 use std::io;
 use std::io::Write;
@@ -16,9 +17,11 @@
     }
 }
 
-/// Prints a value as indented JSON.
+/// Prints a value as indented JSON, without the keys that have no value.
 pub fn print_json(value: &impl Serialize) -> Result<(), CliError> {
-    let text = serde_json::to_string_pretty(value).map_err(|e| CliError::Output(e.into()))?;
+    let value = serde_json::to_value(value).map_err(|e| CliError::Output(e.into()))?;
+    let value = without_nulls(value);
+    let text = serde_json::to_string_pretty(&value).map_err(|e| CliError::Output(e.into()))?;
     print(&text)
 }
 
--- a/cli/src/subcommands.rs
+++ b/cli/src/subcommands.rs
@@ -52,6 +52,8 @@
     Why,
     /// `report burn`
     ReportBurn,
+    /// `token hash`
+    TokenHash,
 }
 
 /// Words, argument, options and purpose of a subcommand.
@@ -232,4 +234,11 @@
         &["html"],
         "reports how fast the objectives' budgets burn",
     ),
+    subcommand(
+        Subcommand::TokenHash,
+        "token hash",
+        None,
+        &[],
+        "prints the hash of a token, as settings and configuration hold it",
+    ),
 ];
--- a/cli/tests/runner.rs
+++ b/cli/tests/runner.rs
@@ -2,4 +2,5 @@
 
 mod test_arguments;
 mod test_calls;
+mod test_changes;
 mod world;
--- a/lib/src/config_change.rs
+++ b/lib/src/config_change.rs
@@ -8,6 +8,7 @@
 use crate::config_diff;
 use crate::config_view::CONFIG_KEY;
 use crate::cx::Cx;
+use crate::facts::Fact;
 use crate::facts::FactKind;
 use crate::generated::config::ConfigChangeReply;
 use crate::generated::config::ConfigChangeRequest;
@@ -20,6 +21,7 @@
 use crate::generated::platform::PutObject;
 use crate::generated::platform::PutOutcome;
 use crate::generated::platform::VersionedObject;
+use crate::member_view::Member;
 use crate::member_view::MemberState;
 use crate::object_view::ViewedObject;
 use crate::schema_check::Problem;
@@ -264,14 +266,9 @@
 /// Reports on which nodes a version or a later one is in force, as far as this node knows.
 pub fn in_force(cx: &Cx, version: u64) -> InForceReport {
     let members = cx.members.get();
-    let facts = cx.facts.all(FactKind::ConfigInForce);
     let mut report = InForceReport { version, members: 0, in_force: 0, missing: vec![] };
     for member in members.values() {
-        let fact = facts.iter().find(|fact| fact.node == member.node);
-        let known = fact
-            .filter(|fact| fact.incarnation == member.incarnation)
-            .and_then(|fact| postcard::from_bytes::<u64>(&fact.value).ok())
-            .unwrap_or(0);
+        let known = confirmed_version(cx, member);
         if member.state == MemberState::Dead && known < version {
             continue;
         }
@@ -291,3 +288,12 @@
     }
     report
 }
+
+/// Returns the version that a node confirmed in its current incarnation; 0 when none is known.
+pub fn confirmed_version(cx: &Cx, member: &Member) -> u64 {
+    let facts = cx.facts.all(FactKind::ConfigInForce);
+    let is_current =
+        |fact: &&Fact| fact.node == member.node && fact.incarnation == member.incarnation;
+    let fact = facts.iter().find(is_current);
+    fact.and_then(|fact| postcard::from_bytes(&fact.value).ok()).unwrap_or(0)
+}
--- a/lib/src/operator_status.rs
+++ b/lib/src/operator_status.rs
@@ -1,5 +1,6 @@
 //! What operators see of the fleet: status, services and instances, from the node's own views.
 
+use crate::config_change;
 use crate::cx::Cx;
 use crate::generated::config::Exception;
 use crate::generated::config::ExceptionKind;
@@ -99,7 +100,7 @@
 }
 
 fn node_status(cx: &Cx, member: &Member) -> NodeStatus {
-    let own_version = || cx.config.get().map(|record| record.version);
+    let confirmed = config_change::confirmed_version(cx, member);
     NodeStatus {
         node: member.node.clone(),
         state: state_name(member.state).to_string(),
@@ -107,7 +108,7 @@
         region: member.region.clone(),
         caller_address: member.caller_address.clone(),
         operator_address: member.operator_address.clone(),
-        config_version: if member.node == cx.node() { own_version() } else { None },
+        config_version: Some(confirmed).filter(|version| *version > 0),
     }
 }
 
--- a/lib/src/schema_check.rs
+++ b/lib/src/schema_check.rs
@@ -47,9 +47,12 @@
 
 /// Parses `text` as JSON and checks it against the schema in `schema`.
 ///
+/// A null stands for an absent key, since records write optional values that way.
+///
 /// Returns the parsed document, or every problem in path order.
 pub fn check(schema: &str, text: &str) -> Result<Value, Vec<Problem>> {
-    let document: Value = serde_json::from_str(text).map_err(|e| vec![syntax_problem(&e)])?;
+    let document = serde_json::from_str(text).map_err(|e| vec![syntax_problem(&e)])?;
+    let document = without_nulls(document);
     let schema: Value = serde_json::from_str(schema).map_err(|e| vec![schema_problem(&e)])?;
     let validator = jsonschema::validator_for(&schema).map_err(|e| vec![schema_problem(&e)])?;
     let mut problems: Vec<Problem> = vec![];
@@ -60,6 +63,18 @@
     if problems.is_empty() { Ok(document) } else { Err(problems) }
 }
 
+/// Removes the keys of objects whose value is null.
+pub fn without_nulls(value: Value) -> Value {
+    match value {
+        Value::Object(object) => {
+            let kept = object.into_iter().filter(|(_, value)| !value.is_null());
+            Value::Object(kept.map(|(key, value)| (key, without_nulls(value))).collect())
+        }
+        Value::Array(items) => Value::Array(items.into_iter().map(without_nulls).collect()),
+        other => other,
+    }
+}
+
 /// Shortens and escapes a value so that it fits on the line of a message.
 pub fn show(value: &Value) -> String {
     let text = value.to_string();
--- a/lib/tests/test_settings.rs
+++ b/lib/tests/test_settings.rs
@@ -80,3 +80,10 @@
     let problems = settings::parse(&settings_with("bootstrap_operator", &value)).unwrap_err();
     assert!(problems[0].to_string().len() < 400);
 }
+
+#[test]
+fn parse_null_counts_as_absent() {
+    assert_eq!(settings::parse(&settings_with("statsd", "null")).unwrap().statsd, None);
+    let problems = settings::parse(&settings_with("node", "null")).unwrap_err();
+    assert_eq!(problems[0].path, "/node");
+}
