groups: reassign members only once their old group can take no requests

Cause: fuzzing of owner, store and engines found that survivors were regrouped while a paused lead could still accept requests of the old group; that a standby's assignment carried its host group's epoch; that a new owner never ended a group found draining; and that a leaving instance was noticed only at the next steady poll.

Change: an order that takes a member out of a group waits until the lead itself reports that it left, or until routers have dropped the group after the stored record did; standbys carry the owner's epoch; draining is timed from when the owner sees it; a change of the instance list starts a step at once.

--- a/lib/src/domain_orders.rs
+++ b/lib/src/domain_orders.rs
@@ -11,6 +11,7 @@
 use crate::generated::groups::GroupState;
 use crate::generated::platform::InstanceInfo;
 use crate::group_orders::NeededOrder;
+use crate::group_orders::breaks_routed_group;
 use crate::group_orders::needed_orders;
 use crate::group_verify::is_standby;
 use crate::ids::InstanceId;
@@ -22,6 +23,8 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
+/// Time within which routers drop a group that the stored record no longer lists as serving.
+const ROUTE_BOUND: Duration = Duration::from_secs(4);
 /// Length of a slot in which a domain may start to load a standby.
 const STANDBY_SLOT: Duration = Duration::from_secs(10);
 
@@ -34,7 +37,9 @@
         config: &FleetConfig,
         own: &[&InstanceInfo],
     ) -> usize {
-        let mut needed = needed_orders(&self.record.groups, facts, targets);
+        let mut needed = needed_orders(&self.record.groups, facts, targets, self.right.epoch);
+        needed
+            .retain(|order| !breaks_routed_group(order, facts, |group| self.may_be_routed(group)));
         self.hold_back_standbys(&mut needed, facts, config.defaults.load_concurrency);
         let kinds: BTreeMap<&str, UpstreamKind> =
             own.iter().map(|info| (info.instance.as_str(), kind_of(config, info))).collect();
@@ -60,6 +65,12 @@
         needed.len()
     }
 
+    /// Tells whether a router may still send requests to a group by the stored record.
+    fn may_be_routed(&self, group: &str) -> bool {
+        let since = self.stopped_serving.get(group).copied().unwrap_or(self.owned_since);
+        self.stored_serving.contains(group) || self.now() < since + ROUTE_BOUND
+    }
+
     pub(crate) fn lose_to(&mut self, epoch: u64) -> usize {
         self.lose(&format!("a newer owner of epoch {epoch} gave orders"));
         0
--- a/lib/src/domain_owner.rs
+++ b/lib/src/domain_owner.rs
@@ -9,6 +9,7 @@
 use crate::generated::events::Event;
 use crate::generated::groups::DomainRecord;
 use crate::generated::groups::GroupRecord;
+use crate::generated::groups::GroupState;
 use crate::generated::platform::PutObject;
 use crate::generated::platform::PutOutcome;
 use crate::ids::DomainId;
@@ -24,6 +25,7 @@
 use crate::store_client::CallClass;
 use crate::store_client::StoreClient;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio_util::sync::CancellationToken;
@@ -31,6 +33,9 @@
 /// Period of the owner's steps.
 const STEP_PERIOD: Duration = Duration::from_secs(1);
 
+/// Time for which it is remembered when a group stopped serving.
+const STOPPED_MEMORY: Duration = Duration::from_secs(60);
+
 /// What all owners of a node share.
 pub struct ControlShared {
     /// Context.
@@ -55,6 +60,11 @@
     pub(crate) draining_since: BTreeMap<GroupId, Duration>,
     pub(crate) shortages: BTreeMap<ServiceId, usize>,
     pub(crate) next_poll: Duration,
+    pub(crate) owned_since: Duration,
+    /// Groups that the stored record lists as serving.
+    pub(crate) stored_serving: BTreeSet<GroupId>,
+    /// When the stored record stopped listing a group as serving.
+    pub(crate) stopped_serving: BTreeMap<GroupId, Duration>,
     pub(crate) dark_since: Option<Duration>,
     /// Whether another node found the domain dark before it was taken.
     pub(crate) was_found_dark: bool,
@@ -109,6 +119,8 @@
             true => Duration::ZERO,
             false => shared.cx.clock.now() + longest_order(&shared.cx),
         };
+        let owned_since = shared.cx.clock.now();
+        let stored_serving = serving_groups(&record);
         let lease = HeldLease::new(version, counted_from, lease);
         let right = OrderRight { epoch: record.epoch, lease, unfenced_from };
         let sender = OrderSender::new(shared.cx.clone(), shared.engine.clone(), domain);
@@ -124,6 +136,9 @@
             draining_since: BTreeMap::new(),
             shortages: BTreeMap::new(),
             next_poll: Duration::ZERO,
+            owned_since,
+            stored_serving,
+            stopped_serving: BTreeMap::new(),
             dark_since: None,
             is_unsaved: false,
             is_lost: false,
@@ -133,8 +148,15 @@
     /// Owns the domain until the lease is lost or `stop` asks to hand it back.
     pub async fn run(mut self, stop: CancellationToken) {
         let mut ticks = self.shared.cx.timers.subscribe(Duration::ZERO, STEP_PERIOD).await;
+        let mut instances = self.shared.cx.instances.subscribe();
         while !self.is_lost {
             tokio::select! {
+                // A leaving instance must stop taking work within seconds. The context keeps the
+                // sender, so waiting does not fail.
+                Ok(()) = instances.changed() => {
+                    self.next_poll = Duration::ZERO;
+                    self.step().await;
+                }
                 tick = ticks.next() => match tick {
                     Some(_) => self.step().await,
                     None => return,
@@ -179,6 +201,7 @@
                 self.right.lease = HeldLease::new(version, counted_from, next.lease);
                 self.record = next;
                 self.is_unsaved = false;
+                self.note_stored();
                 WriteEnd::Written
             }
             Ok(PutOutcome::Conflict(_)) => self.read_after_conflict().await,
@@ -186,6 +209,19 @@
         }
     }
 
+    /// Notes which groups the stored record stopped listing as serving.
+    fn note_stored(&mut self) {
+        let now = self.shared.cx.clock.now();
+        let serving = serving_groups(&self.record);
+        let before = std::mem::replace(&mut self.stored_serving, serving);
+        self.stopped_serving.retain(|_, at| now < *at + STOPPED_MEMORY);
+        for group in before {
+            if !self.stored_serving.contains(&group) {
+                self.stopped_serving.insert(group, now);
+            }
+        }
+    }
+
     /// Finds out whether a conflict is with an own write that took effect late.
     async fn read_after_conflict(&mut self) -> WriteEnd {
         let Some((version, stored)) = read_record(&self.shared, &self.domain).await else {
@@ -239,6 +275,11 @@
     }
 }
 
+fn serving_groups(record: &DomainRecord) -> BTreeSet<GroupId> {
+    let serving = record.groups.iter().filter(|group| group.state == GroupState::Serving);
+    serving.map(|group| group.group.clone()).collect()
+}
+
 /// Tells whether the owner before found no member of any group answering.
 fn is_found_dark(record: &DomainRecord) -> bool {
     let mut members = record.groups.iter().flat_map(|group| &group.members);
--- a/lib/src/domain_step.rs
+++ b/lib/src/domain_step.rs
@@ -111,6 +111,8 @@
         config: &FleetConfig,
         own: &[&InstanceInfo],
     ) -> bool {
+        // A group may have been draining already when this owner took the domain.
+        self.note_draining();
         let input = self.input(facts, targets, config);
         let mut plan = planner::plan(&input);
         self.grant_loads(&mut plan, config.defaults.load_concurrency);
--- a/lib/src/group_orders.rs
+++ b/lib/src/group_orders.rs
@@ -9,6 +9,7 @@
 use crate::group_verify::has_weights;
 use crate::group_verify::is_standby;
 use crate::ids::Address;
+use crate::ids::Epoch;
 use crate::ids::InstanceId;
 use crate::planner_types::MemberFacts;
 use crate::planner_types::ModelSpec;
@@ -54,17 +55,47 @@
     groups: &[GroupRecord],
     members: &BTreeMap<InstanceId, MemberFacts>,
     targets: &[ServiceTarget],
+    epoch: Epoch,
 ) -> Vec<NeededOrder> {
     let claims = claims(groups);
     let answering = members.iter().filter(|(_, facts)| facts.is_answering());
     let order = |(id, facts): (&InstanceId, &MemberFacts)| {
         let claim = claims.get(id.as_str()).unwrap_or(&Claim::None);
-        let action = action_for(claim, facts, targets)?;
+        let action = action_for(claim, facts, targets, epoch)?;
         Some(NeededOrder { instance: id.clone(), address: facts.address.clone(), action })
     };
     answering.filter_map(order).collect()
 }
 
+/// Tells whether an order takes an instance out of a group whose lead may still take requests.
+///
+/// `may_be_routed` tells whether routers may still send requests to a group.
+pub fn breaks_routed_group(
+    order: &NeededOrder,
+    members: &BTreeMap<InstanceId, MemberFacts>,
+    may_be_routed: impl Fn(&str) -> bool,
+) -> bool {
+    let moves = matches!(
+        order.action,
+        OrderAction::Regroup(_) | OrderAction::Release(_) | OrderAction::Reload(_)
+    );
+    let held = members.get(&order.instance).and_then(MemberFacts::held);
+    let Some(held) = held.filter(|held| moves && !order.is_fence() && !is_standby(held)) else {
+        return false;
+    };
+    let Some(lead) = held.members.first().filter(|lead| **lead != order.instance) else {
+        return false;
+    };
+    match members.get(lead).filter(|lead| lead.is_answering()) {
+        Some(lead) => {
+            let theirs = lead.held().map(|theirs| (&theirs.group, theirs.epoch));
+            let is_in_it = theirs == Some((&held.group, held.epoch));
+            is_in_it && lead.state() == Some(MemberState::Ready)
+        }
+        None => may_be_routed(&held.group),
+    }
+}
+
 fn claims(groups: &[GroupRecord]) -> BTreeMap<&str, Claim<'_>> {
     let mut claims = BTreeMap::new();
     for group in groups {
@@ -84,6 +115,7 @@
     claim: &Claim<'_>,
     facts: &MemberFacts,
     targets: &[ServiceTarget],
+    epoch: Epoch,
 ) -> Option<OrderAction> {
     let state = facts.state()?;
     match claim {
@@ -96,7 +128,8 @@
             match state {
                 MemberState::Idle => {
                     let shard = group.members.len() + index;
-                    Some(OrderAction::Join(assignment_of(group, shard)))
+                    let wanted = Assignment { epoch, ..assignment_of(group, shard) };
+                    Some(OrderAction::Join(wanted))
                 }
                 MemberState::Loading | MemberState::Ready if is_kept => None,
                 _ => release(facts),
@@ -104,7 +137,12 @@
         }
         Claim::None => {
             let is_useful = facts.is_eligible() && holds_wanted_weights(facts, targets);
-            if is_useful { None } else { release(facts) }
+            match is_useful {
+                // Its group is not recorded any more, so it must not take requests.
+                true if state == MemberState::Ready => drain_member(facts),
+                true => None,
+                false => release(facts),
+            }
         }
     }
 }
@@ -141,6 +179,11 @@
     }
 }
 
+fn drain_member(facts: &MemberFacts) -> Option<OrderAction> {
+    let held = facts.held().filter(|held| !is_standby(held))?;
+    Some(OrderAction::Drain(held.group.clone()))
+}
+
 fn release(facts: &MemberFacts) -> Option<OrderAction> {
     facts.held().map(|held: &Assignment| OrderAction::Release(held.group.clone()))
 }
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -4,6 +4,7 @@
 mod test_engine_world;
 mod test_fake_store;
 mod test_groups;
+mod test_groups_fuzz;
 mod test_http_adapters;
 mod test_object_view;
 mod test_operator_api;
--- a/lib/testutils/src/control_fleet.rs
+++ b/lib/testutils/src/control_fleet.rs
@@ -134,6 +134,22 @@
         self.share_members();
     }
 
+    /// Suspends a node; the others find that it no longer answers.
+    pub fn pause_node(&mut self, node: &str) {
+        if let Some(node) = self.nodes.get(node) {
+            node.gate.close();
+        }
+        self.share_members();
+    }
+
+    /// Lets a suspended node go on.
+    pub fn resume_node(&mut self, node: &str) {
+        if let Some(node) = self.nodes.get(node) {
+            node.gate.open();
+        }
+        self.share_members();
+    }
+
     /// Shuts a node down gracefully.
     pub async fn stop_node(&mut self, node: &str) {
         let Some(node) = self.nodes.remove(node) else { return };
@@ -185,9 +201,10 @@
             caller_address: String::new(),
             operator_address: String::new(),
         };
+        let running = || self.nodes.iter().filter(|(_, node)| node.gate.is_open());
         let members: BTreeMap<NodeId, Member> =
-            self.nodes.iter().map(|(id, node)| (id.clone(), member(node))).collect();
-        self.nodes.values().for_each(|node| node.cx.members.replace(members.clone()));
+            running().map(|(id, node)| (id.clone(), member(node))).collect();
+        running().for_each(|(_, node)| node.cx.members.replace(members.clone()));
     }
 }
 
--- a/lib/testutils/src/gated_edges.rs
+++ b/lib/testutils/src/gated_edges.rs
@@ -46,6 +46,11 @@
         self.tx.send_replace(true);
     }
 
+    /// Tells whether calls go on.
+    pub fn is_open(&self) -> bool {
+        *self.tx.borrow()
+    }
+
     /// Waits until the gate is open.
     pub async fn pass(&self) {
         let mut rx = self.tx.subscribe();
