requests: tell 'not run' about a key only with the ledger's word or the caller's

Cause: a refusal before the ledger was asked (store away, node in shutdown, no replica) was told as not_run; for the store this rested on the key being younger than 5 s. A caller that lost its answer and sent again within those 5 s was told not_run after its request had run. Ruled out: a longer or shorter age; no age tells a resend from a first send. Change: such refusals are not_run only when the ledger has marked the key, or when the caller declares the first send (Idempotency-First-Send: true, or first_send in the body); otherwise they are unknown. Sending the same key again stays safe in either case. Conclusion: not_run no longer depends on how fast a caller resends.

--- a/lib/src/at_most_once.rs
+++ b/lib/src/at_most_once.rs
@@ -60,10 +60,10 @@
             // The entry may yet appear: it must not look like a run of this node for ever.
             let refused = LedgerEntry { state: LedgerState::Refused, ..entry };
             tokio::spawn(write_eventually(path.clone(), refused));
-            Err(ledger_away(path, key, &reason))
+            Err(ledger_away(&reason))
         }
-        LedgerAnswer::NotWritten(reason) => Err(ledger_away(path, key, &reason)),
-        LedgerAnswer::Absent => Err(ledger_away(path, key, "no answer")),
+        LedgerAnswer::NotWritten(reason) => Err(ledger_away(&reason)),
+        LedgerAnswer::Absent => Err(ledger_away("no answer")),
     }
 }
 
@@ -80,7 +80,7 @@
     }
     let entry = entry(path, req, key, LedgerState::Refused);
     match path.ledger().call(LedgerOp::Put(entry.clone())).await {
-        LedgerAnswer::Entry(known) if known.attempt == entry.attempt => error,
+        LedgerAnswer::Entry(known) if known.attempt == entry.attempt => error.with_settled(),
         LedgerAnswer::Entry(known) => match judge(path, req, &known) {
             Err(e) => e,
             Ok(_) => {
@@ -88,7 +88,7 @@
                     .with_retry_after(RUNNING_RETRY_AFTER)
             }
         },
-        _ => ledger_away(path, key, &error.message),
+        _ => ledger_away(&error.message),
     }
 }
 
@@ -159,7 +159,7 @@
         if !matches!(answer, LedgerAnswer::Entry(_)) {
             tokio::spawn(write_eventually(self.path.clone(), entry));
         }
-        error
+        error.with_settled()
     }
 
     fn end(mut self, entry: LedgerEntry) {
@@ -207,7 +207,7 @@
 fn judge(path: &RequestPath, req: &Request, known: &LedgerEntry) -> Result<Begun, RequestError> {
     if known.fingerprint != req.fingerprint {
         let message = "the key was used for another request";
-        return Err(RequestError::not_run(ErrorCode::KeyReused, message));
+        return Err(RequestError::not_run(ErrorCode::KeyReused, message).with_settled());
     }
     match known.state {
         LedgerState::Done => match &known.answer {
@@ -219,7 +219,7 @@
         },
         LedgerState::Refused => {
             let message = "a request with this key was refused; use a new key";
-            Err(RequestError::not_run(ErrorCode::KeyRefused, message))
+            Err(RequestError::not_run(ErrorCode::KeyRefused, message).with_settled())
         }
         LedgerState::Started if is_running(path, known) => {
             let message = "the request with this key is running";
@@ -245,18 +245,10 @@
     })
 }
 
-/// Returns the refusal while the ledger cannot be written.
-///
-/// This copy of the request was not run. An older key may belong to a copy that ran before.
-fn ledger_away(path: &RequestPath, key: &str, reason: &str) -> RequestError {
-    let unix = path.cx().clock.unix();
-    let is_first = LedgerKeyTime::parse(key).is_some_and(|time| time.is_first_send(unix));
+/// Returns the refusal of a copy that was not run while the ledger cannot be written.
+fn ledger_away(reason: &str) -> RequestError {
     let message = format!("the ledger cannot be written: {reason}");
-    let error = match is_first {
-        true => RequestError::not_run(ErrorCode::LedgerAway, message),
-        false => RequestError::unknown(ErrorCode::LedgerAway, message),
-    };
-    error.with_retry_after(LEDGER_RETRY_AFTER)
+    RequestError::not_run(ErrorCode::LedgerAway, message).with_retry_after(LEDGER_RETRY_AFTER)
 }
 
 /// Writes what became of a run, however long the store is away, until the key is forgotten anyway.
--- a/lib/src/caller_api.rs
+++ b/lib/src/caller_api.rs
@@ -140,6 +140,21 @@
         let customer = caller_auth::customer(self.path.cx(), req.headers())?;
         let body = read_body(&self.path, req).await?;
         let body: GenerateBody = parse(&body)?;
+        let is_first_send = body.first_send;
+        let has_key = body.idempotency_key.is_some();
+        let result = self.generate(customer, body, res).await;
+        match has_key {
+            true => result.map_err(|e| e.with_earlier_copies(is_first_send)),
+            false => result,
+        }
+    }
+
+    async fn generate(
+        &self,
+        customer: CustomerId,
+        body: GenerateBody,
+        res: &mut Response,
+    ) -> Result<(), RequestError> {
         let is_stream = body.stream;
         self.path.check_kind(&body.service, ServiceKind::Engine)?;
         at_most_once::check_key(&self.path, &body.service, body.idempotency_key.as_deref())?;
@@ -270,6 +285,7 @@
         max_tokens: body.max_tokens,
         priority: body.priority,
         key: body.idempotency_key,
+        is_first_send: body.first_send,
         deadline: Instant::now() + deadline,
         fingerprint: fingerprint(&body.service, body.adapter.as_deref(), "", &body.prompt),
         prefix: prefix_hash(&body.prompt),
--- a/lib/src/caller_calls.rs
+++ b/lib/src/caller_calls.rs
@@ -9,6 +9,7 @@
 use crate::generated::engine::PlainReply;
 use crate::generated::engine::Priority;
 use crate::generated::requests::ErrorCode;
+use crate::ids::CustomerId;
 use crate::ledger_peer;
 use crate::metric_names;
 use crate::plain_call;
@@ -27,6 +28,8 @@
 
 /// Header that carries the key of a call that runs at most once.
 const KEY_HEADER: &str = "idempotency-key";
+/// Header by which a caller says that it did not send the call before.
+const FIRST_SEND_HEADER: &str = "idempotency-first-send";
 /// Header that carries the priority of a call.
 const PRIORITY_HEADER: &str = "priority";
 /// Longest key in bytes.
@@ -56,14 +59,31 @@
 
     async fn reply(&self, req: &mut salvo::Request) -> Result<PlainReply, RequestError> {
         let customer = caller_auth::customer(self.path.cx(), req.headers())?;
+        let key = header(req, KEY_HEADER)?;
+        let is_first_send = header(req, FIRST_SEND_HEADER)?.as_deref() == Some("true");
+        let has_key = key.is_some();
+        let result = self.call(req, customer, key, is_first_send).await;
+        match has_key {
+            true => result.map_err(|e| e.with_earlier_copies(is_first_send)),
+            false => result,
+        }
+    }
+
+    async fn call(
+        &self,
+        req: &mut salvo::Request,
+        customer: CustomerId,
+        key: Option<String>,
+        is_first_send: bool,
+    ) -> Result<PlainReply, RequestError> {
         let service = req.param::<String>("service").unwrap_or_default();
         let below = req.param::<String>("path").unwrap_or_default();
         if below.len() > MAX_PATH_BYTES {
             return Err(RequestError::not_run(ErrorCode::TooLarge, "the path is too long"));
         }
-        let key = header(req, KEY_HEADER)?;
         if key.as_ref().is_some_and(|key| key.len() > MAX_KEY_BYTES) {
-            return Err(RequestError::not_run(ErrorCode::TooLarge, "the key is too long"));
+            let error = RequestError::not_run(ErrorCode::TooLarge, "the key is too long");
+            return Err(error.with_settled());
         }
         let priority = priority(header(req, PRIORITY_HEADER)?.as_deref())?;
         self.path.check_kind(&service, ServiceKind::Plain)?;
@@ -84,6 +104,7 @@
             priority,
             adapter: None,
             key,
+            is_first_send,
             deadline: Instant::now() + terms.deadline,
         };
         plain_call::call(&self.path, Arc::new(request), terms).await
--- a/lib/src/ledger_key.rs
+++ b/lib/src/ledger_key.rs
@@ -9,8 +9,6 @@
 pub const KEY_WINDOW: Duration = Duration::from_secs(600);
 /// Greatest difference between the clocks of callers and nodes.
 pub const MAX_CLOCK_SKEW: Duration = Duration::from_secs(30);
-/// Age of a key up to which its request has not been sent before.
-pub const FIRST_SEND_AGE: Duration = Duration::from_secs(5);
 /// Lengths that the random part may have.
 const RANDOM_LEN: std::ops::RangeInclusive<usize> = 8..=48;
 /// Digits of the time.
@@ -38,7 +36,7 @@
     pub fn check_window(&self, unix: Duration) -> Result<(), RequestError> {
         if self.made > unix + MAX_CLOCK_SKEW {
             let message = "the time in the key lies in the future";
-            return Err(RequestError::not_run(ErrorCode::KeyOutOfWindow, message));
+            return Err(RequestError::not_run(ErrorCode::KeyOutOfWindow, message).with_settled());
         }
         if unix > self.made + KEY_WINDOW {
             // A key that old may have been used; what became of it may be forgotten.
@@ -52,18 +50,13 @@
     pub fn is_forgettable(&self, unix: Duration) -> bool {
         unix > self.made + KEY_WINDOW + 2 * MAX_CLOCK_SKEW
     }
-
-    /// Tells whether the key is so new that its request was not sent before.
-    pub fn is_first_send(&self, unix: Duration) -> bool {
-        unix <= self.made + FIRST_SEND_AGE
-    }
 }
 
 /// Checks a key's form and window.
 pub fn check(key: &str, unix: Duration) -> Result<LedgerKeyTime, RequestError> {
     let Some(time) = LedgerKeyTime::parse(key) else {
         let message = "a key is <unix ms>-<random>, with 13 digits and 8 to 48 letters or digits";
-        return Err(RequestError::not_run(ErrorCode::KeyMalformed, message));
+        return Err(RequestError::not_run(ErrorCode::KeyMalformed, message).with_settled());
     };
     time.check_window(unix)?;
     Ok(time)
--- a/lib/src/plain_call.rs
+++ b/lib/src/plain_call.rs
@@ -31,11 +31,30 @@
     path: &RequestPath,
     req: Arc<Request>,
     terms: RequestTerms,
+) -> Result<PlainReply, RequestError> {
+    let id = req.id.clone();
+    let (has_key, is_first_send) = (req.key.is_some(), req.is_first_send);
+    let result = match (has_key, run(path, req, terms).await) {
+        (true, result) => result.map_err(|e| e.with_earlier_copies(is_first_send)),
+        (false, result) => result,
+    };
+    let name = match &result {
+        Ok(_) => metric_names::REQUESTS_WHOLE,
+        Err(e) if e.ran == crate::request::Ran::Not => metric_names::REQUESTS_NOT_RUN,
+        Err(_) => metric_names::REQUESTS_UNKNOWN,
+    };
+    path.cx().metrics.count(name, 1);
+    result.map_err(|e| e.with_request(&id))
+}
+
+async fn run(
+    path: &RequestPath,
+    req: Arc<Request>,
+    terms: RequestTerms,
 ) -> Result<PlainReply, RequestError> {
     let running = path.enter()?;
     path.retries().deposit(terms.retry_ratio);
-    let id = req.id.clone();
-    let result = match req.key.clone() {
+    match req.key.clone() {
         None => repeatable(path, &req, &terms).await,
         Some(key) => {
             let path = path.clone();
@@ -46,14 +65,7 @@
             let internal = |e| RequestError::unknown(ErrorCode::Internal, format!("{e}"));
             tokio::spawn(run).await.map_err(internal).flatten()
         }
-    };
-    let name = match &result {
-        Ok(_) => metric_names::REQUESTS_WHOLE,
-        Err(e) if e.ran == crate::request::Ran::Not => metric_names::REQUESTS_NOT_RUN,
-        Err(_) => metric_names::REQUESTS_UNKNOWN,
-    };
-    path.cx().metrics.count(name, 1);
-    result.map_err(|e| e.with_request(&id))
+    }
 }
 
 async fn repeatable(
--- a/lib/src/request.rs
+++ b/lib/src/request.rs
@@ -43,13 +43,15 @@
     pub retry_after: Option<Duration>,
     /// Id of the request, where it got one.
     pub request: Option<RequestId>,
+    /// Whether the ledger vouches that no copy of a request with a key was or will be run.
+    pub is_settled: bool,
 }
 
 impl RequestError {
     /// Returns the error of a request that was not run.
     pub fn not_run(code: ErrorCode, message: impl Into<String>) -> Self {
         let message = message.into();
-        Self { code, ran: Ran::Not, message, retry_after: None, request: None }
+        Self { code, ran: Ran::Not, message, retry_after: None, request: None, is_settled: false }
     }
 
     /// Returns the error of a request that may have run.
@@ -62,6 +64,22 @@
         Self { retry_after: Some(retry_after), ..self }
     }
 
+    /// Notes that the ledger vouches for the outcome.
+    pub fn with_settled(self) -> Self {
+        Self { is_settled: true, ..self }
+    }
+
+    /// Returns what the caller of a request with a key may be told.
+    ///
+    /// This copy was not run, but without the ledger's word a copy that the caller sent before may
+    /// have been, unless the caller says that there was none.
+    pub fn with_earlier_copies(self, is_first_send: bool) -> Self {
+        match self.is_settled || is_first_send {
+            true => self,
+            false => Self { ran: Ran::Maybe, ..self },
+        }
+    }
+
     /// Adds the id of the request.
     pub fn with_request(self, request: &str) -> Self {
         Self { request: Some(request.to_string()), ..self }
@@ -100,6 +118,8 @@
     pub adapter: Option<String>,
     /// Key of a request that runs at most once.
     pub key: Option<String>,
+    /// Whether the caller says that it did not send the request before.
+    pub is_first_send: bool,
     /// Time by which it must have ended.
     pub deadline: Instant,
     /// Hash of the content, alike for each resend.
--- a/lib/tests/test_ledger.rs
+++ b/lib/tests/test_ledger.rs
@@ -90,11 +90,10 @@
     let rig = rig(1).await;
     rig.store.set_faults(StoreFaults { away: true, ..StoreFaults::default() });
     let fresh = key(&rig, 0);
-    let e = call(&rig.nodes[0].path, filing("a", &fresh, "pay")).await.unwrap_err();
+    let first = Request { is_first_send: true, ..filing("a", &fresh, "pay") };
+    let e = call(&rig.nodes[0].path, first).await.unwrap_err();
     assert_eq!((e.code, e.ran), (ErrorCode::LedgerAway, Ran::Not));
     assert!(e.retry_after.is_some());
-    tokio::time::sleep(Duration::from_secs(20)).await;
-    // A copy of an older key may have run before the store went away.
     let e = call(&rig.nodes[0].path, filing("b", &fresh, "pay")).await.unwrap_err();
     assert_eq!((e.code, e.ran), (ErrorCode::LedgerAway, Ran::Maybe));
     assert_eq!(rig.world.runs_of(&fresh), 0);
@@ -103,6 +102,29 @@
     call(&rig.nodes[0].path, filing("c", &key(&rig, 1), "pay")).await.unwrap();
 }
 
+#[tokio::test(start_paused = true)]
+async fn call_again_at_once_while_store_is_away_is_unknown() {
+    let rig = rig(2).await;
+    let key = key(&rig, 0);
+    let first = Request { is_first_send: true, ..filing("a", &key, "pay") };
+    call(&rig.nodes[0].path, first).await.unwrap();
+    rig.store.set_faults(StoreFaults { away: true, ..StoreFaults::default() });
+    // The caller lost the first answer and sends again within the second, at another node.
+    let e = call(&rig.nodes[1].path, filing("b", &key, "pay")).await.unwrap_err();
+    assert_eq!((e.code, e.ran), (ErrorCode::LedgerAway, Ran::Maybe));
+    assert_eq!(rig.world.runs_of(&key), 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn call_again_at_node_in_shutdown_is_unknown() {
+    let rig = rig(2).await;
+    let key = key(&rig, 0);
+    call(&rig.nodes[0].path, filing("a", &key, "pay")).await.unwrap();
+    rig.nodes[1].path.drain(Duration::ZERO).await;
+    let e = call(&rig.nodes[1].path, filing("b", &key, "pay")).await.unwrap_err();
+    assert_eq!((e.code, e.ran), (ErrorCode::ShuttingDown, Ran::Maybe));
+}
+
 #[tokio::test(start_paused = true)]
 async fn call_with_lost_store_answers_runs_once() {
     let rig = rig(2).await;
--- a/lib/testutils/src/request_rig.rs
+++ b/lib/testutils/src/request_rig.rs
@@ -308,6 +308,7 @@
         priority: Priority::Normal,
         adapter: None,
         key: None,
+        is_first_send: false,
         deadline: Instant::now() + Duration::from_secs(60),
         fingerprint: fingerprint(DRAFTING, None, "", prompt),
         prefix: prefix_hash(prompt),
