--- a/lib/src/caller_api.rs
+++ b/lib/src/caller_api.rs
@@ -2,16 +2,22 @@
 
 use crate::answer::Answer;
 use crate::answer::Part;
+use crate::at_most_once;
 use crate::caller_auth;
+use crate::caller_calls::Call;
+use crate::caller_calls::LedgerOperation;
+use crate::caller_calls::RequestStatus;
 use crate::caller_error;
 use crate::caller_error::write_json;
 use crate::caller_sse;
+use crate::entries;
 use crate::generated::config::ServiceKind;
 use crate::generated::requests::ErrorCode;
 use crate::generated::requests::GenerateBody;
-use crate::generated::requests::GenerateReply;
-use crate::generated::requests::Outcome;
 use crate::ids::CustomerId;
+use crate::keyed_generation;
+use crate::keyed_generation::Keyed;
+use crate::ledger_peer;
 use crate::metric_names;
 use crate::prefix_hash::prefix_hash;
 use crate::request::Request;
@@ -19,7 +25,9 @@
 use crate::request::fingerprint;
 use crate::request_path::RequestPath;
 use crate::request_path::no_config;
+use crate::request_terms::RequestTerms;
 use bytes::Bytes;
+use futures_util::stream::unfold;
 use http_body_util::BodyExt;
 use http_body_util::Limited;
 use salvo::Router;
@@ -28,6 +36,7 @@
 use salvo::http::Response;
 use salvo::http::StatusCode;
 use salvo::http::header;
+use std::convert::Infallible;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -41,8 +50,13 @@
 pub fn router(path: RequestPath) -> Router {
     Router::new()
         .push(Router::with_path("v1/generate").post(Generate { path: path.clone() }))
+        .push(Router::with_path("v1/call/{service}/{**path}").post(Call { path: path.clone() }))
+        .push(Router::with_path("v1/requests/{key}").get(RequestStatus { path: path.clone() }))
+        .push(Router::with_path(ledger_peer::PATH).post(LedgerOperation { path: path.clone() }))
+        .push(Router::with_path("v1/entries").get(Entries { path: path.clone() }))
         .push(Router::with_path("healthz").get(Health))
         .push(Router::with_path("readyz").get(Ready { path }))
+        .push(Router::with_path("{**rest}").goal(Unknown))
 }
 
 struct Health;
@@ -54,6 +68,38 @@
     }
 }
 
+/// Answers whatever no other route takes.
+struct Unknown;
+
+#[handler]
+impl Unknown {
+    async fn handle(&self, res: &mut Response) {
+        let message = "there is no such path and method";
+        caller_error::render(res, &RequestError::not_run(ErrorCode::NotFound, message));
+    }
+}
+
+/// Tells a caller which nodes to use.
+struct Entries {
+    path: RequestPath,
+}
+
+#[handler]
+impl Entries {
+    async fn handle(&self, req: &mut salvo::Request, res: &mut Response) {
+        let cx = self.path.cx();
+        match caller_auth::customer(cx, req.headers()) {
+            Ok(customer) => {
+                // Callers of one customer spread over the nodes by their own addresses.
+                let caller = format!("{customer} {}", req.remote_addr());
+                let reply = entries::select(cx, &caller);
+                write_json(res, &serde_json::to_vec(&reply).unwrap_or_default());
+            }
+            Err(e) => caller_error::render(res, &e),
+        }
+    }
+}
+
 struct Ready {
     path: RequestPath,
 }
@@ -94,39 +140,81 @@
         let customer = caller_auth::customer(self.path.cx(), req.headers())?;
         let body = read_body(&self.path, req).await?;
         let body: GenerateBody = parse(&body)?;
+        let is_first_send = body.first_send;
+        let has_key = body.idempotency_key.is_some();
+        let result = self.generate(customer, body, res).await;
+        match has_key {
+            true => result.map_err(|e| e.with_earlier_copies(is_first_send)),
+            false => result,
+        }
+    }
+
+    async fn generate(
+        &self,
+        customer: CustomerId,
+        body: GenerateBody,
+        res: &mut Response,
+    ) -> Result<(), RequestError> {
         let is_stream = body.stream;
+        self.path.check_kind(&body.service, ServiceKind::Engine)?;
+        at_most_once::check_key(&self.path, &body.service, body.idempotency_key.as_deref())?;
         let (req, emitted) = request(&self.path, customer, body)?;
         let terms = self.path.terms(&req.customer, &req.service_id)?;
+        if let Some(key) = req.key.clone() {
+            return self.keyed(req, terms, key, is_stream, res).await;
+        }
         let mut answer = self.path.generate(Arc::new(req), terms, emitted).await?;
         if is_stream {
             let first = answer.next().await?;
-            let sse = HeaderValue::from_static("text/event-stream");
-            res.status_code(StatusCode::OK).headers_mut().insert(header::CONTENT_TYPE, sse);
-            let no_store = HeaderValue::from_static("no-store");
-            res.headers_mut().insert(header::CACHE_CONTROL, no_store);
+            start_stream(res);
             res.stream(caller_sse::events(answer, first));
             return Ok(());
         }
-        let reply = whole(answer).await?;
-        write_json(res, &serde_json::to_vec(&reply).unwrap_or_default());
+        write_json(res, whole(answer).await?.as_bytes());
+        Ok(())
+    }
+
+    async fn keyed(
+        &self,
+        req: Request,
+        terms: RequestTerms,
+        key: String,
+        is_stream: bool,
+        res: &mut Response,
+    ) -> Result<(), RequestError> {
+        let path = self.path.clone();
+        // A caller that goes away must not end the run between its ledger entry and its result.
+        let running = tokio::spawn(async move {
+            keyed_generation::run(&path, Arc::new(req), terms, &key, is_stream).await
+        });
+        let internal = |e| RequestError::unknown(ErrorCode::Internal, format!("{e}"));
+        match running.await.map_err(internal)?? {
+            Keyed::Whole(reply) | Keyed::Kept(reply) => write_json(res, reply.as_bytes()),
+            Keyed::Running(rx) => {
+                start_stream(res);
+                res.stream(unfold(rx, |mut rx| async move {
+                    let bytes = rx.recv().await?;
+                    Some((Ok::<Bytes, Infallible>(bytes), rx))
+                }));
+            }
+        }
         Ok(())
     }
 }
 
-/// Waits for the whole answer.
-async fn whole(mut answer: Answer) -> Result<GenerateReply, RequestError> {
+fn start_stream(res: &mut Response) {
+    let sse = HeaderValue::from_static("text/event-stream");
+    res.status_code(StatusCode::OK).headers_mut().insert(header::CONTENT_TYPE, sse);
+    let no_store = HeaderValue::from_static("no-store");
+    res.headers_mut().insert(header::CACHE_CONTROL, no_store);
+}
+
+/// Waits for the whole answer and returns its JSON text.
+async fn whole(mut answer: Answer) -> Result<String, RequestError> {
     loop {
         match answer.next().await? {
             Part::Tokens(_) => {}
-            Part::End(reason) => {
-                return Ok(GenerateReply {
-                    request: answer.request().id.clone(),
-                    text: answer.emitted().concat(),
-                    length: answer.emitted().len() as u32,
-                    reason,
-                    outcome: Outcome::Whole,
-                });
-            }
+            Part::End(reason) => return Ok(keyed_generation::reply(&answer, reason)),
             Part::Moved => {
                 let message = "this node shut down before the answer was complete";
                 let error = RequestError::unknown(ErrorCode::ShuttingDown, message);
@@ -171,7 +259,6 @@
     customer: CustomerId,
     body: GenerateBody,
 ) -> Result<(Request, Vec<String>), RequestError> {
-    path.check_kind(&body.service, ServiceKind::Engine)?;
     let terms = path.terms(&customer, &body.service)?;
     if body.max_tokens == 0 || body.max_tokens > MAX_TOKENS {
         let message = format!("max_tokens must be within 1 and {MAX_TOKENS}");
@@ -190,10 +277,6 @@
         let message = "more tokens were received than asked for";
         return Err(RequestError::not_run(ErrorCode::Malformed, message));
     }
-    if body.idempotency_key.is_some() {
-        let message = "requests that run at most once are not taken yet";
-        return Err(RequestError::not_run(ErrorCode::LedgerAway, message));
-    }
     let deadline = body.deadline.unwrap_or(terms.deadline).min(terms.deadline);
     let request = Request {
         id,
@@ -202,6 +285,7 @@
         max_tokens: body.max_tokens,
         priority: body.priority,
         key: body.idempotency_key,
+        is_first_send: body.first_send,
         deadline: Instant::now() + deadline,
         fingerprint: fingerprint(&body.service, body.adapter.as_deref(), "", &body.prompt),
         prefix: prefix_hash(&body.prompt),
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -1,12 +1,19 @@
 //! Runs the integration tests of the library.
 
 mod test_answer;
+mod test_caller_api;
+mod test_config_change;
+mod test_config_check;
 mod test_engine_world;
 mod test_fake_store;
 mod test_groups;
 mod test_groups_fuzz;
 mod test_http_adapters;
+mod test_ledger;
+mod test_membership;
 mod test_object_view;
 mod test_operator_api;
+mod test_peer_codec;
 mod test_settings;
 mod test_store_client;
+mod test_suspects;
--- a/lib/testutils/src/lib.rs
+++ b/lib/testutils/src/lib.rs
@@ -8,6 +8,8 @@
 pub mod engine_world;
 pub mod fake_store;
 pub mod gated_edges;
+pub mod node_fleet;
+pub mod peer_network;
 pub mod request_rig;
 pub mod token_text;
 pub mod world_edges;
