--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -7,6 +7,7 @@
 mod test_engine_world;
 mod test_fake_store;
 mod test_groups;
+mod test_groups_fuzz;
 mod test_http_adapters;
 mod test_ledger;
 mod test_membership;
