bench: measure many nodes in one process on simulated time

Cause: control cost, detection and time in force have to be known near 330 nodes, which one machine cannot run as processes. Change: `guavaladder-bench fleet` runs the daemon's part in the fleet over an in-memory network with domain records, renewals and changing facts, and prints bytes, processor time, times and store calls.

--- /dev/null
+++ b/bench/src/fleet_model.rs
@@ -0,0 +1,237 @@
+//! `fleet`: many nodes in one process over an in-memory network, on simulated time.
+//!
+//! The nodes run the code of the daemon's part in the fleet; only the sockets, the store and the
+//! instance list are in memory. Bytes and messages are exact; processor time is that of the
+//! protocol's own work, measured on the thread's clock.
+
+use crate::fleet_load::FleetLoad;
+use anyhow::Context;
+use anyhow::Result;
+use getopts::Options;
+use guavaladder_lib::config_change;
+use guavaladder_lib::generated::config::ConfigChangeRequest;
+use guavaladder_lib::member_view::MemberState;
+use guavaladder_lib::metric_names;
+use guavaladder_testutils::node_fleet::NodeFleet;
+use serde_json::Value;
+use serde_json::json;
+use std::process::ExitCode;
+use std::time::Duration;
+
+/// Longest wait for all nodes to see each other.
+const JOIN_BOUND: Duration = Duration::from_secs(120);
+/// Time that the fleet settles before it is measured.
+const SETTLE: Duration = Duration::from_secs(20);
+/// Longest wait for a configuration or a detection.
+const WAIT_BOUND: Duration = Duration::from_secs(60);
+/// Step in which the views are looked at.
+const STEP: Duration = Duration::from_millis(20);
+
+/// Options of a run.
+struct Plan {
+    nodes: usize,
+    replicas: usize,
+    data_centres: usize,
+    seconds: u64,
+    changes: u64,
+    seed: u64,
+}
+
+/// Runs the measurement.
+pub async fn run(args: &[String]) -> Result<ExitCode> {
+    let mut options = Options::new();
+    options.optopt("", "nodes", "entry nodes", "N");
+    options.optopt("", "replicas", "groups of eight instances", "N");
+    options.optopt("", "data-centres", "data centres, in two regions", "N");
+    options.optopt("", "seconds", "simulated time of the steady part", "N");
+    options.optopt("", "changes", "changes of the configuration", "N");
+    options.optopt("", "seed", "seed of the network", "N");
+    options.optflag("", "json", "print JSON");
+    let matches = options.parse(args)?;
+    let plan = Plan {
+        nodes: matches.opt_get_default("nodes", 8)?,
+        replicas: matches.opt_get_default("replicas", 50)?,
+        data_centres: matches.opt_get_default("data-centres", 3)?,
+        seconds: matches.opt_get_default("seconds", 60)?,
+        changes: matches.opt_get_default("changes", 5)?,
+        seed: matches.opt_get_default("seed", 1)?,
+    };
+    let thread = std::thread::spawn(move || -> Result<Value> {
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .start_paused(true)
+            .build()?;
+        runtime.block_on(measure(&plan))
+    });
+    let report = tokio::task::spawn_blocking(move || thread.join()).await?;
+    let report = report.map_err(|_| anyhow::anyhow!("the measurement panicked"))??;
+    match matches.opt_present("json") {
+        true => println!("{report}"),
+        false => println!("{report:#}"),
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+async fn measure(plan: &Plan) -> Result<Value> {
+    let memory_before = resident_bytes();
+    let mut fleet = NodeFleet::new(plan.seed);
+    let load = FleetLoad::new(plan.replicas, plan.data_centres);
+    load.fill(&fleet);
+    start_nodes(&mut fleet, plan);
+    let join = fleet.wait_until(JOIN_BOUND, NodeFleet::is_agreed).await;
+    let join = join.context("the nodes did not all see each other")?;
+    load.start(&fleet);
+    tokio::time::sleep(SETTLE).await;
+    let steady = measure_steady(&fleet, Duration::from_secs(plan.seconds)).await;
+    let memory = resident_bytes().saturating_sub(memory_before) / plan.nodes as u64;
+    let config = measure_config(&fleet, plan.changes).await?;
+    let detection = measure_detection(&mut fleet, plan.nodes).await;
+    Ok(json!({
+        "form": "one process, simulated time",
+        "nodes": plan.nodes, "replicas": plan.replicas, "data_centres": plan.data_centres,
+        "seed": plan.seed,
+        "join_ms": join.as_millis() as u64,
+        "steady": steady,
+        "memory_bytes_per_node_with_fakes": memory,
+        "config": config,
+        "detection": detection,
+    }))
+}
+
+fn start_nodes(fleet: &mut NodeFleet, plan: &Plan) {
+    for number in 1..=plan.nodes {
+        let data_centre = (number - 1) % plan.data_centres;
+        let region = if data_centre < plan.data_centres.div_ceil(2) { "r1" } else { "r2" };
+        fleet.start_node(number, &format!("dc{}", data_centre + 1), region);
+    }
+}
+
+/// Measures bytes, processor time and store calls while nothing happens but load and renewals.
+async fn measure_steady(fleet: &NodeFleet, time: Duration) -> Value {
+    let sum = |name: &str| -> Vec<i64> {
+        fleet.nodes.values().map(|node| node.cx.metrics.value(name)).collect()
+    };
+    let names = [
+        metric_names::PEER_BYTES_SENT,
+        metric_names::PEER_BYTES_RECEIVED,
+        metric_names::PEER_DATAGRAMS_SENT,
+        metric_names::PEER_EXCHANGES,
+        metric_names::CONTROL_CPU_MICROSECONDS,
+    ];
+    let before: Vec<Vec<i64>> = names.iter().map(|name| sum(name)).collect();
+    let calls = fleet.store.calls();
+    tokio::time::sleep(time).await;
+    let rates = |index: usize| -> Vec<f64> {
+        let after = sum(names[index]);
+        let deltas = after.iter().zip(&before[index]).map(|(a, b)| (a - b) as f64);
+        deltas.map(|delta| delta / time.as_secs_f64()).collect()
+    };
+    let store_calls = fleet.store.calls();
+    let reads = (store_calls.reads() - calls.reads()) as f64 / time.as_secs_f64();
+    let writes = (store_calls.writes() - calls.writes()) as f64 / time.as_secs_f64();
+    json!({
+        "bytes_sent_per_second": spread(rates(0)),
+        "bytes_received_per_second": spread(rates(1)),
+        "datagrams_per_second": spread(rates(2)),
+        "exchanges_per_second": spread(rates(3)),
+        "cpu_percent": spread(rates(4).into_iter().map(|micros| micros / 10_000.0).collect()),
+        "store_reads_per_second": round(reads),
+        "store_writes_per_second": round(writes),
+    })
+}
+
+/// Measures the time from the operator's call to the last node, over several changes.
+async fn measure_config(fleet: &NodeFleet, changes: u64) -> Result<Value> {
+    let mut times: Vec<f64> = vec![];
+    let mut confirmed: Vec<f64> = vec![];
+    for number in 1..=changes {
+        let config = json!({"defaults": {"queue_wait_ms": 1000 + number}}).to_string();
+        let req = ConfigChangeRequest {
+            change_id: format!("change-{number}"),
+            author: "bench".to_string(),
+            reason: "measurement".to_string(),
+            based_on: number - 1,
+            config,
+        };
+        let start = tokio::time::Instant::now();
+        let at = &fleet.nodes[&format!("n{}", 1 + number as usize % fleet.nodes.len())];
+        config_change::apply(&at.cx, &at.store, &req).await.context("the change was refused")?;
+        let mut missing: Vec<&String> = fleet.nodes.keys().collect();
+        let mut confirmed_at = None;
+        while start.elapsed() < WAIT_BOUND && (!missing.is_empty() || confirmed_at.is_none()) {
+            missing.retain(|node| {
+                let record = fleet.cx(node).config.get();
+                let is_in_force = record.is_some_and(|record| record.version >= number);
+                if is_in_force {
+                    times.push(start.elapsed().as_secs_f64() * 1000.0);
+                }
+                !is_in_force
+            });
+            let report = config_change::in_force(&at.cx, number);
+            if report.missing.is_empty() && confirmed_at.is_none() {
+                confirmed_at = Some(start.elapsed().as_secs_f64() * 1000.0);
+            }
+            tokio::time::sleep(STEP).await;
+        }
+        anyhow::ensure!(missing.is_empty(), "version {number} is missing on {missing:?}");
+        confirmed.extend(confirmed_at);
+        tokio::time::sleep(Duration::from_secs(5)).await;
+    }
+    Ok(json!({
+        "changes": changes,
+        "in_force_ms": spread(times),
+        "confirmed_by_gossip_ms": spread(confirmed),
+    }))
+}
+
+/// Kills a node and measures when the nodes of its data centre, and all nodes, stop using it.
+async fn measure_detection(fleet: &mut NodeFleet, nodes: usize) -> Value {
+    let victim = format!("n{nodes}");
+    let data_centre = fleet.cx(&victim).settings.data_centre.clone();
+    fleet.kill(&victim);
+    let is_out = |fleet: &NodeFleet, viewer: &str| {
+        !matches!(fleet.state(viewer, &victim), Some(MemberState::Live))
+    };
+    let near = |fleet: &NodeFleet| {
+        let viewers = fleet.nodes.iter().filter(|(_, n)| n.cx.settings.data_centre == data_centre);
+        viewers.into_iter().all(|(id, _)| is_out(fleet, id))
+    };
+    let start = tokio::time::Instant::now();
+    let near = fleet.wait_until(WAIT_BOUND, near).await;
+    let all = |fleet: &NodeFleet| fleet.nodes.keys().all(|viewer| is_out(fleet, viewer));
+    let all = fleet.wait_until(WAIT_BOUND, all).await.map(|_| start.elapsed());
+    let is_dead = |fleet: &NodeFleet| {
+        let dead = Some(MemberState::Dead);
+        fleet.nodes.keys().all(|viewer| fleet.state(viewer, &victim) == dead)
+    };
+    let dead = fleet.wait_until(WAIT_BOUND, is_dead).await.map(|_| start.elapsed());
+    let ms = |time: Option<Duration>| time.map(|time| time.as_millis() as u64);
+    json!({
+        "out_of_answers_in_its_data_centre_ms": ms(near),
+        "out_of_answers_everywhere_ms": ms(all),
+        "dead_everywhere_ms": ms(dead),
+    })
+}
+
+/// Returns mean, median and largest of some values.
+fn spread(mut values: Vec<f64>) -> Value {
+    if values.is_empty() {
+        return Value::Null;
+    }
+    values.sort_by(f64::total_cmp);
+    let mean = values.iter().sum::<f64>() / values.len() as f64;
+    let median = values[values.len() / 2];
+    let max = values[values.len() - 1];
+    json!({"mean": round(mean), "p50": round(median), "max": round(max)})
+}
+
+fn round(value: f64) -> f64 {
+    (value * 1000.0).round() / 1000.0
+}
+
+fn resident_bytes() -> u64 {
+    const PAGE_BYTES: u64 = 4096;
+    let text = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = text.split_whitespace().nth(1).and_then(|pages| pages.parse::<u64>().ok());
+    pages.unwrap_or(0) * PAGE_BYTES
+}
--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -1,5 +1,7 @@
 //! Stand-ins for the platform and the upstreams, and measurements over them. Not shipped.
 
+pub mod fleet_load;
+pub mod fleet_model;
 pub mod standin_engine;
 pub mod standin_fleet;
 pub mod standin_plain;
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -1,6 +1,7 @@
 //! `guavaladder-bench`: stand-ins and measurements.
 
 use anyhow::Result;
+use guavaladder_bench::fleet_model;
 use guavaladder_bench::standins;
 use std::process::ExitCode;
 
@@ -9,6 +10,7 @@
 
 const HELP: &str = "usage: guavaladder-bench SUBCOMMAND [OPTIONS]
 
+  fleet      measures membership, configuration and control cost over many nodes
   standins   runs a platform and upstreams on loopback until interrupted
 ";
 
@@ -30,6 +32,7 @@
         [] => ("help", args),
     };
     match name {
+        "fleet" => fleet_model::run(rest).await,
         "standins" => standins::run(rest).await,
         "help" | "--help" | "-h" => {
             print!("{HELP}");
