config tests: fuzz changes against the list of accepted versions

Cause: a configuration that was accepted must be in force everywhere and never revert. Change: a state machine test races operators, resends, loses answers, takes the store away, cuts the network and restarts nodes; after each step every node's version must be accepted and not older than before, each version must have one change, and after the faults a change must be in force within 4 s.

--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -3,6 +3,7 @@
 mod test_answer;
 mod test_config_change;
 mod test_config_check;
+mod test_config_fuzz;
 mod test_engine_world;
 mod test_fake_store;
 mod test_groups;
