--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -2,6 +2,7 @@
 
 use anyhow::Result;
 use guavaladder_bench::fleet_model;
+use guavaladder_bench::demo;
 use guavaladder_bench::standins;
 use std::process::ExitCode;
 
@@ -11,6 +12,7 @@
 const HELP: &str = "usage: guavaladder-bench SUBCOMMAND [OPTIONS]
 
   fleet      measures membership, configuration and control cost over many nodes
+  demo       runs the whole path once with real daemons and checks every answer
   standins   runs a platform and upstreams on loopback until interrupted
 ";
 
@@ -33,6 +35,7 @@
     };
     match name {
         "fleet" => fleet_model::run(rest).await,
+        "demo" => demo::run(rest).await,
         "standins" => standins::run(rest).await,
         "help" | "--help" | "-h" => {
             print!("{HELP}");
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -1,6 +1,7 @@
 //! Runs the integration tests of the library.
 
 mod test_answer;
+mod test_caller_api;
 mod test_config_change;
 mod test_config_check;
 mod test_config_fuzz;
@@ -15,3 +16,4 @@
 mod test_peer_codec;
 mod test_settings;
 mod test_store_client;
+mod test_suspects;
