burn_report: merge the nodes' service levels into burn rates over four windows

Cause: operators need to see how fast the error budgets are used up, across all nodes. Change: burn rates over 5, 30, 60 and 360 minutes per service and objective, with a fast and a slow alert; a table, JSON types and one self-contained HTML page with SVG plots. The report names nodes that did not answer and those whose history is shorter than the window. Each node samples group downtime and stranded accelerators every 10 s.

--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -1,8 +1,8 @@
 //! `guavaladder-bench`: stand-ins and measurements.
 
 use anyhow::Result;
-use guavaladder_bench::fleet_model;
 use guavaladder_bench::demo;
+use guavaladder_bench::fleet_model;
 use guavaladder_bench::standins;
 use std::process::ExitCode;
 
--- a/lib/src/nodes.rs
+++ b/lib/src/nodes.rs
@@ -7,6 +7,7 @@
 use crate::generated::peer::PullRequest;
 use crate::gossip::Gossiper;
 use crate::instance_sync;
+use crate::level_sampler;
 use crate::member_view::MemberState;
 use crate::object_sync;
 use crate::peer_link::PeerLink;
@@ -58,6 +59,7 @@
     tokio::spawn(instance_sync::poll(cx.clone(), instances, shutdown.clone()));
     tokio::spawn(instance_sync::follow(cx.clone(), shutdown.clone()));
     tokio::spawn(config_change::publish_in_force(cx.clone(), shutdown.clone()));
+    tokio::spawn(level_sampler::run(cx.clone(), shutdown.clone()));
     Nodes { cx, gossiper, shutdown }
 }
 
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -1,6 +1,7 @@
 //! Runs the integration tests of the library.
 
 mod test_answer;
+mod test_burn_report;
 mod test_caller_api;
 mod test_config_change;
 mod test_config_check;
