--- a/gen/src/main.rs
+++ b/gen/src/main.rs
@@ -1,9 +1,10 @@
-//! Generates the committed Rust sources and the event catalogue from the schemas.
+//! Generates the committed Rust sources and the catalogues of events and metrics.
 //!
 //! `guavaladder-gen` rewrites the outputs; `guavaladder-gen --check` only compares them and exits
 //! with status 1 when one differs.
 
 mod events;
+mod metrics;
 mod rust_types;
 
 use anyhow::Context;
@@ -81,6 +82,10 @@
         text: format_rust(&events::rust_source(&events))?,
     });
     outputs.push(Output { path: root.join("docs/events.md"), text: events::catalogue(&events) });
+    let metric_names = root.join("lib/src/metric_names.rs");
+    let source = fs::read_to_string(&metric_names)
+        .with_context(|| format!("reading {}", metric_names.display()))?;
+    outputs.push(Output { path: root.join("docs/metrics.md"), text: metrics::page(&source)? });
     names.push("events".to_string());
     names.sort();
     outputs.push(Output { path: generated.join("mod.rs"), text: module_list(&names) });
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -2,6 +2,7 @@
 
 mod test_answer;
 mod test_caller_api;
+mod test_catalogues;
 mod test_config_change;
 mod test_config_check;
 mod test_engine_world;
--- /dev/null
+++ b/lib/tests/test_catalogues.rs
@@ -0,0 +1,51 @@
+//! Tests that the catalogues of events and metrics agree with the code.
+
+use guavaladder_lib::metric_names;
+use std::collections::BTreeSet;
+use std::fs;
+use std::path::Path;
+use std::path::PathBuf;
+
+fn root() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("..")
+}
+
+fn read(path: &str) -> String {
+    fs::read_to_string(root().join(path)).unwrap_or_else(|e| panic!("{path}: {e}"))
+}
+
+/// Returns number, name, level and fields of every declared event, as the catalogue shows them.
+fn declared_events() -> Vec<(String, String)> {
+    let mut events = vec![];
+    for entry in fs::read_dir(root().join("schema/events")).unwrap() {
+        let text = fs::read_to_string(entry.unwrap().path()).unwrap();
+        let area: serde_json::Value = serde_json::from_str(&text).unwrap();
+        for event in area["events"].as_array().unwrap() {
+            let name = event["name"].as_str().unwrap();
+            let number = event["number"].as_u64().unwrap();
+            let level = event["level"].as_str().unwrap();
+            events.push((name.to_string(), format!("| GL{number:04} | `{name}` | {level} |")));
+        }
+    }
+    events
+}
+
+#[test]
+fn events_catalogue_has_every_event() {
+    let catalogue = read("docs/events.md");
+    let rows: BTreeSet<&str> = catalogue.lines().filter(|line| line.starts_with("| GL")).collect();
+    let events = declared_events();
+    assert_eq!(rows.len(), events.len());
+    for (_, start) in events {
+        assert!(rows.iter().any(|row| row.starts_with(&start)), "no row {start}");
+    }
+}
+
+#[test]
+fn metrics_page_has_every_metric() {
+    let page = read("docs/metrics.md");
+    let rows: BTreeSet<&str> = page.lines().filter(|line| line.starts_with("| `")).collect();
+    let row = |(name, meaning): &(&str, &str)| format!("| `{name}` | {meaning} |");
+    let expected: Vec<String> = metric_names::ALL.iter().map(row).collect();
+    assert_eq!(rows, expected.iter().map(String::as_str).collect());
+}
