entries: keep a caller's answer over its connections

Cause: the caller was told apart by address and port, so that each new connection got another order of nodes. Change: the port is left out. Measured: the new test fails without the change and passes with it.

--- a/lib/src/caller_api.rs
+++ b/lib/src/caller_api.rs
@@ -90,8 +90,10 @@
         let cx = self.path.cx();
         match caller_auth::customer(cx, req.headers()) {
             Ok(customer) => {
-                // Callers of one customer spread over the nodes by their own addresses.
-                let caller = format!("{customer} {}", req.remote_addr());
+                // Callers of one customer spread over the nodes by their own addresses. The port
+                // is left out, since it differs with each connection of a caller.
+                let address = req.remote_addr().clone().into_std().map(|address| address.ip());
+                let caller = format!("{customer} {address:?}");
                 let reply = entries::select(cx, &caller);
                 write_json(res, &serde_json::to_vec(&reply).unwrap_or_default());
             }
--- a/lib/tests/test_caller_api.rs
+++ b/lib/tests/test_caller_api.rs
@@ -11,6 +11,8 @@
 use guavaladder_lib::generated::requests::TokensEvent;
 use guavaladder_lib::http_server::HttpListener;
 use guavaladder_lib::http_server::HttpServer;
+use guavaladder_lib::member_view::Member;
+use guavaladder_lib::member_view::MemberState;
 use guavaladder_testutils::engine_options::EngineOptions;
 use guavaladder_testutils::request_rig::FILING;
 use guavaladder_testutils::request_rig::RequestRig;
@@ -347,3 +349,26 @@
     let reply = api.send(method, path, "authorization: Bearer t0\r\n", b"x").await;
     assert_eq!((reply.status, reply.error()), (404, ErrorCode::NotFound));
 }
+
+#[tokio::test(start_paused = true)]
+async fn entries_are_stable_over_connections() {
+    let api = api().await;
+    let member = |index: usize| Member {
+        node: format!("n{index}"),
+        incarnation: 1,
+        state: MemberState::Live,
+        data_centre: "dc1".to_string(),
+        region: "r1".to_string(),
+        peer_address: "127.0.0.1:1".to_string(),
+        caller_address: format!("127.0.0.1:{}", 2 + index),
+        operator_address: "127.0.0.1:1".to_string(),
+    };
+    let members = (0..8).map(member).map(|member| (member.node.clone(), member)).collect();
+    api.rig.nodes[0].path.cx().members.replace(members);
+    let token = "authorization: Bearer t0\r\n";
+    let first = api.send("GET", "/v1/entries", token, b"").await;
+    assert_eq!(first.status, 200, "{}", first.body);
+    for _ in 0..8 {
+        assert_eq!(api.send("GET", "/v1/entries", token, b"").await.body, first.body);
+    }
+}
