--- a/bench/src/load.rs
+++ b/bench/src/load.rs
@@ -67,6 +67,9 @@
 /// Streams at once while throughput or requests are measured.
 const FULL_STREAMS: usize = 64;
 
+/// Part of a phase over which its streams start.
+const RAMP: f64 = 0.2;
+
 /// Longest time until the groups serve.
 const ASSEMBLY_BOUND: Duration = Duration::from_secs(20);
 
@@ -234,7 +237,8 @@
         let mut clients = vec![];
         for index in 0..shape.streams {
             let client = LoadClient::new(way.clone(), http.clone(), engine.clone(), index);
-            clients.push(tokio::spawn(client.run(shape.length, until)));
+            let delay = self.seconds.mul_f64(RAMP * index as f64 / shape.streams as f64);
+            clients.push(tokio::spawn(client.run(shape.length, delay, until)));
         }
         let mut all = LoadSample::new()?;
         for client in clients {
--- a/lib/src/http_server.rs
+++ b/lib/src/http_server.rs
@@ -10,6 +10,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::net::TcpListener;
+use tokio::net::TcpSocket;
 use tokio::task::JoinHandle;
 
 /// Largest request head in bytes.
@@ -20,6 +21,8 @@
 const HEAD_TIMEOUT: Duration = Duration::from_secs(30);
 /// Longest pause between two parts of a request body.
 const BODY_PAUSE: Duration = Duration::from_secs(10);
+/// Connections that may wait to be accepted.
+const BACKLOG: u32 = 4096;
 /// Longest time that the other end may leave a written part of an answer unread.
 const WRITE_STALL: Duration = Duration::from_secs(30);
 
@@ -80,7 +83,7 @@
     /// Binds the address that a setting holds.
     pub async fn bind(setting: &'static str, address: &str) -> Result<Self, ListenError> {
         let refused = |e: &io::Error| ListenError::with_io(setting, address, e);
-        let listener = TcpListener::bind(address).await.map_err(|e| refused(&e))?;
+        let listener = listen(address).map_err(|e| refused(&e))?;
         let acceptor = TcpAcceptor::try_from(listener).map_err(|e| refused(&e))?;
         Ok(Self { acceptor })
     }
@@ -106,6 +109,21 @@
     }
 }
 
+/// Listens with options that the accepted connections inherit.
+///
+/// Without `TCP_NODELAY` the end of a chunked answer waits for the delayed acknowledgement of the
+/// part before it, some 40 ms.
+fn listen(address: &str) -> io::Result<TcpListener> {
+    let address: SocketAddr = address
+        .parse()
+        .map_err(|_| io::Error::new(io::ErrorKind::InvalidInput, "not an address as ip:port"))?;
+    let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    socket.set_reuseaddr(true)?;
+    socket.set_nodelay(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
 impl HttpServer {
     /// Returns the address that it listens on.
     pub fn local_addr(&self) -> Option<SocketAddr> {
