bench: measure requests under a burst with faults

Cause: the promises of the request path had no figures over real daemons.

Change: `guavaladder-bench requests` runs three daemons, ten customers of which one sends twenty times its share, kills, silent connections, a straggler and a store outage, and checks every answer.

Measured: not measured yet: the daemons refused the settings that the bench wrote.

--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -7,6 +7,8 @@
 pub mod demo;
 pub mod fleet_plan;
 pub mod operator;
+pub mod requests;
+pub mod requests_report;
 pub mod sse;
 pub mod standin_engine;
 pub mod standin_fleet;
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -2,6 +2,7 @@
 
 use anyhow::Result;
 use guavaladder_bench::demo;
+use guavaladder_bench::requests;
 use guavaladder_bench::standins;
 use std::process::ExitCode;
 
@@ -11,6 +12,8 @@
 const HELP: &str = "usage: guavaladder-bench SUBCOMMAND [OPTIONS]
 
   demo       runs the whole path once with real daemons and checks every answer
+  requests   measures real daemons under a burst with faults
+             [--seed N] [--json]
   standins   runs a platform and upstreams on loopback until interrupted
 ";
 
@@ -33,6 +36,7 @@
     };
     match name {
         "demo" => demo::run(rest).await,
+        "requests" => requests::run(rest).await,
         "standins" => standins::run(rest).await,
         "help" | "--help" | "-h" => {
             print!("{HELP}");
