admission: keep places for customers within their share, and let begun answers go first

Cause: in a burst every replica was full of one customer's requests, nodes that saw the same free place all filled it, and a stream that had to move queued behind new requests: gaps of up to 8 s.

Change: customers above their share of all places fill at most 88 % of a replica; what a node sent since the last report counts once for each node; an answer that has begun comes first in the queue and is not refused early.

--- a/bench/src/daemon_process.rs
+++ b/bench/src/daemon_process.rs
@@ -120,7 +120,11 @@
             test_hooks: true,
         };
         let settings_file = directory.path().join(format!("{}.json", plan.node));
-        fs::write(&settings_file, serde_json::to_string_pretty(&settings)?)?;
+        let mut text = serde_json::to_value(&settings)?;
+        if let Some(members) = text.as_object_mut() {
+            members.retain(|_, value| !value.is_null());
+        }
+        fs::write(&settings_file, serde_json::to_string_pretty(&text)?)?;
         let log_file = directory.path().join(format!("{}.log", plan.node));
         let program = program.to_path_buf();
         Ok(Self { settings, program, settings_file, log_file, child: None })
--- a/lib/src/admission.rs
+++ b/lib/src/admission.rs
@@ -11,6 +11,7 @@
 use crate::metric_names;
 use crate::release_rate::ReleaseRate;
 use crate::replica::Replica;
+use crate::replica::Share;
 use crate::request::RequestError;
 use crate::route_table::RouteTable;
 use crate::router;
@@ -24,6 +25,8 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
@@ -56,6 +59,8 @@
     pub choice: Choice,
     /// Longest wait.
     pub max_wait: Duration,
+    /// Whether the caller has been promised the rest of an answer: it goes before all others.
+    pub has_begun: bool,
 }
 
 /// Handle to admission.
@@ -64,6 +69,8 @@
     cx: Cx,
     routes: RouteTable,
     place: Place,
+    /// Nodes that send requests.
+    nodes: Arc<AtomicU32>,
     services: Arc<Mutex<HashMap<ServiceId, ServiceState>>>,
 }
 
@@ -74,6 +81,28 @@
     /// Requests that run by way of the other nodes.
     remote: BTreeMap<CustomerId, u32>,
     rate: ReleaseRate,
+    /// Requests that all replicas together run at once.
+    places: u32,
+    weights: BTreeMap<CustomerId, u32>,
+}
+
+impl ServiceState {
+    fn used(&self, customer: &str) -> u32 {
+        let count = |map: &BTreeMap<CustomerId, u32>| map.get(customer).copied().unwrap_or(0);
+        count(&self.running) + count(&self.remote)
+    }
+
+    /// Tells whether a customer uses more places than its weight gives it among those who use any.
+    fn share(&self, customer: &str) -> Share {
+        let weight = |customer: &str| f64::from(self.weights.get(customer).copied().unwrap_or(1));
+        let active = self.weights.keys().filter(|c| *c == customer || self.used(c) > 0);
+        let all: f64 = active.map(|customer| weight(customer)).sum();
+        let share = f64::from(self.places) * weight(customer) / all.max(1.0);
+        match self.places > 0 && f64::from(self.used(customer)) > share {
+            true => Share::Above,
+            false => Share::Within,
+        }
+    }
 }
 
 /// A place at a replica, given back when dropped.
@@ -91,13 +120,28 @@
         let place = Place {
             data_centre: cx.settings.data_centre.clone(),
             region: cx.settings.region.clone(),
+            nodes: 1,
         };
-        Self { cx, routes, place, services: Arc::default() }
+        Self { cx, routes, place, nodes: Arc::new(AtomicU32::new(1)), services: Arc::default() }
     }
 
     /// Returns where this node is.
-    pub fn place(&self) -> &Place {
-        &self.place
+    pub fn place(&self) -> Place {
+        Place { nodes: self.nodes.load(Ordering::Relaxed), ..self.place.clone() }
+    }
+
+    /// Takes in the number of nodes that send requests, and the places that there are.
+    pub fn refresh(&self) {
+        let nodes = self.cx.members.usable().len().max(1);
+        self.nodes.store(nodes as u32, Ordering::Relaxed);
+        let services: Vec<ServiceId> = self.lock().keys().cloned().collect();
+        for service in services {
+            let replicas = self.routes.replicas(&service);
+            let places = replicas.iter().map(|replica| replica.limit()).sum();
+            if let Some(state) = self.lock().get_mut(&service) {
+                state.places = places;
+            }
+        }
     }
 
     /// Gives a place at a replica, or refuses; a refused request was not sent to any replica.
@@ -129,8 +173,15 @@
         let Some(state) = services.get_mut(&ask.service) else {
             return Err(RequestError::not_run(ErrorCode::Internal, "no state of the service"));
         };
-        let chosen = router::choose(&replicas, &ask.choice, &self.place, now);
-        let is_behind = state.queue.has_rival(ask.choice.priority);
+        if state.weights.get(&ask.customer) != Some(&ask.weight) {
+            state.weights.insert(ask.customer.clone(), ask.weight);
+        }
+        let choice = match ask.has_begun {
+            true => ask.choice.clone(),
+            false => Choice { share: state.share(&ask.customer), ..ask.choice.clone() },
+        };
+        let chosen = router::choose(&replicas, &choice, &self.place(), now);
+        let is_behind = !ask.has_begun && state.queue.has_rival(ask.choice.priority);
         match chosen {
             Chosen::Replica(replica) if !is_behind => {
                 return Ok(Entered::Slot(self.take(
@@ -149,7 +200,9 @@
             Chosen::Replica(_) | Chosen::Full => {}
         }
         state.queue.prune(now);
-        refuse_early(state, ask, now)?;
+        if !ask.has_begun {
+            refuse_early(state, ask, now)?;
+        }
         let shed = make_room(state, ask)?;
         let (tx, rx) = oneshot::channel();
         state.queue.push(Waiter {
@@ -158,6 +211,7 @@
             bytes: ask.bytes,
             choice: ask.choice.clone(),
             start_by: now + ask.max_wait,
+            has_begun: ask.has_begun,
             tx,
         });
         drop(services);
@@ -197,18 +251,23 @@
         }
         state.queue.prune(now);
         let replicas = self.routes.replicas(service);
+        let place = self.place();
         loop {
-            let ServiceState { queue, running, remote, .. } = state;
-            let used = |customer: &str| {
-                let count = |map: &BTreeMap<CustomerId, u32>| map.get(customer).copied();
-                count(running).unwrap_or(0) + count(remote).unwrap_or(0)
-            };
-            let next = queue.next(used, |choice| {
-                match router::choose(&replicas, choice, &self.place, now) {
-                    Chosen::Replica(replica) => Some(replica),
-                    Chosen::Full | Chosen::None => None,
-                }
-            });
+            let mut queue = std::mem::take(&mut state.queue);
+            let next = queue.next(
+                |customer| state.used(customer),
+                |waiter| {
+                    let mut choice = waiter.choice.clone();
+                    if !waiter.has_begun {
+                        choice.share = state.share(&waiter.customer);
+                    }
+                    match router::choose(&replicas, &choice, &place, now) {
+                        Chosen::Replica(replica) => Some(replica),
+                        Chosen::Full | Chosen::None => None,
+                    }
+                },
+            );
+            state.queue = queue;
             let (waiter, replica) = next?;
             let slot = self.take(state, replica, &waiter.customer, &waiter.choice, now);
             if let Err(slot) = waiter.tx.send(slot) {
--- a/lib/src/answer_recovery.rs
+++ b/lib/src/answer_recovery.rs
@@ -5,10 +5,12 @@
 use crate::admission::Slot;
 use crate::answer::Answer;
 use crate::attempt::Break;
+use crate::generated::engine::Priority;
 use crate::generated::events::Event;
 use crate::generated::requests::ErrorCode;
 use crate::metric_names;
 use crate::replica::Replica;
+use crate::replica::Share;
 use crate::request::RequestError;
 use crate::router;
 use crate::router::Choice;
@@ -150,7 +152,7 @@
             let replicas = self.path.routes().replicas(&self.req.service_id);
             let place = self.path.admission().place();
             let hash = self.req.fingerprint;
-            let meeting = router::meeting_place(&replicas, hash, &self.avoid, place);
+            let meeting = router::meeting_place(&replicas, hash, &self.avoid, &place);
             match meeting.filter(|replica| !replica.takes_work(Instant::now())) {
                 Some(replica) => self.avoid.push(replica.identity.group.clone()),
                 None => return Ok(()),
@@ -233,6 +235,7 @@
             Suspicion::Suspect | Suspicion::Isolated => self.req.fingerprint,
         };
         let left = self.req.deadline.saturating_duration_since(Instant::now());
+        let has_begun = self.attempts > 0 && self.may_have_run;
         let ask = Ask {
             service: self.req.service_id.clone(),
             customer: self.req.customer.clone(),
@@ -241,13 +244,15 @@
             bytes: self.req.prompt.len(),
             choice: Choice {
                 hash,
-                priority: self.req.priority,
+                priority: if has_begun { Priority::Interactive } else { self.req.priority },
                 avoid: self.avoid.clone(),
                 only: self.only.clone(),
                 adapter: self.req.adapter.clone(),
                 suspicion,
+                share: Share::Within,
             },
             max_wait: self.terms.queue_wait.min(left),
+            has_begun,
         };
         self.path.admission().acquire(&ask).await
     }
--- a/lib/src/fair_queue.rs
+++ b/lib/src/fair_queue.rs
@@ -25,6 +25,8 @@
     pub choice: Choice,
     /// Latest useful start.
     pub start_by: Instant,
+    /// Whether its answer has begun; such requests come first.
+    pub has_begun: bool,
     /// Takes the replica once there is one.
     pub tx: oneshot::Sender<Slot>,
 }
@@ -48,7 +50,11 @@
         self.len += 1;
         self.bytes += waiter.bytes;
         let key = (waiter.choice.priority, waiter.customer.clone());
-        self.waiting.entry(key).or_default().push_back(waiter);
+        let queue = self.waiting.entry(key).or_default();
+        match waiter.has_begun {
+            true => queue.push_front(waiter),
+            false => queue.push_back(waiter),
+        }
     }
 
     /// Returns the number of waiting requests.
@@ -117,20 +123,21 @@
     pub fn next(
         &mut self,
         used: impl Fn(&str) -> u32,
-        mut place: impl FnMut(&Choice) -> Option<Arc<Replica>>,
+        mut place: impl FnMut(&Waiter) -> Option<Arc<Replica>>,
     ) -> Option<(Waiter, Arc<Replica>)> {
-        let mut order: Vec<(Priority, f64, CustomerId)> = self
+        let mut order: Vec<(Priority, bool, f64, CustomerId)> = self
             .waiting
             .iter()
             .filter_map(|((class, customer), queue)| {
-                let weight = f64::from(queue.front()?.weight.max(1));
-                Some((*class, f64::from(used(customer)) / weight, customer.clone()))
+                let front = queue.front()?;
+                let part = f64::from(used(customer)) / f64::from(front.weight.max(1));
+                Some((*class, !front.has_begun, part, customer.clone()))
             })
             .collect();
-        order.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
-        for (class, _, customer) in order {
+        order.sort_by(|a, b| (a.0, a.1).cmp(&(b.0, b.1)).then(a.2.total_cmp(&b.2)));
+        for (class, _, _, customer) in order {
             let Some(queue) = self.waiting.get_mut(&(class, customer)) else { continue };
-            let Some(replica) = queue.front().and_then(|waiter| place(&waiter.choice)) else {
+            let Some(replica) = queue.front().and_then(&mut place) else {
                 continue;
             };
             let Some(waiter) = queue.pop_front() else { continue };
--- a/lib/src/plain_call.rs
+++ b/lib/src/plain_call.rs
@@ -11,6 +11,7 @@
 use crate::generated::requests::ErrorCode;
 use crate::ids::GroupId;
 use crate::metric_names;
+use crate::replica::Share;
 use crate::request::Request;
 use crate::request::RequestError;
 use crate::request_path::RequestPath;
@@ -181,8 +182,10 @@
             only: None,
             adapter: None,
             suspicion,
+            share: Share::Within,
         },
         max_wait: terms.queue_wait.min(left),
+        has_begun: false,
     };
     path.admission().acquire(&ask).await
 }
--- a/lib/src/replica.rs
+++ b/lib/src/replica.rs
@@ -23,6 +23,19 @@
 /// Part of a replica's limit that batch requests may fill, in percent.
 const BATCH_PERCENT: u32 = 80;
 
+/// Part of a replica's limit that customers above their share may fill, in percent; the rest is
+/// there at once for those within it.
+const ABOVE_SHARE_PERCENT: u32 = 88;
+
+/// Whether a customer runs more than its share while others want places.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Share {
+    /// At most its share.
+    Within,
+    /// More than its share.
+    Above,
+}
+
 /// Where a replica is and what it serves; a change makes a new route.
 #[derive(Debug, Clone, PartialEq)]
 pub struct ReplicaIdentity {
@@ -87,15 +100,16 @@
         crate::request::mix(self.hash, identity.epoch ^ identity.generation.rotate_left(32))
     }
 
-    /// Returns the room for a request of this priority as a part of the limit: 0 or less when full.
-    pub fn room(&self, priority: Priority) -> f64 {
+    /// Returns the room for a request as a part of the limit: 0 or less when full.
+    pub fn room(&self, priority: Priority, share: Share, nodes: u32) -> f64 {
         let state = self.lock();
         let limit = state.limit.get(state.load.capacity());
-        let usable = match priority {
-            Priority::Batch => (limit * BATCH_PERCENT / 100).max(1),
-            Priority::Interactive | Priority::Normal => limit,
+        let usable = match (priority, share) {
+            (Priority::Batch, _) => (limit * BATCH_PERCENT / 100).max(1),
+            (_, Share::Above) => (limit * ABOVE_SHARE_PERCENT / 100).max(1),
+            (_, Share::Within) => limit,
         };
-        (f64::from(usable) - f64::from(state.load.total())) / f64::from(limit)
+        (f64::from(usable) - f64::from(state.load.total(nodes))) / f64::from(limit)
     }
 
     /// Tells whether requests may be sent there at all now.
--- a/lib/src/replica_load.rs
+++ b/lib/src/replica_load.rs
@@ -67,18 +67,24 @@
         }
     }
 
-    /// Returns the estimated number of requests there.
-    pub fn total(&self) -> u32 {
+    /// Returns the estimated number of requests there, with `nodes` nodes that send requests.
+    ///
+    /// What this node added since the report counts once for each node, since the others saw the
+    /// same free places and probably did the same.
+    pub fn total(&self, nodes: u32) -> u32 {
         let Some(report) = self.reported else { return self.own_running };
-        let mut total = i64::from(report.total);
-        for (at, change) in &self.recent {
-            match change {
+        let mut change = 0;
+        for (at, kind) in &self.recent {
+            match kind {
                 _ if *at <= report.sampled => {}
-                Change::Started => total += 1,
-                Change::Ended => total -= 1,
+                Change::Started => change += 1,
+                Change::Ended => change -= 1,
             }
         }
-        total.max(i64::from(self.own_running)) as u32
+        if change > 0 {
+            change *= i64::from(nodes.max(1));
+        }
+        (i64::from(report.total) + change).max(i64::from(self.own_running)) as u32
     }
 
     /// Returns the number of requests that this node runs there.
--- a/lib/src/request_path.rs
+++ b/lib/src/request_path.rs
@@ -366,6 +366,7 @@
         self.inner.suspects.refresh();
         self.inner.admission.set_remote(&remote);
         self.inner.routes.rebuild(&leaving);
+        self.inner.admission.refresh();
         self.inner.admission.dispatch_all();
     }
 
--- a/lib/src/router.rs
+++ b/lib/src/router.rs
@@ -9,6 +9,7 @@
 use crate::generated::engine::Priority;
 use crate::ids::GroupId;
 use crate::replica::Replica;
+use crate::replica::Share;
 use crate::request::mix;
 use std::sync::Arc;
 use tokio::time::Instant;
@@ -42,6 +43,8 @@
     pub adapter: Option<String>,
     /// Suspicion.
     pub suspicion: Suspicion,
+    /// Whether the customer runs more than its share; admission sets it at each choice.
+    pub share: Share,
 }
 
 /// Position of the choosing node.
@@ -51,6 +54,8 @@
     pub data_centre: String,
     /// Region.
     pub region: String,
+    /// Nodes that send requests to the same replicas.
+    pub nodes: u32,
 }
 
 /// Result of a choice.
@@ -104,7 +109,7 @@
     let mut second: Option<(u64, f64, &Arc<Replica>)> = None;
     for replica in replicas.filter(|replica| is_allowed(replica, choice, now)) {
         is_any = true;
-        let room = room(replica, choice);
+        let room = room(replica, choice, place);
         if room <= 0.0 {
             continue;
         }
@@ -138,11 +143,11 @@
 }
 
 /// Returns the room that a replica has for the request; an isolated one needs it free of suspects.
-fn room(replica: &Replica, choice: &Choice) -> f64 {
+fn room(replica: &Replica, choice: &Choice, place: &Place) -> f64 {
     if choice.suspicion == Suspicion::Isolated && replica.suspects() > 0 {
         return 0.0;
     }
-    replica.room(choice.priority)
+    replica.room(choice.priority, choice.share, place.nodes)
 }
 
 fn weighed(room: f64, replica: &Replica, place: &Place) -> f64 {
