--- a/lib/src/answer.rs
+++ b/lib/src/answer.rs
@@ -13,6 +13,7 @@
 use crate::generated::engine::FinishReason;
 use crate::generated::engine::GenerateRequest;
 use crate::generated::engine::MemberState;
+use crate::generated::engine::Priority;
 use crate::generated::events::Event;
 use crate::ids::GroupId;
 use crate::metric_names;
@@ -217,6 +218,11 @@
         broken
     }
 
+    /// Tells whether a replica has begun the answer before, so that its caller waits for the rest.
+    pub(crate) fn has_begun(&self) -> bool {
+        self.attempts > 0 && self.may_have_run
+    }
+
     fn upstream_request(&self, replica: &Replica) -> GenerateRequest {
         GenerateRequest {
             request: self.req.id.clone(),
@@ -225,7 +231,7 @@
             epoch: replica.identity.epoch,
             prompt: self.req.prompt.clone(),
             max_tokens: self.req.max_tokens,
-            priority: self.req.priority,
+            priority: if self.has_begun() { Priority::Interactive } else { self.req.priority },
             adapter: replica.identity.adapter.clone(),
             offset: self.emitted.len() as u32,
             emitted: self.emitted.clone(),
--- a/lib/src/answer_recovery.rs
+++ b/lib/src/answer_recovery.rs
@@ -235,7 +235,7 @@
             Suspicion::Suspect | Suspicion::Isolated => self.req.fingerprint,
         };
         let left = self.req.deadline.saturating_duration_since(Instant::now());
-        let has_begun = self.attempts > 0 && self.may_have_run;
+        let has_begun = self.has_begun();
         let ask = Ask {
             service: self.req.service_id.clone(),
             customer: self.req.customer.clone(),
@@ -250,6 +250,7 @@
                 adapter: self.req.adapter.clone(),
                 suspicion,
                 share: Share::Within,
+                has_begun,
             },
             max_wait: self.terms.queue_wait.min(left),
             has_begun,
--- a/lib/src/plain_call.rs
+++ b/lib/src/plain_call.rs
@@ -183,6 +183,7 @@
             adapter: None,
             suspicion,
             share: Share::Within,
+            has_begun: false,
         },
         max_wait: terms.queue_wait.min(left),
         has_begun: false,
--- a/lib/src/router.rs
+++ b/lib/src/router.rs
@@ -43,6 +43,8 @@
     pub adapter: Option<String>,
     /// Suspicion.
     pub suspicion: Suspicion,
+    /// Whether the answer has begun: it goes to the replica with most room, even when all are full.
+    pub has_begun: bool,
     /// Whether the customer runs more than its share; admission sets it at each choice.
     pub share: Share,
 }
@@ -71,6 +73,9 @@
 
 /// Chooses a replica; the far region is used only when the near one has no room.
 pub fn choose(replicas: &[Arc<Replica>], choice: &Choice, place: &Place, now: Instant) -> Chosen {
+    if choice.has_begun && choice.suspicion == Suspicion::None {
+        return roomiest(replicas, choice, place, now);
+    }
     let is_near = |replica: &&Arc<Replica>| replica.identity.region == place.region;
     let near = best(replicas.iter().filter(is_near), choice, place, now);
     if let Chosen::Replica(_) = near {
@@ -83,6 +88,21 @@
     }
 }
 
+/// Chooses the replica with most room for an answer that has begun: its caller must not wait for a
+/// place that it had already.
+fn roomiest(replicas: &[Arc<Replica>], choice: &Choice, place: &Place, now: Instant) -> Chosen {
+    let allowed = replicas.iter().filter(|replica| is_allowed(replica, choice, now));
+    let order = |replica: &&Arc<Replica>| {
+        let is_near = replica.identity.region == place.region;
+        (is_near, weighed(room(replica, choice, place), replica, place))
+    };
+    let best = allowed.max_by(|a, b| {
+        let ((a_near, a_room), (b_near, b_room)) = (order(a), order(b));
+        a_near.cmp(&b_near).then(a_room.total_cmp(&b_room))
+    });
+    best.map_or(Chosen::None, |replica| Chosen::Replica(replica.clone()))
+}
+
 /// Returns the replica that every node would choose for a suspect, whatever it knows of replicas.
 pub fn meeting_place<'a>(
     replicas: &'a [Arc<Replica>],
--- a/lib/tests/test_answer.rs
+++ b/lib/tests/test_answer.rs
@@ -171,3 +171,28 @@
     assert_eq!(short.await.unwrap(), 50);
     assert!(long.await.unwrap() > 50);
 }
+
+#[tokio::test(start_paused = true)]
+async fn next_resumes_within_target_when_replicas_are_full() {
+    let rig = RequestRig::new(1, 2, 1, EngineOptions::new().with_capacity(2)).await;
+    let path = rig.nodes[0].path.clone();
+    let mut running = vec![];
+    for index in 0..60 {
+        let path = path.clone();
+        let prompt = format!("load {index} length:100");
+        running.push(tokio::spawn(async move {
+            answer(&path, drafting(&prompt, "c1", &prompt, 200)).await.is_ok()
+        }));
+    }
+    let prompt = "beside length:100";
+    let terms = path.terms("c0", "drafting").unwrap();
+    let req = Arc::new(drafting("r", "c0", prompt, 200));
+    let mut own = path.generate(req, terms, vec![]).await.unwrap();
+    own.next().await.unwrap();
+    (0..2).for_each(|replica| rig.world.go_silent(&address(replica, 0)));
+    let silent = Instant::now();
+    own.next().await.unwrap();
+    assert!(silent.elapsed() < GAP_TARGET, "{:?}", silent.elapsed());
+    while !matches!(own.next().await.unwrap(), Part::End(_)) {}
+    assert_eq!(own.emitted().concat(), expected(prompt, 200));
+}
