groups: do not give a domain up for want of a configuration

Cause: a node that started before the first configuration tried to own its domains, could not, and left them alone for 15 s; against real daemons a domain stood without an owner for 12 s after the configuration was accepted. Change: a node looks for domains only once it has a configuration. Conclusion: a first configuration is acted on at once.

--- a/lib/src/domain_control.rs
+++ b/lib/src/domain_control.rs
@@ -82,6 +82,10 @@
     fn look(&mut self) {
         let now = self.shared.cx.clock.now();
         self.reap(now);
+        // Without a configuration nothing says how long a lease is.
+        if self.shared.cx.config.get().is_none() {
+            return;
+        }
         let places = self.places();
         self.observer.retain(|domain| places.contains_key(domain));
         for (domain, place) in places {
--- a/lib/tests/test_groups.rs
+++ b/lib/tests/test_groups.rs
@@ -89,3 +89,20 @@
     assert_eq!(fleet.serving("draft").len(), 4);
     assert_whole(&fleet);
 }
+
+#[tokio::test(start_paused = true)]
+async fn start_before_first_configuration_does_not_delay_groups() {
+    let mut fleet = ControlFleet::new();
+    fleet.add_domain("d1", "dc1", 8, &EngineOptions::new().with_fencing(true));
+    fleet.start_node("n1", "dc1");
+    tokio::time::sleep(Duration::from_secs(5)).await;
+    fleet.configure(&with_service(bare_config(true), "draft", 2, 4));
+    let took = fleet.wait_serving("draft", 2, BOUND).await.expect("two groups serve");
+    let mut other = ControlFleet::new();
+    other.add_domain("d1", "dc1", 8, &EngineOptions::new().with_fencing(true));
+    other.configure(&with_service(bare_config(true), "draft", 2, 4));
+    other.start_node("n1", "dc1");
+    let usual = other.wait_serving("draft", 2, BOUND).await.expect("two groups serve");
+    // A node looks for domains once a second.
+    assert!(took <= usual + Duration::from_secs(2), "took {took:?}, usually {usual:?}");
+}
