--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -2,8 +2,10 @@
 
 use anyhow::Result;
 use guavaladder_bench::demo;
+use guavaladder_bench::fleet_model;
 use guavaladder_bench::load;
 use guavaladder_bench::requests;
+use guavaladder_bench::soak;
 use guavaladder_bench::standins;
 use std::process::ExitCode;
 
@@ -12,10 +14,12 @@
 
 const HELP: &str = "usage: guavaladder-bench SUBCOMMAND [OPTIONS]
 
+  fleet      measures membership, configuration and control cost over many nodes
   demo       runs the whole path once with real daemons and checks every answer
   requests   measures real daemons under a burst with faults
              [--seed N] [--json]
   load       measures one daemon under load against direct streams [--seconds N] [--json]
+  soak       runs daemons under traffic and seeded faults [--seed N] [--seconds S] [--json]
   standins   runs a platform and upstreams on loopback until interrupted
 ";
 
@@ -37,9 +41,11 @@
         [] => ("help", args),
     };
     match name {
+        "fleet" => fleet_model::run(rest).await,
         "demo" => demo::run(rest).await,
         "requests" => requests::run(rest).await,
         "load" => load::run(rest).await,
+        "soak" => soak::run(rest).await,
         "standins" => standins::run(rest).await,
         "help" | "--help" | "-h" => {
             print!("{HELP}");
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -1,9 +1,12 @@
 //! Runs the integration tests of the library.
 
 mod test_answer;
+mod test_burn_report;
 mod test_caller_api;
+mod test_catalogues;
 mod test_config_change;
 mod test_config_check;
+mod test_config_fuzz;
 mod test_engine_world;
 mod test_fake_store;
 mod test_groups;
