--- a/bench/src/daemon_process.rs
+++ b/bench/src/daemon_process.rs
@@ -120,12 +120,23 @@
             test_hooks: true,
         };
         let settings_file = directory.path().join(format!("{}.json", plan.node));
-        fs::write(&settings_file, serde_json::to_string_pretty(&settings)?)?;
+        let mut text = serde_json::to_value(&settings)?;
+        if let Some(members) = text.as_object_mut() {
+            members.retain(|_, value| !value.is_null());
+        }
+        fs::write(&settings_file, serde_json::to_string_pretty(&text)?)?;
         let log_file = directory.path().join(format!("{}.log", plan.node));
         let program = program.to_path_buf();
         Ok(Self { settings, program, settings_file, log_file, child: None })
     }
 
+    /// Sets another period of the gossip; call it before the start.
+    pub fn with_gossip(mut self, period: Duration) -> Result<Self> {
+        self.settings.gossip = period;
+        fs::write(&self.settings_file, serde_json::to_string_pretty(&self.settings)?)?;
+        Ok(self)
+    }
+
     /// Starts the process and waits until it listens for callers.
     pub async fn start(&mut self) -> Result<()> {
         let log = File::options().create(true).append(true).open(&self.log_file)?;
--- a/bench/src/operator.rs
+++ b/bench/src/operator.rs
@@ -7,7 +7,9 @@
 use guavaladder_lib::generated::config::ConfigChangeRequest;
 use guavaladder_lib::generated::config::InForceReport;
 use guavaladder_lib::generated::operator::ConfigReply;
+use guavaladder_lib::generated::operator::PeerFaults;
 use guavaladder_lib::generated::operator::ServicesReply;
+use guavaladder_lib::generated::operator::StatusReply;
 use guavaladder_lib::operator_client::OperatorClient;
 use serde_json::Value;
 use std::time::Duration;
@@ -80,6 +82,28 @@
         }
     }
 
+    /// Waits until the answering node knows this many live nodes.
+    pub async fn wait_nodes(&self, nodes: usize, bound: Duration) -> Result<Duration> {
+        let began = Instant::now();
+        loop {
+            let status: StatusReply = self.client.get("status").await?;
+            let live = status.nodes.iter().filter(|node| node.state == "live").count();
+            if live >= nodes {
+                return Ok(began.elapsed());
+            }
+            if began.elapsed() > bound {
+                bail!("{} knows {live} of {nodes} nodes after {bound:?}", status.node);
+            }
+            tokio::time::sleep(POLL_PAUSE).await;
+        }
+    }
+
+    /// Sets the fault switches of the answering node's peer socket.
+    pub async fn set_peer_faults(&self, faults: &PeerFaults) -> Result<()> {
+        let _: PeerFaults = self.client.post("test/peer-faults", faults).await?;
+        Ok(())
+    }
+
     /// Returns the services with their groups.
     pub async fn services(&self) -> Result<ServicesReply> {
         Ok(self.client.get("services").await?)
