groups: warm the simulated fleet up without the weight store's limit

Change: until the failures start, loads take 10 ms and are not ranked; nothing of it is measured.

Conclusion: only the failures are simulated at the real limits.

--- a/bench/src/groups_sim.rs
+++ b/bench/src/groups_sim.rs
@@ -53,7 +53,9 @@
 /// Length of a slot of standby loads.
 const STANDBY_SLOT: Duration = Duration::from_secs(10);
 /// Time for the fleet to form before failures start.
-const WARM_UP: Duration = Duration::from_secs(4 * 3600);
+const WARM_UP: Duration = Duration::from_secs(1800);
+/// Time to load one shard while the fleet forms, which is not measured.
+const WARM_UP_LOAD_TIME: Duration = Duration::from_millis(10);
 
 /// How groups are planned.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -274,6 +276,7 @@
         let others = self.records.iter().filter(|(domain, _)| **domain != id);
         let others = others.flat_map(|(_, known)| &known.record.groups);
         let bound = match self.policy {
+            _ if self.now < WARM_UP => u32::MAX,
             Policy::Naive => u32::MAX,
             Policy::Weighted(_) => self.config.defaults.load_concurrency,
         };
@@ -339,7 +342,10 @@
             .map(|g| g.loads)
             .sum();
         let slot = now.as_secs() / STANDBY_SLOT.as_secs();
-        let bound = self.config.defaults.load_concurrency;
+        let bound = match now < WARM_UP {
+            true => u32::MAX,
+            false => self.config.defaults.load_concurrency,
+        };
         let is_busy = domain
             .instances
             .iter()
@@ -356,10 +362,11 @@
                     if is_standby(wanted) && !std::mem::take(&mut may_load) {
                         continue;
                     }
+                    let time = if now < WARM_UP { WARM_UP_LOAD_TIME } else { LOAD_TIME };
                     let from = self.weight_slots.pop().map_or(now, |Reverse(free)| free.max(now));
-                    self.weight_slots.push(Reverse(from + LOAD_TIME));
+                    self.weight_slots.push(Reverse(from + time));
                     self.meter.loads += 1;
-                    self.domains[d].instances[index].assign(wanted, from + LOAD_TIME);
+                    self.domains[d].instances[index].assign(wanted, from + time);
                 }
                 OrderAction::Regroup(wanted) | OrderAction::Reload(wanted) => {
                     self.domains[d].instances[index].assign(wanted, now + JOIN_TIME);
