gossip: queue a received change of a member as a change

Cause: a suspect or dead row that a node received from another was queued like the row of a joined member. It waited behind the backlog of a start and reached other data centres by a pull. Change: a row whose health or leaving flag changed is queued in the class of changes wherever it came from. After: not measured at that size; the test `build_received_change_before_joins` passes.

--- a/lib/src/gossip_merge.rs
+++ b/lib/src/gossip_merge.rs
@@ -51,10 +51,15 @@
                 });
             }
             Merged::Changed => {
-                self.urgent |= old
+                let is_change = old
                     .as_ref()
-                    .is_none_or(|old| old.health != row.health || old.leaving != row.leaving);
-                self.push(GossipItem::Member(row.node.clone()));
+                    .is_some_and(|old| old.health != row.health || old.leaving != row.leaving);
+                self.urgent |= is_change || old.is_none();
+                let node = row.node.clone();
+                self.push(match is_change {
+                    true => GossipItem::MemberChange(node),
+                    false => GossipItem::Member(node),
+                });
                 self.record_change(old.as_ref(), row);
             }
         }
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -9,6 +9,7 @@
 mod test_config_fuzz;
 mod test_engine_world;
 mod test_fake_store;
+mod test_gossip_order;
 mod test_groups;
 mod test_groups_fuzz;
 mod test_http_adapters;
