--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -18,6 +18,8 @@
 pub mod load_client;
 pub mod operator;
 pub mod process_usage;
+pub mod requests;
+pub mod requests_report;
 pub mod soak;
 pub mod soak_faults;
 pub mod soak_schedule;
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -5,6 +5,7 @@
 use guavaladder_bench::fleet_model;
 use guavaladder_bench::groups;
 use guavaladder_bench::load;
+use guavaladder_bench::requests;
 use guavaladder_bench::soak;
 use guavaladder_bench::standins;
 use std::process::ExitCode;
@@ -16,6 +17,8 @@
 
   fleet      measures membership, configuration and control cost over many nodes
   demo       runs the whole path once with real daemons and checks every answer
+  requests   measures real daemons under a burst with faults
+             [--seed N] [--json]
   groups     simulates a month of failures and measures downtime and stranded accelerators
   load       measures one daemon under load against direct streams [--seconds N] [--json]
   soak       runs daemons under traffic and seeded faults [--seed N] [--seconds S] [--json]
@@ -42,6 +45,7 @@
     match name {
         "fleet" => fleet_model::run(rest).await,
         "demo" => demo::run(rest).await,
+        "requests" => requests::run(rest).await,
         "groups" => groups::run(rest),
         "load" => load::run(rest).await,
         "soak" => soak::run(rest).await,
--- a/lib/src/router.rs
+++ b/lib/src/router.rs
@@ -9,6 +9,7 @@
 use crate::generated::engine::Priority;
 use crate::ids::GroupId;
 use crate::replica::Replica;
+use crate::replica::Share;
 use crate::request::mix;
 use std::sync::Arc;
 use tokio::time::Instant;
@@ -42,6 +43,10 @@
     pub adapter: Option<String>,
     /// Suspicion.
     pub suspicion: Suspicion,
+    /// Whether the answer has begun: it goes to the replica with most room, even when all are full.
+    pub has_begun: bool,
+    /// Whether the customer runs more than its share; admission sets it at each choice.
+    pub share: Share,
 }
 
 /// Position of the choosing node.
@@ -51,6 +56,8 @@
     pub data_centre: String,
     /// Region.
     pub region: String,
+    /// Nodes that send requests to the same replicas.
+    pub nodes: u32,
 }
 
 /// Result of a choice.
@@ -66,6 +73,9 @@
 
 /// Chooses a replica; the far region is used only when the near one has no room.
 pub fn choose(replicas: &[Arc<Replica>], choice: &Choice, place: &Place, now: Instant) -> Chosen {
+    if choice.has_begun && choice.suspicion == Suspicion::None {
+        return roomiest(replicas, choice, place, now);
+    }
     let is_near = |replica: &&Arc<Replica>| replica.identity.region == place.region;
     let near = best(replicas.iter().filter(is_near), choice, place, now);
     if let Chosen::Replica(_) = near {
@@ -78,6 +88,21 @@
     }
 }
 
+/// Chooses the replica with most room for an answer that has begun: its caller must not wait for a
+/// place that it had already.
+fn roomiest(replicas: &[Arc<Replica>], choice: &Choice, place: &Place, now: Instant) -> Chosen {
+    let allowed = replicas.iter().filter(|replica| is_allowed(replica, choice, now));
+    let order = |replica: &&Arc<Replica>| {
+        let is_near = replica.identity.region == place.region;
+        (is_near, weighed(room(replica, choice, place), replica, place))
+    };
+    let best = allowed.max_by(|a, b| {
+        let ((a_near, a_room), (b_near, b_room)) = (order(a), order(b));
+        a_near.cmp(&b_near).then(a_room.total_cmp(&b_room))
+    });
+    best.map_or(Chosen::None, |replica| Chosen::Replica(replica.clone()))
+}
+
 /// Returns the replica that every node would choose for a suspect, whatever it knows of replicas.
 pub fn meeting_place<'a>(
     replicas: &'a [Arc<Replica>],
@@ -104,7 +129,7 @@
     let mut second: Option<(u64, f64, &Arc<Replica>)> = None;
     for replica in replicas.filter(|replica| is_allowed(replica, choice, now)) {
         is_any = true;
-        let room = room(replica, choice);
+        let room = room(replica, choice, place);
         if room <= 0.0 {
             continue;
         }
@@ -138,11 +163,11 @@
 }
 
 /// Returns the room that a replica has for the request; an isolated one needs it free of suspects.
-fn room(replica: &Replica, choice: &Choice) -> f64 {
+fn room(replica: &Replica, choice: &Choice, place: &Place) -> f64 {
     if choice.suspicion == Suspicion::Isolated && replica.suspects() > 0 {
         return 0.0;
     }
-    replica.room(choice.priority)
+    replica.room(choice.priority, choice.share, place.nodes)
 }
 
 fn weighed(room: f64, replica: &Replica, place: &Place) -> f64 {
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -19,6 +19,7 @@
 mod test_operator_api;
 mod test_peer_codec;
 mod test_planner;
+mod test_request_fuzz;
 mod test_settings;
 mod test_store_client;
 mod test_suspects;
