answers: end a broken stream before its cancel is sent

Cause: after a silent stream the cancel was sent while the idle connections beside it were still in the pool, which had gone silent too; the cancel was lost, the old attempt kept its place, and the resumed attempt waited at the full replica until its bound of 1 s. Ruled out: the probe, which already used a new connection.

--- a/bench/src/caller.rs
+++ b/bench/src/caller.rs
@@ -152,9 +152,14 @@
         };
         let mut record = self.new_record(asked, is_keyed.then(|| self.new_key()));
         let until = Instant::now() + self.patience;
+        // Whether the key of the record was not sent before.
+        let mut is_first_send = true;
         while Instant::now() < until {
             let sent = self.clock.now();
-            match self.try_call(service, path, body, record.key.as_deref()).await {
+            let key = record.key.as_deref().map(|key| (key, is_first_send));
+            let attempt = self.try_call(service, path, body, key).await;
+            is_first_send = false;
+            match attempt {
                 Attempt::Whole(text) => {
                     record.outcome = Outcome::Whole(text);
                     break;
@@ -171,6 +176,7 @@
                     }
                     // A refused key is spent; a new one is a new request.
                     record.key = is_keyed.then(|| self.new_key());
+                    is_first_send = true;
                     self.pause(retry_after).await;
                 }
                 Attempt::Unknown(code) if code == "in_progress" => {
@@ -263,14 +269,23 @@
         }
     }
 
-    async fn try_call(&self, service: &str, path: &str, body: &str, key: Option<&str>) -> Attempt {
+    /// Sends one copy of a call; `key` comes with whether the copy is its first.
+    async fn try_call(
+        &self,
+        service: &str,
+        path: &str,
+        body: &str,
+        key: Option<(&str, bool)>,
+    ) -> Attempt {
         let entry = self.entry().await;
         let mut call = HttpCall::new(Method::Post, &entry, format!("/v1/call/{service}/{path}"))
             .with_header(AUTHORIZATION, format!("Bearer {}", self.token))
             .with_body(body.to_string());
-        if let Some(key) = key {
+        if let Some((key, is_first_send)) = key {
             let name = HeaderName::from_static("idempotency-key");
             call = call.with_header(name, key.to_string());
+            let name = HeaderName::from_static("idempotency-first-send");
+            call = call.with_header(name, is_first_send.to_string());
         }
         match self.http.call(call, bounds(CALL_TIMEOUT)).await {
             Ok(reply) if reply.status == StatusCode::OK => {
--- a/lib/src/answer_recovery.rs
+++ b/lib/src/answer_recovery.rs
@@ -36,9 +36,10 @@
                     .cx()
                     .metrics
                     .count(metric_names::RECORDS_DISCARDED, i64::from(attempt.discarded));
-                self.path.cancel(attempt.slot.replica(), attempt.id);
-                let is_accepted = attempt.is_accepted();
-                (attempt.slot, is_accepted)
+                let (id, is_accepted) = (attempt.id, attempt.is_accepted());
+                let slot = attempt.into_slot();
+                self.path.cancel(slot.replica(), id);
+                (slot, is_accepted)
             }
             None => match self.slot.take() {
                 Some(slot) => (slot, false),
--- a/lib/src/attempt.rs
+++ b/lib/src/attempt.rs
@@ -170,6 +170,15 @@
         self.is_accepted
     }
 
+    /// Ends the stream and returns the place at the replica.
+    ///
+    /// Dropping a stream that broke also retires the idle connections beside it, so that a cancel
+    /// or a probe sent afterwards does not go out on one that is silent as well.
+    pub fn into_slot(self) -> Slot {
+        drop(self.stream);
+        self.slot
+    }
+
     fn wake(&mut self, is_moving: &impl Fn() -> bool) -> Option<Break> {
         let now = Instant::now();
         let bound = match self.has_tokens {
