testutils: free the batch place of a cancelled stream that nobody reads

Request events showed that each resumed attempt waited 1 s at the replica it came from. The fake engine freed a cancelled stream's place only when the stream was next polled, which a silent connection never does. Ruled out: the probe and the pool; both use new connections by then. Engines free the place on cancel. Change: a cancel takes the stream out of the batch at once; a test fills the batch with unread streams.

--- a/lib/tests/test_engine_world.rs
+++ b/lib/tests/test_engine_world.rs
@@ -164,6 +164,24 @@
     assert!(matches!(refused, Some(UpstreamError::Refused { .. })));
 }
 
+#[tokio::test(start_paused = true)]
+async fn cancel_frees_the_place_of_a_stream_that_nobody_reads() {
+    let world = whole_group().await;
+    let capacity = EngineOptions::default().capacity;
+    let mut unread = vec![];
+    for attempt in 0..u64::from(capacity) {
+        let req = GenerateRequest { attempt, ..request("a") };
+        unread.push(world.generate(&address(0), &req).await.unwrap());
+    }
+    let next = GenerateRequest { attempt: 1_000, ..request("b") };
+    let mut stream = world.generate(&address(0), &next).await.unwrap();
+    assert!(matches!(stream.next().await, Some(Ok(StreamRecord::Accepted(_)))));
+    let waited = tokio::time::timeout(Duration::from_secs(60), stream.next()).await;
+    assert!(waited.is_err(), "the batch was full");
+    world.cancel(&address(0), 0).await.unwrap();
+    assert!(matches!(stream.next().await, Some(Ok(StreamRecord::Tokens(_)))));
+}
+
 #[tokio::test(start_paused = true)]
 async fn kill_of_a_member_breaks_the_group() {
     let world = whole_group().await;
--- a/lib/testutils/src/world_edges.rs
+++ b/lib/testutils/src/world_edges.rs
@@ -136,8 +136,11 @@
         let own = state.streams.values_mut();
         for stream in own.filter(|s| s.address == address && s.attempt == attempt) {
             stream.is_cancelled = true;
+            stream.is_running = false;
             stream.wake.notify_one();
         }
+        // The batch goes on without it, also where nobody reads the rest of the stream.
+        state.fill_batch(address);
         Ok(())
     }
 
--- a/lib/testutils/src/world_state.rs
+++ b/lib/testutils/src/world_state.rs
@@ -200,7 +200,8 @@
 
     /// Returns the number of running and of queued streams of an instance.
     pub(crate) fn load_of(&self, address: &str) -> (u32, u32) {
-        let own = self.streams.values().filter(|stream| stream.address == address);
+        let own = self.streams.values();
+        let own = own.filter(|stream| stream.address == address && !stream.is_cancelled);
         let (running, queued): (Vec<_>, Vec<_>) = own.partition(|stream| stream.is_running);
         (running.len() as u32, queued.len() as u32)
     }
@@ -225,7 +226,8 @@
         let free = capacity.saturating_sub(running).min(queued);
         for _ in 0..free {
             let waiting = self.streams.iter_mut();
-            let waiting = waiting.filter(|(_, s)| s.address == address && !s.is_running);
+            let waiting =
+                waiting.filter(|(_, s)| s.address == address && !s.is_running && !s.is_cancelled);
             let Some((_, next)) = waiting.min_by_key(|(id, s)| (s.priority, **id)) else { return };
             next.is_running = true;
             next.wake.notify_one();
