--- a/bench/src/daemon_process.rs
+++ b/bench/src/daemon_process.rs
@@ -18,10 +18,19 @@
 use std::process::Command;
 use std::process::ExitStatus;
 use std::process::Stdio;
+use std::sync::atomic::AtomicU16;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
+/// First port that daemons are given.
+const FIRST_PORT: u32 = 12_000;
+/// Ports that daemons are given.
+const PORTS: u32 = 18_000;
+/// Distance of the first ports of two runs with neighbouring process ids.
+const PORTS_PER_RUN: u32 = 64;
+
 /// Token of the operator in all benches.
 pub const OPERATOR_TOKEN: &str = "bench-operator";
 
@@ -110,7 +119,7 @@
             caller_listen: free_address()?,
             caller_address: None,
             operator_listen: free_address()?,
-            peer_listen: free_peer_address()?,
+            peer_listen: free_address()?,
             peers: plan.peers,
             bootstrap_operator: Some(hash_token(OPERATOR_TOKEN)),
             log_config: None,
@@ -260,17 +269,19 @@
     Ok(())
 }
 
-fn free_address() -> Result<String> {
-    Ok(TcpListener::bind("127.0.0.1:0")?.local_addr()?.to_string())
-}
-
 /// Returns an address that is free for both UDP and TCP.
-fn free_peer_address() -> Result<String> {
-    loop {
-        let listener = TcpListener::bind("127.0.0.1:0")?;
-        let address = listener.local_addr()?;
-        if UdpSocket::bind(address).is_ok() {
-            return Ok(address.to_string());
+///
+/// Ports below the range that the system gives to outgoing connections are not taken before the
+/// daemon binds them; the process id keeps runs at the same time apart.
+fn free_address() -> Result<String> {
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    for _ in 0..PORTS {
+        let step = u32::from(NEXT.fetch_add(1, Ordering::Relaxed));
+        let port = FIRST_PORT + (std::process::id() * PORTS_PER_RUN + step) % PORTS;
+        let address = format!("127.0.0.1:{port}");
+        if TcpListener::bind(&address).is_ok() && UdpSocket::bind(&address).is_ok() {
+            return Ok(address);
         }
     }
+    bail!("no free port from {FIRST_PORT} on")
 }
