operator api: ask for missing confirmations before it answers what is in force

Cause: the answer came from gossip alone, so that a confirmation that gossip was slow to bring was counted as missing until the operator's next question. Change: config/in-force asks the data centres whose confirmations are missing, for up to 1 s. Conclusion: the operator waits for the nodes, not for gossip.

--- a/lib/src/operator_api.rs
+++ b/lib/src/operator_api.rs
@@ -84,6 +84,9 @@
     api: OperatorApi,
 }
 
+/// Longest time in which missing confirmations are asked for before an answer is given.
+const CONFIRM_WAIT: Duration = Duration::from_secs(1);
+
 /// An operation's answer.
 type Answer = Result<Value, OperatorApiError>;
 
@@ -116,6 +119,15 @@
         Router::with_path("{**rest}").goal(Endpoint { api: self })
     }
 
+    /// Asks the data centres whose confirmations are missing, and tells what is known then.
+    async fn in_force(&self, version: u64) -> Answer {
+        let report = match &self.nodes {
+            Some(nodes) => nodes.confirm_in_force(version, CONFIRM_WAIT).await,
+            None => config_change::in_force(&self.cx, version),
+        };
+        to_json(&report)
+    }
+
     async fn answer(&self, req: &mut Request) -> Answer {
         if !self.is_authorized(req) {
             return Err(OperatorApiError::Unauthorized);
@@ -128,9 +140,7 @@
                 to_json(&operator_config::diff(&self.cx, &proposed.to_string()))
             }
             Operation::ConfigApply => self.config_apply(req).await,
-            Operation::ConfigInForce => {
-                to_json(&config_change::in_force(&self.cx, number(req, "version")?))
-            }
+            Operation::ConfigInForce => self.in_force(number(req, "version")?).await,
             Operation::ConfigHistory => self.config_history(req).await,
             Operation::Services => to_json(&self.services()),
             Operation::Instances => to_json(&self.instances()),
