member_table: let the beats of a restarted data centre go on

Cause: the counter of a data centre's beats began at 1 when its only relay restarted, while the other data centres remembered a higher one and took no lower: they counted its nodes as silent until the new counter had caught up, and no longer sent the old one back. Ruled out: suspicion within the data centre; the last accusation in the log was refuted later. Change: the counter starts at the relay's incarnation, in milliseconds, which beats never overtake.

--- a/lib/src/member_table.rs
+++ b/lib/src/member_table.rs
@@ -197,8 +197,11 @@
     /// Raises the counter of this node's data centre; a relay does so.
     pub fn beat(&mut self, now: Duration) {
         let data_centre = self.own().data_centre.clone();
+        // After a restart of all its relays the counter goes on above what others remember, since
+        // an incarnation is in milliseconds and beats come more slowly.
+        let first = self.own().incarnation;
         let beat = self.beats.entry(data_centre).or_insert(Beat { count: 0, advanced_at: now });
-        beat.count += 1;
+        beat.count = first.max(beat.count + 1);
         beat.advanced_at = now;
     }
 
