--- a/daemon/src/args.rs
+++ b/daemon/src/args.rs
@@ -10,6 +10,10 @@
     Run(PathBuf),
     /// Check this settings file.
     Check(PathBuf),
+    /// Run on the users' platform with this settings file, or the one that the platform names.
+    Serve(Option<PathBuf>),
+    /// Check this settings file of a node on the users' platform.
+    CheckServe(Option<PathBuf>),
     /// Print the version.
     Version,
     /// Print the help.
@@ -42,7 +46,14 @@
     if let Some(argument) = matches.free.first() {
         return Err(ArgsError::Unexpected(argument.clone()));
     }
-    let path = matches.opt_str("config").map(PathBuf::from).ok_or(ArgsError::NoConfig)?;
+    let path = matches.opt_str("config").map(PathBuf::from);
+    if matches.opt_present("serve") {
+        return Ok(match matches.opt_present("check") {
+            true => Command::CheckServe(path),
+            false => Command::Serve(path),
+        });
+    }
+    let path = path.ok_or(ArgsError::NoConfig)?;
     match matches.opt_present("check") {
         true => Ok(Command::Check(path)),
         false => Ok(Command::Run(path)),
@@ -51,7 +62,7 @@
 
 /// Returns the help text.
 pub fn help() -> String {
-    let brief = "Usage: guavaladderd --config FILE [--check]\n\nServes models whose replicas span \
+    let brief = "Usage: guavaladderd [--serve] --config FILE [--check]\n\nServes models whose replicas span \
                  several instances; see docs/operators/install.md.";
     let usage = options().usage(brief);
     format!(
@@ -62,6 +73,7 @@
 fn options() -> Options {
     let mut options = Options::new();
     options.optopt("", "config", "settings file in JSON", "FILE");
+    options.optflag("", "serve", "run on the users' platform; see docs/operators/platform.md");
     options.optflag("", "check", "check the settings file and exit");
     options.optflag("", "version", "print the version and exit");
     options.optflag("h", "help", "print this help and exit");
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -1,14 +1,17 @@
 //! `guavaladderd`: the daemon, alike on each entry instance.
 
 mod args;
+mod log_queue;
 mod logging;
 mod node;
+mod serve;
 mod signals;
 
 use anyhow::Result;
 use args::Command;
 use guavaladder_lib::generated::settings::DaemonSettings;
 use guavaladder_lib::settings;
+use guavaladder_serving::serving_settings;
 use std::process::ExitCode;
 
 /// Exit status for wrong arguments and settings.
@@ -28,6 +31,20 @@
             }
             println!("{}: the settings are valid", path.display());
         }
+        Command::CheckServe(path) => {
+            let path = path.unwrap_or_else(guavaladder_platform::settings_path);
+            if let Err(e) = serving_settings::read(&path) {
+                return usage_error(&e.to_string());
+            }
+            println!("{}: the settings are valid", path.display());
+        }
+        Command::Serve(path) => {
+            let path = path.unwrap_or_else(guavaladder_platform::settings_path);
+            match serving_settings::read(&path) {
+                Ok(settings) => return exit_code(serve::run(path, settings)),
+                Err(e) => return usage_error(&e.to_string()),
+            }
+        }
         Command::Run(path) => match settings::read(&path) {
             Ok(settings) => return run(settings),
             Err(e) => return usage_error(&e.to_string()),
@@ -44,7 +61,11 @@
 }
 
 fn run(settings: DaemonSettings) -> ExitCode {
-    match serve(settings) {
+    exit_code(run_node(settings))
+}
+
+fn exit_code(result: Result<()>) -> ExitCode {
+    match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
             eprintln!("error: {e:#}");
@@ -53,7 +74,7 @@
     }
 }
 
-fn serve(settings: DaemonSettings) -> Result<()> {
+fn run_node(settings: DaemonSettings) -> Result<()> {
     logging::start(settings.log_config.as_deref())?;
     let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
     runtime.block_on(node::run(settings))
--- /dev/null
+++ b/daemon/src/serve.rs
@@ -0,0 +1,57 @@
+//! Runs a node on the users' platform until it is stopped.
+
+use crate::log_queue;
+use crate::log_queue::DroppedLines;
+use crate::signals::StopSignals;
+use anyhow::Result;
+use guavaladder_lib::generated::events::Event;
+use guavaladder_platform::dialect::PlatformDialect;
+use guavaladder_serving::serving_cx::ServingCx;
+use guavaladder_serving::serving_node::ServingNode;
+use guavaladder_serving::serving_settings;
+use guavaladder_serving::serving_settings::ServingSettings;
+use log::LevelFilter;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+use tokio::time::interval;
+
+/// Period in which the count of dropped lines is brought to the metrics.
+const DROPPED_PERIOD: Duration = Duration::from_secs(1);
+
+/// Runs a node with the settings of a file.
+pub fn run(path: PathBuf, settings: ServingSettings) -> Result<()> {
+    let dropped = log_queue::start(LevelFilter::Info)?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    runtime.block_on(serve(path, settings, dropped))
+}
+
+async fn serve(path: PathBuf, settings: ServingSettings, dropped: DroppedLines) -> Result<()> {
+    let mut stops = StopSignals::new()?;
+    let mut reloads = signal(SignalKind::hangup())?;
+    let mut ticks = interval(DROPPED_PERIOD);
+    let node = ServingNode::start(settings, Arc::new(PlatformDialect::new())).await?;
+    loop {
+        tokio::select! {
+            () = stops.next() => break,
+            _ = reloads.recv() => reload(&node.cx, &path),
+            _ = ticks.tick() => node.cx.metrics.log_lines_dropped(dropped.get()),
+        }
+    }
+    node.stop().await;
+    Ok(())
+}
+
+/// Reads the settings file again and tells what became of it. The settings name listeners, the
+/// store and bounds of the platform, which hold for a whole run; a changed file is used at the next
+/// start.
+fn reload(cx: &ServingCx, path: &std::path::Path) {
+    let outcome = match serving_settings::read(path) {
+        Ok(settings) if settings == *cx.settings => "unchanged".to_string(),
+        Ok(_) => "valid; used at the next start".to_string(),
+        Err(e) => format!("refused: {e}"),
+    };
+    cx.log.record(Event::SettingsReloaded { node: cx.node().to_string(), outcome });
+}
--- a/gen/src/rust_types.rs
+++ b/gen/src/rust_types.rs
@@ -86,7 +86,11 @@
     let required = def["required"].as_array().unwrap_or(&empty);
     let props = def["properties"].as_object().context("a struct needs properties")?;
     let mut defaults = String::new();
-    writeln!(out, "{}\n#[serde(deny_unknown_fields)]\npub struct {name} {{", derives(def))?;
+    writeln!(out, "{}", derives(def))?;
+    if def["additionalProperties"] != true {
+        writeln!(out, "#[serde(deny_unknown_fields)]")?;
+    }
+    writeln!(out, "pub struct {name} {{")?;
     for (prop, sub) in props {
         let doc = sub["description"].as_str().with_context(|| format!("{prop}: no description"))?;
         write_doc(out, doc);
--- /dev/null
+++ b/serving/src/candidates.rs
@@ -0,0 +1,49 @@
+//! The candidates for a request: the replicas of its service and model with their states.
+
+use crate::placement;
+use crate::placement::Candidate;
+use crate::placement::Occupancy;
+use crate::placement::PlacementInput;
+use crate::placement::Shortage;
+use crate::replica_set::Replica;
+use crate::replica_set::ReplicaKey;
+use crate::request_task::RequestTask;
+use crate::serving_cx::ServingCx;
+use std::sync::Arc;
+use tokio::time::Instant;
+
+/// Chooses a replica for a request among those that were not tried, or tells why there is none.
+///
+/// Where every replica was tried, they are tried again only if `may_return`.
+pub fn choose(
+    cx: &ServingCx,
+    task: &RequestTask,
+    tried: &[ReplicaKey],
+    has_begun: bool,
+) -> Result<Arc<Replica>, (Shortage, Occupancy)> {
+    let candidates = candidates(cx, task, tried);
+    let table = cx.config.get();
+    let input = PlacementInput {
+        data_centre: &cx.settings.data_centre,
+        engine: table.as_ref().and_then(|table| table.config.engine(&task.service)),
+        has_begun,
+    };
+    let chosen = placement::choose(&candidates, &input);
+    chosen.map_err(|shortage| (shortage, placement::occupancy(&candidates)))
+}
+
+fn candidates(cx: &ServingCx, task: &RequestTask, tried: &[ReplicaKey]) -> Vec<Candidate> {
+    let now = Instant::now();
+    let replicas = cx.fleet.replicas();
+    let serves = |replica: &&Arc<Replica>| match (&replica.model, &task.head.model) {
+        (Some(model), Some(wanted)) => model == wanted,
+        _ => true,
+    };
+    let is_untried = |replica: &&Arc<Replica>| !tried.contains(&replica.key);
+    let candidate = |replica: &Arc<Replica>| Candidate {
+        replica: replica.clone(),
+        state: cx.loads.state(replica, now),
+    };
+    let of_service = replicas.of_service(&task.service).iter();
+    of_service.filter(serves).filter(is_untried).map(candidate).collect()
+}
--- /dev/null
+++ b/serving/src/fleet_view.rs
@@ -0,0 +1,209 @@
+//! The node's view of the registered instances, and the replicas that follow from it.
+//!
+//! An entry that disappears means that its instance is gone. The exception is the time right after
+//! the store was away: entries lapse while nobody can renew them, and the instances that live
+//! register again about two seconds after the store's return. Until then such entries are kept.
+
+use crate::decision_log::DecisionLog;
+use crate::fleet_config::FleetConfig;
+use crate::instance::Instance;
+use crate::instance::InstanceId;
+use crate::replica_set::Replica;
+use crate::replica_set::ReplicaSet;
+use guavaladder_lib::generated::events::Event;
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+/// Time from the store's return within which instances that live are registered again, by the
+/// platform's page on its instance list.
+pub const LAPSED_ENTRY_GRACE: Duration = Duration::from_millis(2300);
+
+/// Change of one entry.
+#[derive(Debug, Clone, PartialEq)]
+pub enum EntryChange {
+    /// Created or replaced.
+    Put(Box<Instance>),
+    /// Removed; the id.
+    Removed(InstanceId),
+}
+
+/// Shared view of the instances.
+#[derive(Debug, Clone)]
+pub struct FleetView {
+    log: DecisionLog,
+    inner: Arc<Mutex<Inner>>,
+    changes: Arc<watch::Sender<u64>>,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    instances: HashMap<InstanceId, Instance>,
+    /// Missing entries that are kept, with the time until which they are.
+    held: HashMap<InstanceId, Instant>,
+    config: Option<Arc<FleetConfig>>,
+    replicas: Arc<ReplicaSet>,
+    is_known: bool,
+}
+
+impl FleetView {
+    /// Returns an empty view.
+    pub fn new(log: DecisionLog) -> Self {
+        let (tx, _) = watch::channel(0);
+        Self { log, inner: Arc::default(), changes: Arc::new(tx) }
+    }
+
+    /// Replaces all entries by those of a list; missing ones are kept until `hold_until`.
+    pub fn replace_all(&self, instances: Vec<Instance>, hold_until: Option<Instant>) {
+        self.update(|inner, log| {
+            let mut before = std::mem::take(&mut inner.instances);
+            for instance in instances {
+                before.remove(&instance.id);
+                inner.held.remove(&instance.id);
+                inner.instances.insert(instance.id.clone(), instance);
+            }
+            for (id, instance) in before {
+                miss(inner, log, id, instance, hold_until);
+            }
+            inner.is_known = true;
+        });
+    }
+
+    /// Takes in changes of entries; ones that are missing are kept until `hold_until`.
+    pub fn apply(&self, changes: Vec<EntryChange>, hold_until: Option<Instant>) {
+        if changes.is_empty() {
+            return;
+        }
+        self.update(|inner, log| {
+            for change in changes {
+                match change {
+                    EntryChange::Put(instance) => {
+                        inner.held.remove(&instance.id);
+                        inner.instances.insert(instance.id.clone(), *instance);
+                    }
+                    EntryChange::Removed(id) => {
+                        if let Some(instance) = inner.instances.remove(&id) {
+                            miss(inner, log, id, instance, hold_until);
+                        }
+                    }
+                }
+            }
+        });
+    }
+
+    /// Drops the missing entries whose time has passed.
+    pub fn expire_held(&self, now: Instant) {
+        if !self.lock().held.values().any(|until| *until <= now) {
+            return;
+        }
+        self.update(|inner, log| {
+            let expired: Vec<InstanceId> = inner
+                .held
+                .iter()
+                .filter(|(_, until)| **until <= now)
+                .map(|(id, _)| id.clone())
+                .collect();
+            for id in expired {
+                inner.held.remove(&id);
+                inner.instances.remove(&id);
+                let reason = "the entry did not come back after the store did".to_string();
+                log.record(Event::InstanceGone { instance: id, reason });
+            }
+        });
+    }
+
+    /// Takes in the configuration in force.
+    pub fn set_config(&self, config: FleetConfig) {
+        self.update(|inner, _| inner.config = Some(Arc::new(config)));
+    }
+
+    /// Returns the replicas.
+    pub fn replicas(&self) -> Arc<ReplicaSet> {
+        self.lock().replicas.clone()
+    }
+
+    /// Returns the registered instances, those that are kept after an outage included.
+    pub fn instances(&self) -> HashMap<InstanceId, Instance> {
+        self.lock().instances.clone()
+    }
+
+    /// Returns the address of an instance.
+    pub fn instance(&self, id: &str) -> Option<Instance> {
+        self.lock().instances.get(id).cloned()
+    }
+
+    /// Tells whether the instance list has been read.
+    pub fn is_known(&self) -> bool {
+        self.lock().is_known
+    }
+
+    /// Returns a receiver that is notified of each change.
+    pub fn subscribe(&self) -> watch::Receiver<u64> {
+        self.changes.subscribe()
+    }
+
+    fn update(&self, change: impl FnOnce(&mut Inner, &DecisionLog)) {
+        let mut inner = self.lock();
+        change(&mut inner, &self.log);
+        if let Some(config) = inner.config.clone() {
+            let replicas = ReplicaSet::derive(inner.instances.values(), &config);
+            note_differences(&self.log, &inner.replicas, &replicas);
+            inner.replicas = Arc::new(replicas);
+        }
+        drop(inner);
+        self.changes.send_modify(|changes| *changes += 1);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Drops or keeps an entry that is missing.
+fn miss(
+    inner: &mut Inner,
+    log: &DecisionLog,
+    id: InstanceId,
+    instance: Instance,
+    hold_until: Option<Instant>,
+) {
+    let Some(until) = hold_until.filter(|until| *until > Instant::now()) else {
+        inner.held.remove(&id);
+        let reason = "its entry was removed".to_string();
+        log.record(Event::InstanceGone { instance: id, reason });
+        return;
+    };
+    let until = *inner.held.entry(id.clone()).or_insert(until);
+    let held_for = until.saturating_duration_since(Instant::now());
+    log.record(Event::InstanceEntryHeld { instance: id.clone(), held_for });
+    inner.instances.insert(id, instance);
+}
+
+/// Records how the replicas of each service changed.
+fn note_differences(log: &DecisionLog, before: &ReplicaSet, after: &ReplicaSet) {
+    let mut services: Vec<&String> = before.services().chain(after.services()).collect();
+    services.sort();
+    services.dedup();
+    for service in services {
+        let (old, new) = (before.of_service(service), after.of_service(service));
+        let missing_in = |list: &[Arc<Replica>], other: &[Arc<Replica>]| {
+            let is_missing = |replica: &&Arc<Replica>| !other.iter().any(|o| o.key == replica.key);
+            list.iter().filter(is_missing).map(|r| r.key.clone()).collect::<Vec<_>>().join(",")
+        };
+        let added = missing_in(new, old);
+        let removed = missing_in(old, new);
+        if !added.is_empty() || !removed.is_empty() {
+            log.record(Event::ReplicaSetChanged {
+                service: service.clone(),
+                replicas: new.len() as u64,
+                added,
+                removed,
+            });
+        }
+    }
+}
--- /dev/null
+++ b/serving/src/group_control.rs
@@ -0,0 +1,263 @@
+//! Carries the planned steps out while this node holds the lease on the groups.
+//!
+//! Each step is a task of its own that reserves its instances. What the instances say of themselves
+//! while it runs is newer than their entries, and is remembered until the entries have followed.
+
+use crate::fleet_config::Engine;
+use crate::group_plan;
+use crate::group_plan::PlanInput;
+use crate::group_plan::PlanInstance;
+use crate::group_plan::PlanStep;
+use crate::group_steps;
+use crate::group_steps::StepOutcome;
+use crate::instance::EngineStatus;
+use crate::instance::GroupEpoch;
+use crate::instance::GroupName;
+use crate::instance::Instance;
+use crate::instance::InstanceId;
+use crate::instance::MembershipState;
+use crate::replica_set::group_key;
+use crate::serving_cx::ServingCx;
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+use std::collections::HashSet;
+use std::time::Duration;
+use tokio::task::JoinSet;
+use tokio::time::Instant;
+use tokio::time::sleep;
+
+/// Longest time from one plan to the next.
+const PLAN_PERIOD: Duration = Duration::from_millis(100);
+/// Time for which an instance that did not answer gets no place.
+const SUSPECT_PERIOD: Duration = Duration::from_secs(5);
+/// Time for which an instance's own words are preferred to its entry.
+const OWN_WORDS_PERIOD: Duration = Duration::from_secs(6);
+/// Margin on the time after which a group without its head counts as broken.
+const STALL_MARGIN: Duration = Duration::from_millis(700);
+
+/// Control of the groups on one node.
+#[derive(Debug)]
+pub struct GroupControl {
+    cx: ServingCx,
+    /// Instances that a running step involves.
+    reserved: HashSet<InstanceId>,
+    /// What instances said of themselves, with the time.
+    own_words: HashMap<InstanceId, (Instant, EngineStatus)>,
+    /// Instances that did not answer, with the time until which they get no place.
+    suspects: HashMap<InstanceId, Instant>,
+    /// Groups whose head is not registered, with the time at which that was first seen.
+    headless: HashMap<(GroupName, GroupEpoch), Instant>,
+    /// Groups whose head is known to have ended.
+    ended_heads: HashSet<(GroupName, GroupEpoch)>,
+    loads_under_way: usize,
+    steps: JoinSet<StepOutcome>,
+}
+
+impl GroupControl {
+    /// Returns the control of a node that holds no lease.
+    pub fn new(cx: ServingCx) -> Self {
+        Self {
+            cx,
+            reserved: HashSet::new(),
+            own_words: HashMap::new(),
+            suspects: HashMap::new(),
+            headless: HashMap::new(),
+            ended_heads: HashSet::new(),
+            loads_under_way: 0,
+            steps: JoinSet::new(),
+        }
+    }
+
+    /// Plans and carries steps out until the task is ended.
+    pub async fn run(mut self) {
+        let mut changes = self.cx.fleet.subscribe();
+        loop {
+            tokio::select! {
+                Some(Ok(outcome)) = self.steps.join_next() => self.finish(outcome),
+                _ = changes.changed() => {}
+                () = self.cx.downs.news_for_control() => {}
+                () = sleep(PLAN_PERIOD) => {}
+            }
+            while let Some(Ok(outcome)) = self.steps.try_join_next() {
+                self.finish(outcome);
+            }
+            match self.cx.lease.term() {
+                Some(_) if self.cx.fleet.is_known() => self.plan(),
+                Some(_) => {}
+                None => self.forget(),
+            }
+        }
+    }
+
+    /// Forgets what only the holder of the lease needs.
+    fn forget(&mut self) {
+        if self.steps.is_empty() {
+            self.reserved.clear();
+            self.own_words.clear();
+            self.headless.clear();
+            self.loads_under_way = 0;
+        }
+    }
+
+    fn finish(&mut self, outcome: StepOutcome) {
+        let now = Instant::now();
+        for id in &outcome.reserved {
+            self.reserved.remove(id);
+        }
+        self.loads_under_way = self.loads_under_way.saturating_sub(outcome.loads);
+        for (id, status) in outcome.own_words {
+            self.own_words.insert(id, (now, status));
+        }
+        for id in outcome.silent {
+            self.suspects.insert(id, now + SUSPECT_PERIOD);
+        }
+        if let Some(group) = outcome.ended_head {
+            self.ended_heads.insert(group);
+        }
+    }
+
+    fn plan(&mut self) {
+        let Some(table) = self.cx.config.get() else { return };
+        let now = Instant::now();
+        self.own_words.retain(|_, (at, _)| now - *at < OWN_WORDS_PERIOD);
+        self.suspects.retain(|_, until| *until > now);
+        let instances = self.cx.fleet.instances();
+        for (service, engine) in &table.config.services {
+            let Some(engine) = &engine.engine else { continue };
+            let of_service: Vec<Instance> =
+                instances.values().filter(|i| i.service == *service).cloned().collect();
+            self.plan_service(engine, of_service, now);
+        }
+    }
+
+    fn plan_service(&mut self, engine: &Engine, mut instances: Vec<Instance>, now: Instant) {
+        instances.sort_by(|a, b| a.id.cmp(&b.id));
+        for instance in &mut instances {
+            if let Some((_, own)) = self.own_words.get(&instance.id) {
+                instance.engine = newer(own, &instance.engine).clone();
+            }
+        }
+        let planned: Vec<PlanInstance> =
+            instances.iter().map(|instance| self.plan_instance(instance)).collect();
+        let down = self.down_groups(&planned, now);
+        let orphaned = self.orphaned_groups(&planned, now);
+        let input = PlanInput {
+            engine,
+            instances: &planned,
+            down: &down,
+            orphaned: &orphaned,
+            loads_under_way: self.loads_under_way,
+        };
+        for step in group_plan::plan(&input) {
+            self.start(engine, step, &instances);
+        }
+    }
+
+    fn plan_instance(&self, instance: &Instance) -> PlanInstance {
+        let is_suspect = self.suspects.contains_key(&instance.id);
+        let membership = instance.engine.membership.as_ref();
+        PlanInstance {
+            id: instance.id.clone(),
+            domain: instance.engine.domain.clone().unwrap_or_default(),
+            is_usable: !instance.is_draining && !is_suspect,
+            is_draining: instance.is_draining,
+            is_reserved: self.reserved.contains(&instance.id),
+            staged: instance.engine.staged.clone(),
+            last_model: instance.engine.model.clone(),
+            membership: membership.map(|m| (m.group.clone(), m.epoch, m.rank, m.state)),
+        }
+    }
+
+    /// Returns the groups that were found to be down; the member that was missing is suspected.
+    fn down_groups(
+        &mut self,
+        instances: &[PlanInstance],
+        now: Instant,
+    ) -> BTreeSet<(GroupName, GroupEpoch)> {
+        let found = self.cx.loads.down_members(now);
+        let mut down = BTreeSet::new();
+        for instance in instances {
+            let Some((name, epoch, _, _)) = &instance.membership else { continue };
+            let key = group_key(name, *epoch);
+            let Some(member) = found.get(&crate::key_hash::key_hash(key.as_bytes())) else {
+                continue;
+            };
+            down.insert((name.clone(), *epoch));
+            if !member.is_empty() {
+                self.suspects.entry(member.clone()).or_insert(now + SUSPECT_PERIOD);
+            }
+        }
+        down
+    }
+
+    /// Returns the groups whose head is not registered but may still serve.
+    fn orphaned_groups(
+        &mut self,
+        instances: &[PlanInstance],
+        now: Instant,
+    ) -> BTreeSet<(GroupName, GroupEpoch)> {
+        let mut headless: BTreeSet<(GroupName, GroupEpoch)> = BTreeSet::new();
+        let mut with_head: BTreeSet<(GroupName, GroupEpoch)> = BTreeSet::new();
+        for instance in instances {
+            let Some((name, epoch, rank, _)) = &instance.membership else { continue };
+            let key = (name.clone(), *epoch);
+            if *rank == 0 {
+                with_head.insert(key);
+            } else {
+                headless.insert(key);
+            }
+        }
+        headless.retain(|key| !with_head.contains(key));
+        self.headless.retain(|key, _| headless.contains(key));
+        let bound = self.cx.settings.stall + STALL_MARGIN;
+        headless.retain(|key| {
+            let since = *self.headless.entry(key.clone()).or_insert(now);
+            now - since < bound && !self.ended_heads.contains(key)
+        });
+        headless
+    }
+
+    fn start(&mut self, engine: &Engine, step: PlanStep, instances: &[Instance]) {
+        let ids = match &step {
+            PlanStep::Dissolve { members, .. }
+            | PlanStep::Open { members, .. }
+            | PlanStep::Assemble { members, .. } => members.clone(),
+            PlanStep::Stage { instance, .. } | PlanStep::Prepare { instance, .. } => {
+                vec![instance.clone()]
+            }
+        };
+        if let PlanStep::Assemble { loads, .. } = &step {
+            self.loads_under_way += loads;
+        }
+        if matches!(step, PlanStep::Stage { .. }) {
+            self.loads_under_way += 1;
+        }
+        self.reserved.extend(ids.iter().cloned());
+        let involved: Vec<Instance> = ids
+            .iter()
+            .filter_map(|id| instances.iter().find(|instance| instance.id == *id).cloned())
+            .collect();
+        let (cx, engine) = (self.cx.clone(), engine.clone());
+        self.steps.spawn(async move { group_steps::carry_out(&cx, &engine, step, involved).await });
+    }
+}
+
+/// Returns the newer of an instance's own words and its entry.
+fn newer<'a>(own: &'a EngineStatus, entry: &'a EngineStatus) -> &'a EngineStatus {
+    if own.born_ms != entry.born_ms {
+        return if own.born_ms > entry.born_ms { own } else { entry };
+    }
+    if own.sequence != entry.sequence {
+        return if own.sequence > entry.sequence { own } else { entry };
+    }
+    // Without an order in between a state only moves on.
+    let progress = |status: &EngineStatus| match status.membership.as_ref().map(|m| m.state) {
+        None => 0,
+        Some(MembershipState::Joining) => 1,
+        Some(MembershipState::Open) => 2,
+        Some(MembershipState::Closing) => 3,
+        Some(MembershipState::Ready) => 4,
+        Some(MembershipState::Broken) => 5,
+    };
+    if progress(own) > progress(entry) { own } else { entry }
+}
--- /dev/null
+++ b/serving/src/group_plan.rs
@@ -0,0 +1,411 @@
+//! What the holder of the lease does next with the instances of one service: a plain function from
+//! what is known of them to the steps that are due.
+//!
+//! Load patterns answered here:
+//! - A member of a group is lost every few seconds. Each domain keeps instances beyond its groups
+//!   with staged weights, so that a group is whole again without a load.
+//! - Instances arrive empty while others vanish. They are staged for the model of which their domain
+//!   has least beyond what it needs.
+//! - The models' shares of the work differ. Groups are formed for the model that has least for its
+//!   share first.
+
+use crate::fleet_config::Engine;
+use crate::fleet_config::Model;
+use crate::instance::GroupEpoch;
+use crate::instance::GroupName;
+use crate::instance::InstanceId;
+use crate::instance::MembershipState;
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+/// Instances of a domain that are left out of its groups.
+const SPARES_PER_DOMAIN: usize = 1;
+
+/// What planning knows about one instance.
+#[derive(Debug, Clone, PartialEq)]
+pub struct PlanInstance {
+    /// Id.
+    pub id: InstanceId,
+    /// Fabric domain.
+    pub domain: String,
+    /// Whether it may be a member of a new group: it is registered, answers and stays.
+    pub is_usable: bool,
+    /// Whether it has announced that it leaves.
+    pub is_draining: bool,
+    /// Whether a step that involves it is under way.
+    pub is_reserved: bool,
+    /// Models that are staged on its host.
+    pub staged: Vec<String>,
+    /// Model of its last group in this life.
+    pub last_model: Option<String>,
+    /// Its group as it tells, with its rank and state.
+    pub membership: Option<(GroupName, GroupEpoch, usize, MembershipState)>,
+}
+
+/// Input of the planner.
+#[derive(Debug, Clone)]
+pub struct PlanInput<'a> {
+    /// Engine of the service.
+    pub engine: &'a Engine,
+    /// Instances of the service, registered ones only.
+    pub instances: &'a [PlanInstance],
+    /// Groups that were found to be down, as name and epoch.
+    pub down: &'a BTreeSet<(GroupName, GroupEpoch)>,
+    /// Groups without a head of which the head may still serve, as name and epoch.
+    pub orphaned: &'a BTreeSet<(GroupName, GroupEpoch)>,
+    /// Loads of weights that are under way.
+    pub loads_under_way: usize,
+}
+
+/// A step that is due.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum PlanStep {
+    /// Stop a group from serving, so that its members are free.
+    Dissolve {
+        /// Group.
+        group: GroupName,
+        /// Epoch.
+        epoch: GroupEpoch,
+        /// Head.
+        head: InstanceId,
+        /// Members that are known.
+        members: Vec<InstanceId>,
+        /// Whether its requests are finished first.
+        is_graceful: bool,
+        /// Why.
+        reason: String,
+    },
+    /// Open a group whose members are all ready.
+    Open {
+        /// Group.
+        group: GroupName,
+        /// Epoch.
+        epoch: GroupEpoch,
+        /// Members, the head first.
+        members: Vec<InstanceId>,
+    },
+    /// Assemble a new group and open it.
+    Assemble {
+        /// Model.
+        model: String,
+        /// Domain.
+        domain: String,
+        /// Members, the head first.
+        members: Vec<InstanceId>,
+        /// Members that have to load weights.
+        loads: usize,
+        /// Why.
+        reason: String,
+    },
+    /// Load weights onto an instance's host.
+    Stage {
+        /// Instance.
+        instance: InstanceId,
+        /// Model.
+        model: String,
+    },
+    /// Let an instance that is kept for repairs join a group of its own, so that its next join of
+    /// the same model is short.
+    Prepare {
+        /// Instance.
+        instance: InstanceId,
+        /// Model.
+        model: String,
+    },
+}
+
+/// A group as its members tell.
+#[derive(Debug)]
+struct Group<'a> {
+    name: &'a str,
+    epoch: GroupEpoch,
+    /// Members by rank.
+    members: BTreeMap<usize, &'a PlanInstance>,
+}
+
+impl<'a> Group<'a> {
+    fn head(&self) -> Option<&'a PlanInstance> {
+        self.members.get(&0).copied()
+    }
+
+    fn head_state(&self) -> Option<MembershipState> {
+        self.head()?.membership.as_ref().map(|(_, _, _, state)| *state)
+    }
+
+    fn model<'e>(&self, engine: &'e Engine) -> Option<&'e Model> {
+        let named = self.members.values().find_map(|member| member.last_model.as_deref())?;
+        engine.model(named)
+    }
+
+    fn is_complete(&self, size: usize) -> bool {
+        self.members.len() == size && self.members.keys().copied().eq(0..size)
+    }
+
+    fn all(&self, is_so: impl Fn(&PlanInstance, MembershipState) -> bool) -> bool {
+        self.members.values().all(|member| {
+            member.membership.as_ref().is_some_and(|(_, _, _, state)| is_so(member, *state))
+        })
+    }
+
+    fn ids(&self) -> Vec<InstanceId> {
+        self.members.values().map(|member| member.id.clone()).collect()
+    }
+}
+
+/// Returns the steps that are due, most urgent first.
+pub fn plan(input: &PlanInput<'_>) -> Vec<PlanStep> {
+    let mut draft = Draft::new(input);
+    let groups = groups(input.instances);
+    for group in &groups {
+        draft.review(group);
+    }
+    draft.assemble();
+    draft.stage();
+    draft.prepare();
+    draft.steps
+}
+
+fn groups(instances: &[PlanInstance]) -> Vec<Group<'_>> {
+    let mut groups: BTreeMap<(&str, GroupEpoch), Group<'_>> = BTreeMap::new();
+    for instance in instances {
+        let Some((name, epoch, rank, _)) = &instance.membership else { continue };
+        let group = groups.entry((name, *epoch)).or_insert_with(|| Group {
+            name,
+            epoch: *epoch,
+            members: BTreeMap::new(),
+        });
+        group.members.insert(*rank, instance);
+    }
+    groups.into_values().collect()
+}
+
+struct Draft<'a> {
+    input: &'a PlanInput<'a>,
+    /// Instances that no step may use.
+    taken: BTreeSet<InstanceId>,
+    /// Groups that serve or will, by model.
+    serving: BTreeMap<String, usize>,
+    loads: usize,
+    steps: Vec<PlanStep>,
+}
+
+impl<'a> Draft<'a> {
+    fn new(input: &'a PlanInput<'a>) -> Self {
+        let is_taken = |instance: &&PlanInstance| !instance.is_usable || instance.is_reserved;
+        let taken = input.instances.iter().filter(is_taken).map(|i| i.id.clone()).collect();
+        Self {
+            input,
+            taken,
+            serving: BTreeMap::new(),
+            loads: input.loads_under_way,
+            steps: vec![],
+        }
+    }
+
+    /// Decides what becomes of a group.
+    fn review(&mut self, group: &Group<'_>) {
+        let key = (group.name.to_string(), group.epoch);
+        let is_reserved = group.members.values().any(|member| member.is_reserved);
+        let Some(head) = group.head() else {
+            if self.input.orphaned.contains(&key) {
+                self.taken.extend(group.ids());
+            }
+            return;
+        };
+        let model = group.model(self.input.engine);
+        let size = model.map_or(0, |model| model.size);
+        let is_complete = group.is_complete(size);
+        match group.head_state() {
+            Some(MembershipState::Open | MembershipState::Closing) => {
+                self.taken.extend(group.ids());
+                if let Some(model) = model.filter(|_| is_reserved) {
+                    *self.serving.entry(model.name.clone()).or_default() += 1;
+                }
+                if is_reserved {
+                    return;
+                }
+                let is_in_place = |_: &PlanInstance, state: MembershipState| {
+                    matches!(state, MembershipState::Ready | MembershipState::Open)
+                };
+                let reason = if self.input.down.contains(&key) {
+                    Some("it was found to be down")
+                } else if !is_complete {
+                    Some("a member is not in its place")
+                } else if !group.all(is_in_place) {
+                    Some("a member is not ready")
+                } else {
+                    None
+                };
+                if let Some(reason) = reason {
+                    return self.dissolve(group, head, false, reason);
+                }
+                if group.members.values().any(|member| member.is_draining) {
+                    return self.dissolve(group, head, true, "a member leaves");
+                }
+                if let Some(model) = model {
+                    *self.serving.entry(model.name.clone()).or_default() += 1;
+                }
+            }
+            Some(MembershipState::Ready) if !is_reserved && size > 1 && is_complete => {
+                let is_ready = |member: &PlanInstance, state: MembershipState| {
+                    member.is_usable && state == MembershipState::Ready
+                };
+                if let Some(model) = model.filter(|_| group.all(is_ready)) {
+                    self.taken.extend(group.ids());
+                    *self.serving.entry(model.name.clone()).or_default() += 1;
+                    let (group, members) = (group.name.to_string(), group.ids());
+                    self.steps.push(PlanStep::Open { group, epoch: key.1, members });
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn dissolve(
+        &mut self,
+        group: &Group<'_>,
+        head: &PlanInstance,
+        is_graceful: bool,
+        reason: &str,
+    ) {
+        self.steps.push(PlanStep::Dissolve {
+            group: group.name.to_string(),
+            epoch: group.epoch,
+            head: head.id.clone(),
+            members: group.ids(),
+            is_graceful,
+            reason: reason.to_string(),
+        });
+    }
+
+    fn free(&self) -> impl Iterator<Item = &'a PlanInstance> + '_ {
+        self.input.instances.iter().filter(|instance| !self.taken.contains(&instance.id))
+    }
+
+    /// Returns the models, the one that has least for its share first.
+    fn models_by_need(&self) -> Vec<&'a Model> {
+        let mut models: Vec<&Model> = self.input.engine.models.iter().collect();
+        let need = |model: &Model| {
+            let groups = self.serving.get(&model.name).copied().unwrap_or(0);
+            (groups * model.size) as f64 / model.share.max(0.001)
+        };
+        models.sort_by(|a, b| need(a).total_cmp(&need(b)));
+        models
+    }
+
+    /// Assembles groups while there are instances for them.
+    fn assemble(&mut self) {
+        while let Some((model, domain, members)) = self.next_assembly() {
+            let needs_load = |m: &&&PlanInstance| !has_weights(m, &model.name);
+            let loads = members.iter().filter(needs_load).count();
+            let at_once = self.input.engine.loads_at_once as usize;
+            if loads > 0 && self.loads > 0 && self.loads + loads > at_once.max(model.size) {
+                return;
+            }
+            self.loads += loads;
+            self.taken.extend(members.iter().map(|member| member.id.clone()));
+            *self.serving.entry(model.name.clone()).or_default() += 1;
+            self.steps.push(PlanStep::Assemble {
+                model: model.name.clone(),
+                domain,
+                members: members.iter().map(|member| member.id.clone()).collect(),
+                loads,
+                reason: format!("{} serve", self.serving[&model.name] - 1),
+            });
+        }
+    }
+
+    /// Returns the next group to assemble: of instances with the weights where there are enough in
+    /// one domain, else of instances without any.
+    fn next_assembly(&self) -> Option<(&'a Model, String, Vec<&'a PlanInstance>)> {
+        let models = self.models_by_need();
+        for model in &models {
+            let members = self.largest_pool(|i| has_weights(i, &model.name), model.size);
+            if let Some((domain, mut members)) = members {
+                members.sort_by_key(|i| (i.last_model.as_ref() != Some(&model.name), &i.id));
+                members.truncate(model.size);
+                return Some((model, domain, members));
+            }
+        }
+        for model in &models {
+            let needed = model.size + SPARES_PER_DOMAIN;
+            let empty = |i: &PlanInstance| i.staged.is_empty() && i.last_model.is_none();
+            if let Some((domain, mut members)) = self.largest_pool(empty, needed) {
+                members.truncate(model.size);
+                return Some((model, domain, members));
+            }
+        }
+        None
+    }
+
+    /// Returns the domain with most free instances that fit, if they are enough.
+    fn largest_pool(
+        &self,
+        fits: impl Fn(&PlanInstance) -> bool,
+        needed: usize,
+    ) -> Option<(String, Vec<&'a PlanInstance>)> {
+        let mut pools: BTreeMap<&str, Vec<&PlanInstance>> = BTreeMap::new();
+        for instance in self.free().filter(|instance| fits(instance)) {
+            pools.entry(&instance.domain).or_default().push(instance);
+        }
+        let (domain, members) = pools.into_iter().max_by_key(|(_, pool)| pool.len())?;
+        (members.len() >= needed).then(|| (domain.to_string(), members))
+    }
+
+    /// Stages weights on free instances that have none of use.
+    fn stage(&mut self) {
+        let at_once = self.input.engine.loads_at_once as usize;
+        let free: Vec<&PlanInstance> = self.free().collect();
+        for instance in free {
+            if self.loads >= at_once {
+                return;
+            }
+            let Some(model) = self.lacking_model(instance) else { continue };
+            self.loads += 1;
+            self.taken.insert(instance.id.clone());
+            let (instance, model) = (instance.id.clone(), model.name.clone());
+            self.steps.push(PlanStep::Stage { instance, model });
+        }
+    }
+
+    /// Returns the model that an instance should be staged for, unless what it has is of use.
+    fn lacking_model(&self, instance: &PlanInstance) -> Option<&'a Model> {
+        let in_domain = || {
+            let is_there = |i: &&PlanInstance| i.domain == instance.domain && !i.is_draining;
+            self.input.instances.iter().filter(is_there)
+        };
+        let all = in_domain().count();
+        let with = |model: &Model| in_domain().filter(|i| has_weights(i, &model.name)).count();
+        let possible: Vec<&Model> =
+            self.input.engine.models.iter().filter(|model| model.size <= all).collect();
+        if possible.iter().any(|model| has_weights(instance, &model.name)) {
+            return None;
+        }
+        // A model is wanted up to its share of the domain, and in whole groups with one to spare.
+        let lack = |model: &&Model| {
+            let wanted = (model.share * all as f64).max(model.size as f64);
+            wanted - with(model) as f64
+        };
+        possible.into_iter().max_by(|a, b| lack(a).total_cmp(&lack(b)))
+    }
+
+    /// Prepares the free instances that are kept for repairs.
+    fn prepare(&mut self) {
+        let free: Vec<&PlanInstance> = self.free().collect();
+        for instance in free {
+            let model = self.input.engine.models.iter();
+            let model = model.filter(|model| instance.staged.contains(&model.name)).next();
+            let Some(model) = model else { continue };
+            if instance.last_model.is_none() && instance.membership.is_none() {
+                let (instance, model) = (instance.id.clone(), model.name.clone());
+                self.steps.push(PlanStep::Prepare { instance, model });
+            }
+        }
+    }
+}
+
+/// Tells whether an instance can join a group of a model without a load.
+fn has_weights(instance: &PlanInstance, model: &str) -> bool {
+    instance.staged.iter().any(|staged| staged == model)
+        || instance.last_model.as_deref() == Some(model)
+}
--- /dev/null
+++ b/serving/src/group_steps.rs
@@ -0,0 +1,410 @@
+//! The steps of group control, each written straight down.
+
+use crate::fleet_config::Engine;
+use crate::group_plan::PlanStep;
+use crate::instance::CloseMode;
+use crate::instance::EngineStatus;
+use crate::instance::GroupEpoch;
+use crate::instance::GroupName;
+use crate::instance::Instance;
+use crate::instance::InstanceId;
+use crate::instance::InstanceReport;
+use crate::instance::MembershipState;
+use crate::instance::OrderKind;
+use crate::order_client;
+use crate::order_client::OrderError;
+use crate::order_client::OrderTarget;
+use crate::serving_cx::ServingCx;
+use guavaladder_lib::generated::events::Event;
+use std::time::Duration;
+use tokio::task::JoinSet;
+use tokio::time::Instant;
+use tokio::time::sleep;
+
+/// Time of a join whose model was that of the member's last group, by the platform's page.
+const REJOIN_TIME: Duration = Duration::from_millis(200);
+/// Period in which members are asked whether they are ready.
+const READY_PERIOD: Duration = Duration::from_millis(70);
+/// The same while weights are loaded.
+const LOAD_PERIOD: Duration = Duration::from_millis(500);
+/// Factor on the expected time of a join after which an assembly is given up.
+const MAX_JOIN_FACTOR: u32 = 12;
+/// Time beyond that factor.
+const JOIN_SLACK: Duration = Duration::from_secs(2);
+/// Longest time in which a closing group finishes its requests.
+const CLOSE_TIME: Duration = Duration::from_secs(8);
+/// Period in which a closing head is asked whether it has finished.
+const CLOSE_PERIOD: Duration = Duration::from_millis(200);
+/// Longest time from the order to open until the head tells that it is open, beyond its delay.
+const OPEN_SLACK: Duration = Duration::from_millis(1500);
+
+/// What a step came to.
+#[derive(Debug, Default)]
+pub struct StepOutcome {
+    /// Instances that it involved.
+    pub reserved: Vec<InstanceId>,
+    /// Loads that it stood for.
+    pub loads: usize,
+    /// What instances said of themselves at the end.
+    pub own_words: Vec<(InstanceId, EngineStatus)>,
+    /// Instances that did not answer.
+    pub silent: Vec<InstanceId>,
+    /// Group whose head is known to have ended.
+    pub ended_head: Option<(GroupName, GroupEpoch)>,
+}
+
+/// Why a step failed.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+enum StepError {
+    /// An order failed.
+    #[error("{member}: {error}")]
+    Order {
+        /// Instance.
+        member: InstanceId,
+        /// Error.
+        error: OrderError,
+    },
+    /// A member was not ready in time.
+    #[error("{0} was not ready in time")]
+    NotReady(InstanceId),
+    /// A member has another place.
+    #[error("{0} took another place")]
+    Misplaced(InstanceId),
+    /// The lease has lapsed.
+    #[error("the lease has lapsed")]
+    NoLease,
+}
+
+/// Carries a step out.
+pub async fn carry_out(
+    cx: &ServingCx,
+    engine: &Engine,
+    step: PlanStep,
+    instances: Vec<Instance>,
+) -> StepOutcome {
+    let mut run = StepRun { cx, engine, outcome: StepOutcome::default() };
+    run.outcome.reserved = match &step {
+        PlanStep::Dissolve { members, .. }
+        | PlanStep::Open { members, .. }
+        | PlanStep::Assemble { members, .. } => members.clone(),
+        PlanStep::Stage { instance, .. } | PlanStep::Prepare { instance, .. } => {
+            vec![instance.clone()]
+        }
+    };
+    let targets: Vec<OrderTarget> = instances.iter().map(target).collect();
+    match step {
+        PlanStep::Dissolve { group, epoch, head, is_graceful, reason, .. } => {
+            let head = targets.into_iter().find(|target| target.id == head);
+            run.dissolve(group, epoch, head, is_graceful, reason).await;
+        }
+        PlanStep::Open { group, epoch, .. } => {
+            let started = Instant::now();
+            let opened = run.open(&group, epoch, targets).await;
+            run.note_assembly(&group, opened, started);
+        }
+        PlanStep::Assemble { model, domain, members, loads, reason } => {
+            run.outcome.loads = loads;
+            run.assemble(model, domain, members, loads, reason, targets).await;
+        }
+        PlanStep::Stage { model, .. } => {
+            run.outcome.loads = 1;
+            if let Some(target) = targets.into_iter().next() {
+                run.stage(model, target).await;
+            }
+        }
+        PlanStep::Prepare { model, .. } => {
+            if let Some(target) = targets.into_iter().next() {
+                run.prepare(model, target).await;
+            }
+        }
+    }
+    run.outcome
+}
+
+fn target(instance: &Instance) -> OrderTarget {
+    OrderTarget {
+        id: instance.id.clone(),
+        address: instance.address,
+        sequence: instance.engine.sequence,
+    }
+}
+
+struct StepRun<'a> {
+    cx: &'a ServingCx,
+    engine: &'a Engine,
+    outcome: StepOutcome,
+}
+
+impl StepRun<'_> {
+    /// Stops a group from serving.
+    async fn dissolve(
+        &mut self,
+        group: GroupName,
+        epoch: GroupEpoch,
+        head: Option<OrderTarget>,
+        is_graceful: bool,
+        reason: String,
+    ) {
+        let started = Instant::now();
+        let Some(mut head) = head else { return };
+        if is_graceful {
+            self.finish_requests(&group, epoch, &mut head).await;
+        }
+        let leave = OrderKind::Leave { group: group.clone(), epoch };
+        let has_left = |report: &InstanceReport| !order_client::is_in(report, &group, epoch);
+        let left = order_client::give(self.cx, &mut head, &leave, has_left).await;
+        let outcome = match left {
+            Ok(()) => {
+                if let Ok(report) = order_client::report(self.cx, &mut head).await {
+                    self.hear(&head.id, &report);
+                }
+                "left".to_string()
+            }
+            Err(e) => {
+                self.outcome.silent.push(head.id.clone());
+                if matches!(e, OrderError::Ended(_)) {
+                    self.outcome.ended_head = Some((group.clone(), epoch));
+                }
+                e.to_string()
+            }
+        };
+        let took = started.elapsed();
+        self.cx.log.record(Event::GroupDissolved { group, reason, outcome, took });
+    }
+
+    /// Lets a group finish its requests.
+    async fn finish_requests(&mut self, group: &str, epoch: GroupEpoch, head: &mut OrderTarget) {
+        let mode = CloseMode::Finish;
+        let close = OrderKind::Close { group: group.to_string(), epoch, mode };
+        let is_open = |report: &InstanceReport| {
+            order_client::is_in(report, group, epoch) && state(report) == Some(MembershipState::Open)
+        };
+        if let Err(e) = order_client::give(self.cx, head, &close, |r| !is_open(r)).await {
+            return log::info!("group {group} was not closed: {e}");
+        }
+        let started = Instant::now();
+        while started.elapsed() < CLOSE_TIME {
+            sleep(CLOSE_PERIOD).await;
+            match order_client::report(self.cx, head).await {
+                Ok(report) if state(&report) == Some(MembershipState::Closing) => {}
+                _ => return,
+            }
+        }
+    }
+
+    /// Assembles a group and opens it.
+    async fn assemble(
+        &mut self,
+        model: String,
+        domain: String,
+        members: Vec<InstanceId>,
+        loads: usize,
+        reason: String,
+        targets: Vec<OrderTarget>,
+    ) {
+        let started = Instant::now();
+        let Some(epoch) = self.cx.lease.next_epoch() else { return };
+        let group = format!("{model}-{epoch}");
+        self.cx.log.record(Event::AssemblyStarted {
+            group: group.clone(),
+            model: model.clone(),
+            domain,
+            members: members.join(","),
+            loads: loads as u64,
+            reason,
+        });
+        let result = self.join_and_open(&group, epoch, &model, &members, loads, targets).await;
+        self.note_assembly(&group, result, started);
+    }
+
+    fn note_assembly(&mut self, group: &str, result: Result<(), StepError>, started: Instant) {
+        let outcome = match &result {
+            Ok(()) => "open".to_string(),
+            Err(e) => e.to_string(),
+        };
+        if let Err(StepError::Order { member, error }) = &result
+            && matches!(error, OrderError::Silent(_) | OrderError::Ended(_))
+        {
+            self.outcome.silent.push(member.clone());
+        }
+        if let Err(StepError::NotReady(member)) = result {
+            self.outcome.silent.push(member);
+        }
+        let (group, took) = (group.to_string(), started.elapsed());
+        self.cx.log.record(Event::AssemblyFinished { group, outcome, took });
+    }
+
+    async fn join_and_open(
+        &mut self,
+        group: &str,
+        epoch: GroupEpoch,
+        model: &str,
+        members: &[InstanceId],
+        loads: usize,
+        targets: Vec<OrderTarget>,
+    ) -> Result<(), StepError> {
+        let join = OrderKind::Join {
+            group: group.to_string(),
+            epoch,
+            model: model.to_string(),
+            members: members.to_vec(),
+        };
+        let mut joins = JoinSet::new();
+        for mut target in targets {
+            let (cx, join, group) = (self.cx.clone(), join.clone(), group.to_string());
+            joins.spawn(async move {
+                let holds = |report: &InstanceReport| order_client::is_in(report, &group, epoch);
+                let given = order_client::give(&cx, &mut target, &join, holds).await;
+                (target, given)
+            });
+        }
+        let mut joined = vec![];
+        let mut failure = None;
+        while let Some(Ok((target, given))) = joins.join_next().await {
+            match given {
+                Ok(()) => joined.push(target),
+                Err(error) => failure = Some(StepError::Order { member: target.id, error }),
+            }
+        }
+        if let Some(failure) = failure {
+            return Err(failure);
+        }
+        let expected = self.join_time(model, loads);
+        joined.sort_by_key(|target| members.iter().position(|id| *id == target.id));
+        self.wait_until_ready(group, epoch, &mut joined, expected, loads > 0).await?;
+        self.open(group, epoch, joined).await
+    }
+
+    /// Returns the shortest time that a join may take.
+    fn join_time(&self, model: &str, loads: usize) -> Duration {
+        let model = self.engine.model(model);
+        match (model, loads) {
+            (Some(model), 1..) => model.load_time / 10,
+            _ => REJOIN_TIME,
+        }
+    }
+
+    /// Asks the members until each has said that it is ready in its place.
+    async fn wait_until_ready(
+        &mut self,
+        group: &str,
+        epoch: GroupEpoch,
+        members: &mut [OrderTarget],
+        expected: Duration,
+        has_loads: bool,
+    ) -> Result<(), StepError> {
+        let started = Instant::now();
+        let longest = expected.max(self.longest_warm_time()) * MAX_JOIN_FACTOR + JOIN_SLACK;
+        sleep(expected).await;
+        for (rank, member) in members.iter_mut().enumerate() {
+            loop {
+                let report = order_client::report(self.cx, member).await;
+                let id = member.id.clone();
+                let report = report.map_err(|error| StepError::Order { member: id, error })?;
+                self.hear(&member.id, &report);
+                let place = report.engine.membership.as_ref();
+                let is_placed = place
+                    .is_some_and(|m| m.group == group && m.epoch == epoch && m.rank == rank);
+                if !is_placed {
+                    return Err(StepError::Misplaced(member.id.clone()));
+                }
+                match state(&report) {
+                    Some(MembershipState::Ready | MembershipState::Open) => break,
+                    Some(MembershipState::Joining) if started.elapsed() < longest => {}
+                    _ => return Err(StepError::NotReady(member.id.clone())),
+                }
+                if self.cx.lease.term().is_none() {
+                    return Err(StepError::NoLease);
+                }
+                sleep(if has_loads { LOAD_PERIOD } else { READY_PERIOD }).await;
+            }
+        }
+        Ok(())
+    }
+
+    fn longest_warm_time(&self) -> Duration {
+        self.engine.models.iter().map(|model| model.warm_time).max().unwrap_or_default()
+    }
+
+    /// Orders the head to serve; all members have said that they are ready.
+    async fn open(
+        &mut self,
+        group: &str,
+        epoch: GroupEpoch,
+        members: Vec<OrderTarget>,
+    ) -> Result<(), StepError> {
+        let Some(mut head) = members.into_iter().next() else { return Ok(()) };
+        let order = OrderKind::Open { group: group.to_string(), epoch };
+        let is_open = |report: &InstanceReport| {
+            order_client::is_in(report, group, epoch) && state(report) == Some(MembershipState::Open)
+        };
+        let opened = order_client::give(self.cx, &mut head, &order, is_open).await;
+        opened.map_err(|error| StepError::Order { member: head.id.clone(), error })?;
+        let started = Instant::now();
+        sleep(self.engine.open_delay).await;
+        while started.elapsed() < self.engine.open_delay + OPEN_SLACK {
+            if let Ok(report) = order_client::report(self.cx, &mut head).await {
+                self.hear(&head.id, &report);
+                if is_open(&report) {
+                    return Ok(());
+                }
+            }
+            sleep(READY_PERIOD).await;
+        }
+        Err(StepError::NotReady(head.id))
+    }
+
+    /// Loads weights onto an instance's host and waits until they are there.
+    async fn stage(&mut self, model: String, mut target: OrderTarget) {
+        let order = OrderKind::Stage { model: model.clone() };
+        let is_staged = |report: &InstanceReport| report.engine.staged.contains(&model);
+        let given = order_client::give(self.cx, &mut target, &order, is_staged).await;
+        let outcome = match &given {
+            Ok(()) => "begun".to_string(),
+            Err(e) => e.to_string(),
+        };
+        let instance = target.id.clone();
+        self.cx.log.record(Event::WeightsStaged { instance, model: model.clone(), outcome });
+        if given.is_err() {
+            self.outcome.silent.push(target.id);
+            return;
+        }
+        let load_time = self.engine.model(&model).map_or(Duration::ZERO, |m| m.load_time);
+        let started = Instant::now();
+        while started.elapsed() < load_time * MAX_JOIN_FACTOR {
+            sleep(LOAD_PERIOD).await;
+            // The instance registers anew as soon as its weights are there.
+            let entry = self.cx.fleet.instance(&target.id);
+            let Some(entry) = entry else { return };
+            if entry.engine.staged.contains(&model) || self.cx.lease.term().is_none() {
+                return;
+            }
+        }
+    }
+
+    /// Lets a spare instance join a group of its own.
+    async fn prepare(&mut self, model: String, mut target: OrderTarget) {
+        let Some(epoch) = self.cx.lease.next_epoch() else { return };
+        let group = format!("{model}-{epoch}");
+        let members = vec![target.id.clone()];
+        let join = OrderKind::Join { group: group.clone(), epoch, model, members };
+        let holds = |report: &InstanceReport| order_client::is_in(report, &group, epoch);
+        if let Err(e) = order_client::give(self.cx, &mut target, &join, holds).await {
+            log::info!("spare {} was not prepared: {e}", target.id);
+            self.outcome.silent.push(target.id);
+            return;
+        }
+        if let Ok(report) = order_client::report(self.cx, &mut target).await {
+            self.hear(&target.id, &report);
+        }
+    }
+
+    fn hear(&mut self, id: &str, report: &InstanceReport) {
+        self.outcome.own_words.retain(|(known, _)| known != id);
+        self.outcome.own_words.push((id.to_string(), report.engine.clone()));
+    }
+}
+
+fn state(report: &InstanceReport) -> Option<MembershipState> {
+    report.engine.membership.as_ref().map(|membership| membership.state)
+}
--- /dev/null
+++ b/serving/src/lease_state.rs
@@ -0,0 +1,68 @@
+//! This node's lease on the groups: its term and until when orders may be given by it.
+//!
+//! Time is the clock that counts suspension, so a node that was frozen sees that its lease lapsed.
+
+use guavaladder_lib::clock::Clock;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+/// Epochs that a term has room for.
+const EPOCHS_PER_TERM: u64 = 1_000_000;
+
+/// Shared state of the lease.
+#[derive(Debug, Clone)]
+pub struct LeaseState {
+    clock: Clock,
+    held: Arc<Mutex<Option<Held>>>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Held {
+    term: u64,
+    until: Duration,
+    next_epoch: u64,
+}
+
+impl LeaseState {
+    /// Returns the state of a node that holds no lease.
+    pub fn new(clock: Clock) -> Self {
+        Self { clock, held: Arc::default() }
+    }
+
+    /// Takes in that the lease of a term is held until a time on the clock.
+    pub fn hold(&self, term: u64, until: Duration) {
+        let mut held = self.lock();
+        let next_epoch = match *held {
+            Some(held) if held.term == term => held.next_epoch,
+            _ => term * EPOCHS_PER_TERM + 1,
+        };
+        *held = Some(Held { term, until, next_epoch });
+    }
+
+    /// Gives the lease up.
+    pub fn release(&self) {
+        *self.lock() = None;
+    }
+
+    /// Returns the term while orders may be given.
+    pub fn term(&self) -> Option<u64> {
+        let held = (*self.lock())?;
+        (self.clock.now() < held.until).then_some(held.term)
+    }
+
+    /// Returns a new epoch, larger than all of this and earlier terms, while orders may be given.
+    pub fn next_epoch(&self) -> Option<u64> {
+        self.term()?;
+        let mut held = self.lock();
+        let held = held.as_mut()?;
+        held.next_epoch += 1;
+        Some(held.next_epoch - 1)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Option<Held>> {
+        self.held.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/serving/src/lib.rs
@@ -0,0 +1,52 @@
+//! Serving on the users' platform: requests forwarded to replicas whose members are instances that
+//! the platform lists, groups of them assembled and repaired by orders, and the platform's store as
+//! the only thing that lasts.
+//!
+//! Decisions are plain functions and types without I/O: `group_plan`, `placement`, `retry_budget`,
+//! `crash_record`, `replica_set`, `route_match`. The platform's manner of speaking is behind the
+//! `dialect` edge.
+
+pub mod answer_body;
+pub mod attempt;
+pub mod candidates;
+pub mod config_follow;
+pub mod connection;
+pub mod crash_record;
+pub mod decision_log;
+pub mod dialect;
+pub mod directory;
+pub mod down_reports;
+pub mod fleet_config;
+pub mod fleet_view;
+pub mod front;
+pub mod group_control;
+pub mod group_plan;
+pub mod group_steps;
+pub mod instance;
+pub mod instance_follow;
+pub mod key_hash;
+pub mod lease_keeper;
+pub mod lease_state;
+pub mod listeners;
+pub mod load_table;
+pub mod node_registry;
+pub mod node_table;
+pub mod order_client;
+pub mod peer_codec;
+pub mod peer_exchange;
+pub mod placement;
+pub mod plain_forward;
+pub mod refusal;
+pub mod replica_health;
+pub mod replica_set;
+pub mod request_task;
+pub mod retry_budget;
+pub mod route_match;
+pub mod serving_cx;
+pub mod serving_metrics;
+pub mod serving_node;
+pub mod serving_settings;
+pub mod sse;
+pub mod store;
+pub mod stream_forward;
+pub mod upstream_pool;
--- /dev/null
+++ b/serving/src/order_client.rs
@@ -0,0 +1,183 @@
+//! Orders to instances, each checked against the lease right before it goes.
+
+use crate::connection;
+use crate::connection::CallError;
+use crate::instance::GroupEpoch;
+use crate::instance::InstanceId;
+use crate::instance::InstanceReport;
+use crate::instance::Order;
+use crate::instance::OrderAnswer;
+use crate::instance::OrderKind;
+use crate::replica_health;
+use crate::replica_health::ReportError;
+use crate::serving_cx::ServingCx;
+use bytes::Bytes;
+use guavaladder_lib::generated::events::Event;
+use http::Request;
+use http_body_util::Full;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::time::sleep;
+
+/// Longest wait for a connection to an instance.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+/// Longest wait for the answer to an order; instances answer in a millisecond or two.
+const ORDER_TIMEOUT: Duration = Duration::from_millis(400);
+/// Longest wait for a report in the course of an order.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Pause before an order without an answer is looked after.
+const UNANSWERED_PAUSE: Duration = Duration::from_millis(100);
+/// Attempts to give one order.
+const MAX_ATTEMPTS: u32 = 3;
+/// Largest answer to an order.
+const MAX_ANSWER_BYTES: usize = 64 << 10;
+
+/// Errors of an order.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum OrderError {
+    /// The lease has lapsed; nothing was sent.
+    #[error("the lease has lapsed")]
+    NoLease,
+    /// The instance's process does not run at its address.
+    #[error("the instance has ended: {0}")]
+    Ended(String),
+    /// The instance does not answer; an order may have reached it.
+    #[error("the instance does not answer: {0}")]
+    Silent(String),
+    /// A higher fencing token or epoch was seen.
+    #[error("the instance has seen a higher token or epoch")]
+    Fenced,
+    /// The instance refused.
+    #[error("the instance refused: {0}")]
+    Refused(String),
+}
+
+/// An instance that takes orders.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct OrderTarget {
+    /// Id.
+    pub id: InstanceId,
+    /// Address.
+    pub address: SocketAddr,
+    /// Orders that it has accepted, as far as known.
+    pub sequence: u64,
+}
+
+/// Gives an order until it holds, or fails. Orders without an answer are looked after by the
+/// instance's own report before they are given again.
+pub async fn give(
+    cx: &ServingCx,
+    target: &mut OrderTarget,
+    kind: &OrderKind,
+    holds: impl Fn(&InstanceReport) -> bool,
+) -> Result<(), OrderError> {
+    let mut last = OrderError::Refused("not tried".to_string());
+    for _ in 0..MAX_ATTEMPTS {
+        match give_once(cx, target, kind).await {
+            Ok(OrderAnswer::Begun) => {
+                target.sequence += 1;
+                return Ok(());
+            }
+            Ok(OrderAnswer::Done) => return Ok(()),
+            Ok(OrderAnswer::Conflict) => {
+                last = OrderError::Refused("it does not fit its state".to_string());
+            }
+            Ok(OrderAnswer::Fenced) => return Err(OrderError::Fenced),
+            Ok(OrderAnswer::WrongInstance) => {
+                return Err(OrderError::Ended("another one has its address".to_string()));
+            }
+            Ok(OrderAnswer::Refused { status }) => {
+                return Err(OrderError::Refused(format!("status {status}")));
+            }
+            Err(OrderError::Silent(reason)) => {
+                last = OrderError::Silent(reason);
+                sleep(UNANSWERED_PAUSE).await;
+            }
+            Err(e) => return Err(e),
+        }
+        let report = report(cx, target).await?;
+        if holds(&report) {
+            return Ok(());
+        }
+    }
+    Err(last)
+}
+
+/// Asks an instance for its state and takes its sequence in.
+pub async fn report(
+    cx: &ServingCx,
+    target: &mut OrderTarget,
+) -> Result<InstanceReport, OrderError> {
+    let asked =
+        replica_health::ask_report(cx, &target.id, target.address, "order", REPORT_TIMEOUT).await;
+    match asked {
+        Ok(report) => {
+            target.sequence = report.engine.sequence;
+            Ok(report)
+        }
+        Err(e) if e.is_proof_of_end() => Err(OrderError::Ended(e.to_string())),
+        Err(ReportError::Unusable(reason)) => Err(OrderError::Refused(reason)),
+        Err(e) => Err(OrderError::Silent(e.to_string())),
+    }
+}
+
+async fn give_once(
+    cx: &ServingCx,
+    target: &OrderTarget,
+    kind: &OrderKind,
+) -> Result<OrderAnswer, OrderError> {
+    let Some(term) = cx.lease.term() else { return Err(OrderError::NoLease) };
+    let order = Order {
+        kind: kind.clone(),
+        fencing_token: term,
+        expected_sequence: Some(target.sequence),
+    };
+    let body = Full::new(Bytes::from(cx.dialect.encode_order(&order)));
+    let req = Request::post(cx.dialect.order_path()).body(body);
+    let mut req = req.map_err(|e| OrderError::Refused(e.to_string()))?;
+    *req.headers_mut() = cx.dialect.instance_headers(&target.id);
+    let answer = connection::call_once(
+        target.address,
+        req,
+        CONNECT_TIMEOUT,
+        ORDER_TIMEOUT,
+        MAX_ANSWER_BYTES,
+    );
+    let result = match answer.await {
+        Ok(answer) => Ok(cx.dialect.decode_order_answer(answer.status())),
+        Err(CallError::NotSent(connection::ConnectError::Refused)) => {
+            Err(OrderError::Ended("its connection was refused".to_string()))
+        }
+        Err(e) => Err(OrderError::Silent(e.to_string())),
+    };
+    note(cx, target, kind, term, &result);
+    result
+}
+
+fn note(
+    cx: &ServingCx,
+    target: &OrderTarget,
+    kind: &OrderKind,
+    term: u64,
+    result: &Result<OrderAnswer, OrderError>,
+) {
+    let outcome = match result {
+        Ok(OrderAnswer::Begun) => return cx.metrics.order(kind.name(), "begun"),
+        Ok(OrderAnswer::Done) => return cx.metrics.order(kind.name(), "done"),
+        Ok(OrderAnswer::Conflict) => "conflict".to_string(),
+        Ok(OrderAnswer::Fenced) => "fenced".to_string(),
+        Ok(OrderAnswer::WrongInstance) => "wrong_instance".to_string(),
+        Ok(OrderAnswer::Refused { status }) => format!("status_{status}"),
+        Err(OrderError::Ended(_)) => "ended".to_string(),
+        Err(e) => e.to_string(),
+    };
+    cx.metrics.order(kind.name(), if result.is_ok() { &outcome } else { "unanswered" });
+    let (instance, order) = (target.id.clone(), kind.name().to_string());
+    cx.log.record(Event::OrderFailed { instance, order, term, outcome });
+}
+
+/// Tells whether a report shows a place in a group of an epoch.
+pub fn is_in(report: &InstanceReport, group: &str, epoch: GroupEpoch) -> bool {
+    let membership = report.engine.membership.as_ref();
+    membership.is_some_and(|m| m.group == group && m.epoch == epoch)
+}
--- /dev/null
+++ b/serving/src/peer_codec.rs
@@ -0,0 +1,53 @@
+//! Encoding of the messages between nodes: postcard, with a tag by the fleet key before it.
+
+use guavaladder_lib::generated::serving_peer::NodeBeat;
+
+/// Bytes of the tag.
+const TAG_LEN: usize = 16;
+/// Largest message, which fits one datagram.
+pub const MAX_MESSAGE_LEN: usize = 60_000;
+
+/// Key that authenticates the messages between nodes.
+pub type PeerKey = [u8; 32];
+
+/// Errors of a received message.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum PeerCodecError {
+    /// The message is shorter than its tag.
+    #[error("the message has {0} bytes, fewer than its tag")]
+    TooShort(usize),
+    /// The tag does not fit.
+    #[error("the tag does not fit the fleet key")]
+    WrongTag,
+    /// The content cannot be decoded.
+    #[error("the content cannot be decoded: {0}")]
+    Undecodable(#[from] postcard::Error),
+}
+
+/// Encodes a message.
+pub fn encode(beat: &NodeBeat, key: &PeerKey) -> Result<Vec<u8>, PeerCodecError> {
+    let content = postcard::to_stdvec(beat)?;
+    let mut message = Vec::with_capacity(TAG_LEN + content.len());
+    message.extend_from_slice(&tag(&content, key));
+    message.extend_from_slice(&content);
+    Ok(message)
+}
+
+/// Checks and decodes a message.
+pub fn decode(message: &[u8], key: &PeerKey) -> Result<NodeBeat, PeerCodecError> {
+    if message.len() < TAG_LEN {
+        return Err(PeerCodecError::TooShort(message.len()));
+    }
+    let (found, content) = message.split_at(TAG_LEN);
+    let is_equal = found.iter().zip(tag(content, key)).fold(0, |acc, (a, b)| acc | (a ^ b)) == 0;
+    if !is_equal {
+        return Err(PeerCodecError::WrongTag);
+    }
+    Ok(postcard::from_bytes(content)?)
+}
+
+fn tag(content: &[u8], key: &PeerKey) -> [u8; TAG_LEN] {
+    let mut tag = [0; TAG_LEN];
+    tag.copy_from_slice(&blake3::keyed_hash(key, content).as_bytes()[..TAG_LEN]);
+    tag
+}
--- /dev/null
+++ b/serving/src/placement.rs
@@ -0,0 +1,159 @@
+//! Choice of the replica for a request, and the decision to refuse it.
+//!
+//! Load patterns answered here:
+//! - Replicas are lost one after the other while the load stays: the rest must take over without
+//!   one of them being overrun, so each request goes where the next event is expected first, by the
+//!   requests of all nodes there.
+//! - More requests come than all replicas can begin in time: those beyond a short queue at each
+//!   replica are refused at once, so that those within are answered on time.
+
+use crate::fleet_config::Engine;
+use crate::load_table::ReplicaState;
+use crate::replica_set::Replica;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Requests that may wait at a group, as a part of its slots.
+const GROUP_QUEUE_PART: f64 = 0.25;
+/// Requests that may wait at a plain instance, as a part of its slots.
+const PLAIN_QUEUE_PART: f64 = 1.5;
+/// Factor by which a replica in another data centre must be better.
+const FAR_FACTOR: f64 = 1.15;
+/// Slowness from which on a replica is used only when no other has room.
+const SLOW: f64 = 3.0;
+/// Failure rate from which on a replica is used only when no other has room.
+const FAILING: f64 = 0.5;
+/// Time after which a caller comes back when there is no replica: about the time of a repair.
+const REPAIR_RETRY_AFTER: Duration = Duration::from_millis(1500);
+/// Time after which a caller comes back when all replicas are full: some requests end by then.
+const BUSY_RETRY_AFTER: Duration = Duration::from_millis(700);
+/// Part of the time after which a caller comes back that is drawn at random, so that callers who
+/// were refused together do not return together.
+const RETRY_SPREAD: f64 = 0.4;
+
+/// A replica with its state.
+#[derive(Debug, Clone)]
+pub struct Candidate {
+    /// The replica.
+    pub replica: Arc<Replica>,
+    /// Its state.
+    pub state: ReplicaState,
+}
+
+/// What a placement depends on besides the candidates.
+#[derive(Debug, Clone, Copy)]
+pub struct PlacementInput<'a> {
+    /// Data centre of this node.
+    pub data_centre: &'a str,
+    /// Engine of the service; `None` for a plain service.
+    pub engine: Option<&'a Engine>,
+    /// Whether the caller holds the beginning of the answer, which must not be refused.
+    pub has_begun: bool,
+}
+
+/// Why a request is refused.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Shortage {
+    /// No replica takes requests.
+    NoReplica,
+    /// Every replica has as many requests as it can begin in time.
+    AllBusy,
+}
+
+impl Shortage {
+    /// Returns the name used in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::NoReplica => "no_replica",
+            Self::AllBusy => "all_busy",
+        }
+    }
+
+    /// Returns when a refused caller should come back.
+    pub fn retry_after(self) -> Duration {
+        let base = match self {
+            Self::NoReplica => REPAIR_RETRY_AFTER,
+            Self::AllBusy => BUSY_RETRY_AFTER,
+        };
+        base.mul_f64(1.0 - RETRY_SPREAD / 2.0 + rand::random_range(0.0..RETRY_SPREAD))
+    }
+}
+
+/// Places and requests of the candidates together, for the log of a refusal.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Occupancy {
+    /// Requests.
+    pub running: u32,
+    /// Requests that can run at once.
+    pub places: u32,
+    /// Replicas that take requests.
+    pub replicas: u32,
+}
+
+/// Sums the places and requests of the candidates.
+pub fn occupancy(candidates: &[Candidate]) -> Occupancy {
+    let mut sum = Occupancy::default();
+    for candidate in candidates.iter().filter(|c| !c.state.is_down) {
+        sum.running += requests_at(&candidate.state);
+        sum.places += candidate.replica.slots;
+        sum.replicas += 1;
+    }
+    sum
+}
+
+/// Chooses the replica that is expected to answer first.
+pub fn choose(
+    candidates: &[Candidate],
+    input: &PlacementInput<'_>,
+) -> Result<Arc<Replica>, Shortage> {
+    let usable: Vec<&Candidate> = candidates.iter().filter(|c| !c.state.is_down).collect();
+    let is_sound = |c: &&Candidate| {
+        !c.state.is_ejected && c.state.slowness < SLOW && c.state.failure_rate < FAILING
+    };
+    let sound: Vec<&Candidate> = usable.iter().copied().filter(is_sound).collect();
+    if usable.is_empty() {
+        return Err(Shortage::NoReplica);
+    }
+    let best = best_with_room(&sound, input).or_else(|| best_with_room(&usable, input));
+    best.map(|candidate| candidate.replica.clone()).ok_or(Shortage::AllBusy)
+}
+
+fn best_with_room<'a>(
+    candidates: &[&'a Candidate],
+    input: &PlacementInput<'_>,
+) -> Option<&'a Candidate> {
+    let has_room = |c: &&&Candidate| input.has_begun || requests_at(&c.state) < limit(c);
+    let with_room = candidates.iter().filter(has_room);
+    let cost = |c: &&&Candidate| expected_cost(c, input) * rand::random_range(0.97..1.03);
+    let costs = with_room.map(|c| (cost(&c), *c));
+    costs.min_by(|(a, _), (b, _)| a.total_cmp(b)).map(|(_, candidate)| candidate)
+}
+
+fn requests_at(state: &ReplicaState) -> u32 {
+    state.own + state.remote
+}
+
+/// Returns the requests that a replica may have, those that wait included.
+fn limit(candidate: &Candidate) -> u32 {
+    let slots = f64::from(candidate.replica.slots);
+    let part = match candidate.replica.model {
+        Some(_) => GROUP_QUEUE_PART,
+        None => PLAIN_QUEUE_PART,
+    };
+    (slots * (1.0 + part)).ceil() as u32
+}
+
+/// Returns a measure of the time in which a replica makes progress with one request more.
+fn expected_cost(candidate: &Candidate, input: &PlacementInput<'_>) -> f64 {
+    let replica = &candidate.replica;
+    let running = requests_at(&candidate.state) + 1;
+    let model = input.engine.zip(replica.model.as_deref());
+    let pass = model.and_then(|(engine, name)| Some(engine.pass_time(engine.model(name)?, running)));
+    let load = f64::from(running) / f64::from(replica.slots);
+    let time = match pass {
+        Some(pass) => pass.as_secs_f64() * (1.0 + load),
+        None => load,
+    };
+    let distance = if replica.data_centre == input.data_centre { 1.0 } else { FAR_FACTOR };
+    time * distance * candidate.state.slowness.max(1.0) * (1.0 + candidate.state.failure_rate)
+}
--- /dev/null
+++ b/serving/src/replica_set.rs
@@ -0,0 +1,153 @@
+//! The replicas that requests may be sent to, derived from the registered instances.
+//!
+//! A replica is a plain instance, or a group whose members all say that they are in it. A group is
+//! never read from a record of its own: what its members say of themselves is the only truth.
+
+use crate::fleet_config::FleetConfig;
+use crate::instance::Instance;
+use crate::instance::InstanceId;
+use crate::instance::Membership;
+use crate::instance::MembershipState;
+use crate::key_hash::key_hash;
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// Identity of a replica: a group's name and epoch, or an instance and the start of its life.
+pub type ReplicaKey = String;
+
+/// A replica that takes requests.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Replica {
+    /// Identity.
+    pub key: ReplicaKey,
+    /// Hash of the identity.
+    pub hash: u64,
+    /// Service.
+    pub service: String,
+    /// Instance that takes the requests.
+    pub instance: InstanceId,
+    /// Its address.
+    pub address: SocketAddr,
+    /// Its data centre.
+    pub data_centre: String,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Model; `None` for a plain instance.
+    pub model: Option<String>,
+    /// All members with their addresses, the head first.
+    pub members: Vec<(InstanceId, SocketAddr)>,
+}
+
+/// All replicas at one moment.
+#[derive(Debug, Default)]
+pub struct ReplicaSet {
+    /// Replicas by service.
+    by_service: HashMap<String, Vec<Arc<Replica>>>,
+}
+
+impl ReplicaSet {
+    /// Derives the replicas from the registered instances.
+    pub fn derive<'a>(
+        instances: impl Iterator<Item = &'a Instance>,
+        config: &FleetConfig,
+    ) -> Self {
+        let mut groups: BTreeMap<(&str, u64), Vec<(&Instance, &Membership)>> = BTreeMap::new();
+        let mut by_service: HashMap<String, Vec<Arc<Replica>>> = HashMap::new();
+        for instance in instances {
+            let Some(service) = config.services.get(&instance.service) else { continue };
+            if service.engine.is_none() {
+                if !instance.is_draining {
+                    let replicas = by_service.entry(instance.service.clone()).or_default();
+                    replicas.push(Arc::new(plain_replica(instance)));
+                }
+                continue;
+            }
+            if let Some(membership) = &instance.engine.membership {
+                let members = groups.entry((&membership.group, membership.epoch)).or_default();
+                members.push((instance, membership));
+            }
+        }
+        for ((name, epoch), members) in groups {
+            if let Some(replica) = group_replica(name, epoch, members, config) {
+                by_service.entry(replica.service.clone()).or_default().push(Arc::new(replica));
+            }
+        }
+        for replicas in by_service.values_mut() {
+            replicas.sort_by(|a, b| a.key.cmp(&b.key));
+        }
+        Self { by_service }
+    }
+
+    /// Returns the replicas of a service.
+    pub fn of_service(&self, service: &str) -> &[Arc<Replica>] {
+        self.by_service.get(service).map_or(&[], Vec::as_slice)
+    }
+
+    /// Returns all replicas.
+    pub fn all(&self) -> impl Iterator<Item = &Arc<Replica>> {
+        self.by_service.values().flatten()
+    }
+
+    /// Returns the services that have replicas.
+    pub fn services(&self) -> impl Iterator<Item = &String> {
+        self.by_service.keys()
+    }
+}
+
+fn plain_replica(instance: &Instance) -> Replica {
+    let key = format!("{}@{}", instance.id, instance.engine.born_ms);
+    Replica {
+        hash: key_hash(key.as_bytes()),
+        key,
+        service: instance.service.clone(),
+        instance: instance.id.clone(),
+        address: instance.address,
+        data_centre: instance.data_centre.clone(),
+        slots: instance.slots,
+        model: None,
+        members: vec![(instance.id.clone(), instance.address)],
+    }
+}
+
+/// Returns the key of a group.
+pub fn group_key(name: &str, epoch: u64) -> ReplicaKey {
+    format!("{name}#{epoch}")
+}
+
+/// Returns the replica of a group that is whole and open.
+fn group_replica(
+    name: &str,
+    epoch: u64,
+    mut members: Vec<(&Instance, &Membership)>,
+    config: &FleetConfig,
+) -> Option<Replica> {
+    members.sort_by_key(|(_, membership)| membership.rank);
+    let (head, membership) = *members.first()?;
+    let engine = config.engine(&head.service)?;
+    let model = engine.model(head.engine.model.as_deref()?)?;
+    let has_every_rank = members.len() == model.size
+        && members.iter().enumerate().all(|(rank, (_, membership))| membership.rank == rank);
+    let is_usable = |(instance, membership): &(&Instance, &Membership)| {
+        let is_ready =
+            matches!(membership.state, MembershipState::Ready | MembershipState::Open);
+        is_ready && !instance.is_draining && instance.service == head.service
+    };
+    let is_open = membership.state == MembershipState::Open;
+    if !is_open || !has_every_rank || !members.iter().all(is_usable) {
+        return None;
+    }
+    let key = group_key(name, epoch);
+    Some(Replica {
+        hash: key_hash(key.as_bytes()),
+        key,
+        service: head.service.clone(),
+        instance: head.id.clone(),
+        address: head.address,
+        data_centre: head.data_centre.clone(),
+        slots: engine.slots,
+        model: Some(model.name.clone()),
+        members: members.iter().map(|(member, _)| (member.id.clone(), member.address)).collect(),
+    })
+}
--- /dev/null
+++ b/serving/src/serving_metrics.rs
@@ -0,0 +1,219 @@
+//! Counters and latency histograms of a node, served as text in the form that scrapers read.
+//!
+//! Labels come from closed sets or from the configuration, and their number is bounded.
+
+use crate::dialect::ObjectKind;
+use hdrhistogram::Histogram;
+use std::collections::BTreeMap;
+use std::fmt::Write;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+/// Series of one metric, at most; further ones are summed as `other`.
+const MAX_SERIES: usize = 200;
+/// Largest duration that a histogram tells apart.
+const MAX_DURATION_US: u64 = 60_000_000;
+/// Quantiles that are served.
+const QUANTILES: [f64; 4] = [0.5, 0.9, 0.95, 0.99];
+
+/// Metrics with their meaning and unit.
+pub const CATALOGUE: [(&str, &str); 13] = [
+    ("requests_total", "Requests of callers, by route and outcome."),
+    ("first_event_seconds", "Time to the first byte of an answer, by route, in seconds."),
+    ("request_seconds", "Time to the end of an answer, by route, in seconds."),
+    ("sends_total", "Sends to replicas, by service and outcome."),
+    ("moves_total", "Sends beyond the first of a request, by service and cause."),
+    ("stream_events_total", "Stream events that were passed on, by service."),
+    ("connections_opened_total", "New connections to replicas, by service."),
+    ("store_calls_total", "Calls to the platform's store, by call and kind of object."),
+    ("store_failures_total", "Calls to the platform's store that failed, by call."),
+    ("orders_total", "Orders to instances, by order and outcome."),
+    ("reports_total", "Questions to instances for their state, by cause."),
+    ("replicas_down_total", "Replicas that were found to be down, by source."),
+    ("log_lines_dropped_total", "Lines of the log that were dropped since its reader was slow."),
+];
+
+/// Handle to the metrics of a node.
+#[derive(Debug, Clone, Default)]
+pub struct ServingMetrics {
+    inner: Arc<Mutex<Inner>>,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    counters: BTreeMap<&'static str, BTreeMap<String, u64>>,
+    histograms: BTreeMap<&'static str, BTreeMap<String, Histogram<u32>>>,
+}
+
+impl ServingMetrics {
+    /// Returns metrics that have counted nothing.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Counts the end of a request.
+    pub fn request(&self, route: &str, outcome: &str) {
+        self.count("requests_total", &[("route", route), ("outcome", outcome)], 1);
+    }
+
+    /// Records the time to the first byte of an answer.
+    pub fn first_event(&self, route: &str, took: Duration) {
+        self.time("first_event_seconds", route, took);
+    }
+
+    /// Records the time to the end of an answer.
+    pub fn request_took(&self, route: &str, took: Duration) {
+        self.time("request_seconds", route, took);
+    }
+
+    /// Counts a send to a replica.
+    pub fn send(&self, service: &str, outcome: &str) {
+        self.count("sends_total", &[("service", service), ("outcome", outcome)], 1);
+    }
+
+    /// Counts a send beyond the first of a request.
+    pub fn moved(&self, service: &str, cause: &str) {
+        self.count("moves_total", &[("service", service), ("cause", cause)], 1);
+    }
+
+    /// Counts stream events that were passed on.
+    pub fn stream_events(&self, service: &str, events: u64) {
+        self.count("stream_events_total", &[("service", service)], events);
+    }
+
+    /// Counts a new connection to a replica.
+    pub fn connection_opened(&self, service: &str) {
+        self.count("connections_opened_total", &[("service", service)], 1);
+    }
+
+    /// Counts a call to the store.
+    pub fn store_call(&self, call: &str, kind: ObjectKind) {
+        let kind = match kind {
+            ObjectKind::Config => "config",
+            ObjectKind::Instances => "instances",
+            ObjectKind::Nodes => "nodes",
+            ObjectKind::Leases => "leases",
+            ObjectKind::FleetKey => "fleet_key",
+        };
+        self.count("store_calls_total", &[("call", call), ("kind", kind)], 1);
+    }
+
+    /// Counts a call to the store that failed.
+    pub fn store_failure(&self, call: &str) {
+        self.count("store_failures_total", &[("call", call)], 1);
+    }
+
+    /// Counts an order.
+    pub fn order(&self, order: &str, outcome: &str) {
+        self.count("orders_total", &[("order", order), ("outcome", outcome)], 1);
+    }
+
+    /// Counts a question to an instance for its state.
+    pub fn report(&self, cause: &str) {
+        self.count("reports_total", &[("cause", cause)], 1);
+    }
+
+    /// Counts a replica that was found to be down.
+    pub fn replica_down(&self, source: &str) {
+        self.count("replicas_down_total", &[("source", source)], 1);
+    }
+
+    /// Sets the dropped lines of the log.
+    pub fn log_lines_dropped(&self, lines: u64) {
+        let mut inner = self.lock();
+        inner.counters.entry("log_lines_dropped_total").or_default().insert(String::new(), lines);
+    }
+
+    /// Returns the sum of a counter over its series.
+    pub fn sum(&self, name: &str) -> u64 {
+        self.lock().counters.get(name).map_or(0, |series| series.values().sum())
+    }
+
+    /// Returns all metrics as text.
+    pub fn render(&self) -> String {
+        let inner = self.lock();
+        let mut text = String::new();
+        for (name, meaning) in CATALOGUE {
+            let _ = writeln!(text, "# HELP guavaladder_{name} {meaning}");
+            if let Some(series) = inner.counters.get(name) {
+                let _ = writeln!(text, "# TYPE guavaladder_{name} counter");
+                for (labels, value) in series {
+                    let _ = writeln!(text, "guavaladder_{name}{} {value}", braced(labels));
+                }
+            }
+            if let Some(series) = inner.histograms.get(name) {
+                let _ = writeln!(text, "# TYPE guavaladder_{name} summary");
+                for (labels, histogram) in series {
+                    render_summary(&mut text, name, labels, histogram);
+                }
+            }
+        }
+        text
+    }
+
+    fn count(&self, name: &'static str, labels: &[(&str, &str)], n: u64) {
+        let mut inner = self.lock();
+        let series = inner.counters.entry(name).or_default();
+        let labels = bounded(series, label_text(labels));
+        *series.entry(labels).or_default() += n;
+    }
+
+    fn time(&self, name: &'static str, route: &str, took: Duration) {
+        let mut inner = self.lock();
+        let series = inner.histograms.entry(name).or_default();
+        let labels = bounded(series, label_text(&[("route", route)]));
+        if !series.contains_key(&labels) {
+            match Histogram::new_with_bounds(1, MAX_DURATION_US, 2) {
+                Ok(histogram) => {
+                    series.insert(labels.clone(), histogram);
+                }
+                Err(e) => {
+                    log::debug!("no histogram for {name}: {e}");
+                    return;
+                }
+            }
+        }
+        if let Some(histogram) = series.get_mut(&labels) {
+            histogram.saturating_record((took.as_micros() as u64).clamp(1, MAX_DURATION_US));
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Returns the labels, or those of the common rest when there are too many series.
+fn bounded<V>(series: &BTreeMap<String, V>, labels: String) -> String {
+    match series.len() >= MAX_SERIES && !series.contains_key(&labels) {
+        true => "series=\"other\"".to_string(),
+        false => labels,
+    }
+}
+
+fn label_text(labels: &[(&str, &str)]) -> String {
+    let one = |(name, value): &(&str, &str)| {
+        let is_plain = |c: &char| c.is_ascii_alphanumeric() || "-_.:/".contains(*c);
+        let value: String = value.chars().filter(is_plain).collect();
+        format!("{name}=\"{value}\"")
+    };
+    labels.iter().map(one).collect::<Vec<_>>().join(",")
+}
+
+fn braced(labels: &str) -> String {
+    if labels.is_empty() { String::new() } else { format!("{{{labels}}}") }
+}
+
+fn render_summary(text: &mut String, name: &str, labels: &str, histogram: &Histogram<u32>) {
+    let seconds = |us: u64| us as f64 / 1e6;
+    for quantile in QUANTILES {
+        let value = seconds(histogram.value_at_quantile(quantile));
+        let _ = writeln!(text, "guavaladder_{name}{{{labels},quantile=\"{quantile}\"}} {value}");
+    }
+    let sum = histogram.mean() * histogram.len() as f64 / 1e6;
+    let _ = writeln!(text, "guavaladder_{name}_sum{{{labels}}} {sum}");
+    let _ = writeln!(text, "guavaladder_{name}_count{{{labels}}} {}", histogram.len());
+}
--- /dev/null
+++ b/serving/src/serving_settings.rs
@@ -0,0 +1,104 @@
+//! Reads and checks the settings file of a daemon on the users' platform.
+
+use guavaladder_lib::generated::serving_settings as file;
+use guavaladder_lib::schema_check;
+use guavaladder_lib::schema_check::Problem;
+use guavaladder_lib::settings::SettingsError;
+use std::fs;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+/// Schema of the settings file.
+const SCHEMA: &str = include_str!("../../schema/serving_settings.json");
+
+/// Checked settings of a daemon on the users' platform.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ServingSettings {
+    /// Id of the node.
+    pub node: String,
+    /// Data centre.
+    pub data_centre: String,
+    /// Address of the callers' requests.
+    pub callers: SocketAddr,
+    /// Address of the platform's question whether the node is ready.
+    pub readiness: SocketAddr,
+    /// Address of callers' question for addresses.
+    pub directory: SocketAddr,
+    /// UDP address for the other nodes; they use the same port.
+    pub peers: SocketAddr,
+    /// Address on which metrics are served.
+    pub metrics: Option<SocketAddr>,
+    /// Address of the platform's store.
+    pub store: SocketAddr,
+    /// Time from the request to stop until the process is killed.
+    pub shutdown: Duration,
+    /// Repeated sends as a part of the requests for a service.
+    pub retry_ratio: f64,
+    /// Window in which repeated sends are counted.
+    pub retry_window: Duration,
+    /// Repeated sends besides, over all nodes.
+    pub retry_slack: f64,
+    /// Time after which a group that lost a member counts itself as broken.
+    pub stall: Duration,
+    /// Longest time for which callers keep an answer of the directory.
+    pub max_answer_keep: Duration,
+    /// Descriptors that the process may use.
+    pub max_descriptors: usize,
+}
+
+/// Reads a settings file and checks everything that can be checked without the network.
+pub fn read(path: &Path) -> Result<ServingSettings, SettingsError> {
+    let file = path.display().to_string();
+    let text = fs::read_to_string(path)
+        .map_err(|source| SettingsError::Unreadable { file: file.clone(), source })?;
+    parse(&text).map_err(|problems| SettingsError::Problems { file, problems })
+}
+
+/// Parses and checks the text of a settings file.
+pub fn parse(text: &str) -> Result<ServingSettings, Vec<Problem>> {
+    let document = schema_check::check(SCHEMA, text)?;
+    let settings: file::ServingSettings = serde_json::from_value(document).map_err(|e| {
+        vec![Problem::new("/", &e.to_string(), "settings as in the schema", "correct the file")]
+    })?;
+    let mut problems = vec![];
+    let mut address = |path: &str, text: &str| match text.parse::<SocketAddr>() {
+        Ok(address) => address,
+        Err(_) => {
+            let hint = "use an IP number and a port, names are not looked up";
+            let found = format!("{text:?}");
+            problems.push(Problem::new(path, &found, "`ip:port`, as 127.0.0.1:7000", hint));
+            SocketAddr::from(([0, 0, 0, 0], 0))
+        }
+    };
+    let callers = address("/listen/callers", &settings.listen.callers);
+    let readiness = address("/listen/readiness", &settings.listen.readiness);
+    let directory = address("/listen/directory", &settings.listen.directory);
+    let store = address("/store", &settings.store);
+    if !problems.is_empty() {
+        return Err(problems);
+    }
+    let bounds = settings.bounds.unwrap_or_else(default_bounds);
+    Ok(ServingSettings {
+        peers: SocketAddr::new(callers.ip(), settings.peer_port),
+        metrics: settings.metrics_port.map(|port| SocketAddr::new(callers.ip(), port)),
+        node: settings.node,
+        data_centre: settings.data_centre,
+        callers,
+        readiness,
+        directory,
+        store,
+        shutdown: Duration::from_secs_f64(bounds.shutdown_s),
+        retry_ratio: bounds.retry_ratio,
+        retry_window: Duration::from_secs_f64(bounds.retry_window_s),
+        retry_slack: bounds.retry_slack,
+        stall: bounds.stall,
+        max_answer_keep: Duration::from_secs_f64(bounds.max_answer_keep_s),
+        max_descriptors: settings.max_descriptors as usize,
+    })
+}
+
+fn default_bounds() -> file::ServingBounds {
+    // Every key has a default, so an empty object always decodes.
+    serde_json::from_str("{}").unwrap_or_else(|e| unreachable!("defaults of the bounds: {e}"))
+}
