groups: assemble the larger model first and learn order sequences from reports

Cause: the entry's sequence counts its beats, not its orders, so every first order met a conflict; small groups took the place of the large model while instances registered one by one. Ruled out: keeping spares warm by a join with a list of members that are not ordered to join: refused.

--- a/serving/src/attempt.rs
+++ b/serving/src/attempt.rs
@@ -64,6 +64,9 @@
     /// No sign of the replica for too long; the request may have run.
     #[error("silent: {0}")]
     Silent(&'static str),
+    /// The replica was found to be down; the request may have run there before.
+    #[error("the replica was found to be down")]
+    Down,
 }
 
 impl AttemptError {
@@ -75,6 +78,7 @@
             Self::Failure { .. } => "failure",
             Self::Broken(_) => "broken",
             Self::Silent(_) => "silent",
+            Self::Down => "down",
         }
     }
 
@@ -96,6 +100,9 @@
     pub tried: Vec<ReplicaKey>,
     /// Attempts in which the request may have run.
     pub runs: u32,
+    /// Those of them at replicas that are not known to have ended, by which the route's bound on
+    /// attempts counts.
+    pub runs_at_live_replicas: u32,
     /// Whether the last attempt reached a replica.
     pub has_arrived: bool,
     /// How the last attempt failed.
@@ -111,6 +118,8 @@
     /// Takes in how an attempt failed.
     pub fn failed(&mut self, error: AttemptError) {
         self.runs += u32::from(!error.is_not_run());
+        let has_ended = error.is_not_run() || error == AttemptError::Down;
+        self.runs_at_live_replicas += u32::from(!has_ended);
         self.has_arrived |= error.has_arrived();
         self.last_error = Some(error);
     }
@@ -119,7 +128,7 @@
     pub fn may_send(&self, cx: &ServingCx, task: &RequestTask) -> bool {
         let is_allowed = match task.kind {
             RouteKind::Idempotent | RouteKind::Streaming { is_resumable: true } => {
-                self.runs < task.max_attempts
+                self.runs_at_live_replicas < task.max_attempts
             }
             RouteKind::NonIdempotent | RouteKind::Streaming { is_resumable: false } => {
                 self.runs == 0
--- a/serving/src/fleet_view.rs
+++ b/serving/src/fleet_view.rs
@@ -44,6 +44,8 @@
 #[derive(Debug, Default)]
 struct Inner {
     instances: HashMap<InstanceId, Instance>,
+    /// When what an instance says of its place and weights last changed.
+    changed_at: HashMap<InstanceId, Instant>,
     /// Missing entries that are kept, with the time until which they are.
     held: HashMap<InstanceId, Instant>,
     config: Option<Arc<FleetConfig>>,
@@ -63,8 +65,8 @@
         self.update(|inner, log| {
             let mut before = std::mem::take(&mut inner.instances);
             for instance in instances {
-                before.remove(&instance.id);
                 inner.held.remove(&instance.id);
+                inner.note_change(before.remove(&instance.id).as_ref(), &instance);
                 inner.instances.insert(instance.id.clone(), instance);
             }
             for (id, instance) in before {
@@ -84,6 +86,8 @@
                 match change {
                     EntryChange::Put(instance) => {
                         inner.held.remove(&instance.id);
+                        let before = inner.instances.remove(&instance.id);
+                        inner.note_change(before.as_ref(), &instance);
                         inner.instances.insert(instance.id.clone(), *instance);
                     }
                     EntryChange::Removed(id) => {
@@ -111,6 +115,7 @@
             for id in expired {
                 inner.held.remove(&id);
                 inner.instances.remove(&id);
+                inner.changed_at.remove(&id);
                 let reason = "the entry did not come back after the store did".to_string();
                 log.record(Event::InstanceGone { instance: id, reason });
             }
@@ -132,6 +137,11 @@
         self.lock().instances.clone()
     }
 
+    /// Returns when what the instances say of their places and weights last changed.
+    pub fn changes(&self) -> HashMap<InstanceId, Instant> {
+        self.lock().changed_at.clone()
+    }
+
     /// Returns the address of an instance.
     pub fn instance(&self, id: &str) -> Option<Instance> {
         self.lock().instances.get(id).cloned()
@@ -164,6 +174,14 @@
     }
 }
 
+impl Inner {
+    fn note_change(&mut self, before: Option<&Instance>, after: &Instance) {
+        if before.is_none_or(|before| before.engine != after.engine) {
+            self.changed_at.insert(after.id.clone(), Instant::now());
+        }
+    }
+}
+
 /// Drops or keeps an entry that is missing.
 fn miss(
     inner: &mut Inner,
@@ -174,6 +192,7 @@
 ) {
     let Some(until) = hold_until.filter(|until| *until > Instant::now()) else {
         inner.held.remove(&id);
+        inner.changed_at.remove(&id);
         let reason = "its entry was removed".to_string();
         log.record(Event::InstanceGone { instance: id, reason });
         return;
--- a/serving/src/group_control.rs
+++ b/serving/src/group_control.rs
@@ -32,6 +32,11 @@
 const SUSPECT_PERIOD: Duration = Duration::from_secs(5);
 /// Time for which an instance's own words are preferred to its entry.
 const OWN_WORDS_PERIOD: Duration = Duration::from_secs(6);
+/// Time without a new instance after which the list counts as complete: instances register at
+/// intervals of about a second.
+const SETTLED_AFTER: Duration = Duration::from_millis(1500);
+/// Time in which an instance's entry follows a change of its state.
+const ENTRY_LAG: Duration = Duration::from_millis(500);
 /// Margin on the time after which a group without its head counts as broken.
 const STALL_MARGIN: Duration = Duration::from_millis(700);
 
@@ -49,6 +54,9 @@
     headless: HashMap<(GroupName, GroupEpoch), Instant>,
     /// Groups whose head is known to have ended.
     ended_heads: HashSet<(GroupName, GroupEpoch)>,
+    /// Instances that were ever registered, and when the last new one was.
+    known: HashSet<InstanceId>,
+    last_newcomer: Instant,
     loads_under_way: usize,
     steps: JoinSet<StepOutcome>,
 }
@@ -63,6 +71,8 @@
             suspects: HashMap::new(),
             headless: HashMap::new(),
             ended_heads: HashSet::new(),
+            known: HashSet::new(),
+            last_newcomer: Instant::now(),
             loads_under_way: 0,
             steps: JoinSet::new(),
         }
@@ -122,19 +132,34 @@
         self.own_words.retain(|_, (at, _)| now - *at < OWN_WORDS_PERIOD);
         self.suspects.retain(|_, until| *until > now);
         let instances = self.cx.fleet.instances();
+        let changes = self.cx.fleet.changes();
+        let newcomers = instances.keys().filter(|id| !self.known.contains(*id)).cloned();
+        let newcomers: Vec<InstanceId> = newcomers.collect();
+        if !newcomers.is_empty() {
+            self.last_newcomer = now;
+            self.known.extend(newcomers);
+        }
         for (service, engine) in &table.config.services {
             let Some(engine) = &engine.engine else { continue };
             let of_service: Vec<Instance> =
                 instances.values().filter(|i| i.service == *service).cloned().collect();
-            self.plan_service(engine, of_service, now);
+            self.plan_service(engine, of_service, &changes, now);
         }
     }
 
-    fn plan_service(&mut self, engine: &Engine, mut instances: Vec<Instance>, now: Instant) {
+    fn plan_service(
+        &mut self,
+        engine: &Engine,
+        mut instances: Vec<Instance>,
+        changes: &HashMap<InstanceId, Instant>,
+        now: Instant,
+    ) {
         instances.sort_by(|a, b| a.id.cmp(&b.id));
         for instance in &mut instances {
-            if let Some((_, own)) = self.own_words.get(&instance.id) {
-                instance.engine = newer(own, &instance.engine).clone();
+            if let Some((heard_at, own)) = self.own_words.get(&instance.id) {
+                let changed_at = changes.get(&instance.id).copied();
+                let is_later = changed_at.is_some_and(|at| at > *heard_at + ENTRY_LAG);
+                instance.engine = newer(own, &instance.engine, is_later).clone();
             }
         }
         let planned: Vec<PlanInstance> =
@@ -147,6 +172,7 @@
             down: &down,
             orphaned: &orphaned,
             loads_under_way: self.loads_under_way,
+            is_settled: now - self.last_newcomer >= SETTLED_AFTER,
         };
         for step in group_plan::plan(&input) {
             self.start(engine, step, &instances);
@@ -222,9 +248,7 @@
             PlanStep::Dissolve { members, .. }
             | PlanStep::Open { members, .. }
             | PlanStep::Assemble { members, .. } => members.clone(),
-            PlanStep::Stage { instance, .. } | PlanStep::Prepare { instance, .. } => {
-                vec![instance.clone()]
-            }
+            PlanStep::Stage { instance, .. } => vec![instance.clone()],
         };
         if let PlanStep::Assemble { loads, .. } = &step {
             self.loads_under_way += loads;
@@ -242,22 +266,33 @@
     }
 }
 
-/// Returns the newer of an instance's own words and its entry.
-fn newer<'a>(own: &'a EngineStatus, entry: &'a EngineStatus) -> &'a EngineStatus {
+/// Returns the newer of an instance's own words and its entry; `is_later` tells whether the entry
+/// changed after the words were heard.
+fn newer<'a>(
+    own: &'a EngineStatus,
+    entry: &'a EngineStatus,
+    is_later: bool,
+) -> &'a EngineStatus {
     if own.born_ms != entry.born_ms {
         return if own.born_ms > entry.born_ms { own } else { entry };
     }
-    if own.sequence != entry.sequence {
-        return if own.sequence > entry.sequence { own } else { entry };
-    }
-    // Without an order in between a state only moves on.
-    let progress = |status: &EngineStatus| match status.membership.as_ref().map(|m| m.state) {
-        None => 0,
-        Some(MembershipState::Joining) => 1,
-        Some(MembershipState::Open) => 2,
-        Some(MembershipState::Closing) => 3,
-        Some(MembershipState::Ready) => 4,
-        Some(MembershipState::Broken) => 5,
+    let (Some(own_place), Some(entry_place)) = (&own.membership, &entry.membership) else {
+        return if is_later { entry } else { own };
     };
-    if progress(own) > progress(entry) { own } else { entry }
+    if own_place.epoch != entry_place.epoch {
+        return if own_place.epoch > entry_place.epoch { own } else { entry };
+    }
+    // Within an assignment a state only moves on.
+    if progress(own_place.state) > progress(entry_place.state) { own } else { entry }
+}
+
+/// Returns the place of a state in the order in which a member passes through them.
+fn progress(state: MembershipState) -> u8 {
+    match state {
+        MembershipState::Joining => 0,
+        MembershipState::Ready => 1,
+        MembershipState::Open => 2,
+        MembershipState::Closing => 3,
+        MembershipState::Broken => 4,
+    }
 }
--- a/serving/src/group_plan.rs
+++ b/serving/src/group_plan.rs
@@ -20,6 +20,9 @@
 
 /// Instances of a domain that are left out of its groups.
 const SPARES_PER_DOMAIN: usize = 1;
+/// Factor by which more loads are begun than run side by side at full speed, so that the weight
+/// store is busy while the groups of those that ended are opened.
+const LOADS_BEYOND: usize = 2;
 
 /// What planning knows about one instance.
 #[derive(Debug, Clone, PartialEq)]
@@ -55,6 +58,8 @@
     pub orphaned: &'a BTreeSet<(GroupName, GroupEpoch)>,
     /// Loads of weights that are under way.
     pub loads_under_way: usize,
+    /// Whether no instance was registered for the first time lately.
+    pub is_settled: bool,
 }
 
 /// A step that is due.
@@ -104,14 +109,6 @@
         /// Model.
         model: String,
     },
-    /// Let an instance that is kept for repairs join a group of its own, so that its next join of
-    /// the same model is short.
-    Prepare {
-        /// Instance.
-        instance: InstanceId,
-        /// Model.
-        model: String,
-    },
 }
 
 /// A group as its members tell.
@@ -161,7 +158,6 @@
     }
     draft.assemble();
     draft.stage();
-    draft.prepare();
     draft.steps
 }
 
@@ -186,6 +182,8 @@
     /// Groups that serve or will, by model.
     serving: BTreeMap<String, usize>,
     loads: usize,
+    /// Whether an assembly waits for loads that are under way.
+    is_waiting_for_loads: bool,
     steps: Vec<PlanStep>,
 }
 
@@ -198,6 +196,7 @@
             taken,
             serving: BTreeMap::new(),
             loads: input.loads_under_way,
+            is_waiting_for_loads: false,
             steps: vec![],
         }
     }
@@ -298,8 +297,9 @@
         while let Some((model, domain, members)) = self.next_assembly() {
             let needs_load = |m: &&&PlanInstance| !has_weights(m, &model.name);
             let loads = members.iter().filter(needs_load).count();
-            let at_once = self.input.engine.loads_at_once as usize;
+            let at_once = self.input.engine.loads_at_once as usize * LOADS_BEYOND;
             if loads > 0 && self.loads > 0 && self.loads + loads > at_once.max(model.size) {
+                self.is_waiting_for_loads = true;
                 return;
             }
             self.loads += loads;
@@ -327,10 +327,10 @@
                 return Some((model, domain, members));
             }
         }
+        let empty = |i: &PlanInstance| i.staged.is_empty() && i.last_model.is_none();
         for model in &models {
-            let needed = model.size + SPARES_PER_DOMAIN;
-            let empty = |i: &PlanInstance| i.staged.is_empty() && i.last_model.is_none();
-            if let Some((domain, mut members)) = self.largest_pool(empty, needed) {
+            let fits = |i: &PlanInstance| empty(i) && self.has_room_beside_larger(model, &i.domain);
+            if let Some((domain, mut members)) = self.largest_pool(fits, model.size + SPARES_PER_DOMAIN) {
                 members.truncate(model.size);
                 return Some((model, domain, members));
             }
@@ -338,6 +338,19 @@
         None
     }
 
+    /// Tells whether a group of a model leaves room in a domain for the largest model: while the
+    /// first instances of a fleet register, small groups would take the place of the large ones.
+    fn has_room_beside_larger(&self, model: &Model, domain: &str) -> bool {
+        let largest = self.input.engine.models.iter().map(|model| model.size).max().unwrap_or(0);
+        if self.input.is_settled || model.size >= largest {
+            return true;
+        }
+        let in_domain = self.input.instances.iter().filter(|i| i.domain == domain);
+        let (free, taken): (Vec<&PlanInstance>, Vec<&PlanInstance>) =
+            in_domain.partition(|i| !self.taken.contains(&i.id));
+        taken.len() >= largest || free.len() >= largest + model.size
+    }
+
     /// Returns the domain with most free instances that fit, if they are enough.
     fn largest_pool(
         &self,
@@ -356,6 +369,9 @@
     fn stage(&mut self) {
         let at_once = self.input.engine.loads_at_once as usize;
         let free: Vec<&PlanInstance> = self.free().collect();
+        if self.is_waiting_for_loads {
+            return;
+        }
         for instance in free {
             if self.loads >= at_once {
                 return;
@@ -388,20 +404,6 @@
         };
         possible.into_iter().max_by(|a, b| lack(a).total_cmp(&lack(b)))
     }
-
-    /// Prepares the free instances that are kept for repairs.
-    fn prepare(&mut self) {
-        let free: Vec<&PlanInstance> = self.free().collect();
-        for instance in free {
-            let model = self.input.engine.models.iter();
-            let model = model.filter(|model| instance.staged.contains(&model.name)).next();
-            let Some(model) = model else { continue };
-            if instance.last_model.is_none() && instance.membership.is_none() {
-                let (instance, model) = (instance.id.clone(), model.name.clone());
-                self.steps.push(PlanStep::Prepare { instance, model });
-            }
-        }
-    }
 }
 
 /// Tells whether an instance can join a group of a model without a load.
--- a/serving/src/group_steps.rs
+++ b/serving/src/group_steps.rs
@@ -87,9 +87,7 @@
         PlanStep::Dissolve { members, .. }
         | PlanStep::Open { members, .. }
         | PlanStep::Assemble { members, .. } => members.clone(),
-        PlanStep::Stage { instance, .. } | PlanStep::Prepare { instance, .. } => {
-            vec![instance.clone()]
-        }
+        PlanStep::Stage { instance, .. } => vec![instance.clone()],
     };
     let targets: Vec<OrderTarget> = instances.iter().map(target).collect();
     match step {
@@ -112,21 +110,12 @@
                 run.stage(model, target).await;
             }
         }
-        PlanStep::Prepare { model, .. } => {
-            if let Some(target) = targets.into_iter().next() {
-                run.prepare(model, target).await;
-            }
-        }
     }
     run.outcome
 }
 
 fn target(instance: &Instance) -> OrderTarget {
-    OrderTarget {
-        id: instance.id.clone(),
-        address: instance.address,
-        sequence: instance.engine.sequence,
-    }
+    OrderTarget { id: instance.id.clone(), address: instance.address, sequence: None }
 }
 
 struct StepRun<'a> {
@@ -382,23 +371,6 @@
         }
     }
 
-    /// Lets a spare instance join a group of its own.
-    async fn prepare(&mut self, model: String, mut target: OrderTarget) {
-        let Some(epoch) = self.cx.lease.next_epoch() else { return };
-        let group = format!("{model}-{epoch}");
-        let members = vec![target.id.clone()];
-        let join = OrderKind::Join { group: group.clone(), epoch, model, members };
-        let holds = |report: &InstanceReport| order_client::is_in(report, &group, epoch);
-        if let Err(e) = order_client::give(self.cx, &mut target, &join, holds).await {
-            log::info!("spare {} was not prepared: {e}", target.id);
-            self.outcome.silent.push(target.id);
-            return;
-        }
-        if let Ok(report) = order_client::report(self.cx, &mut target).await {
-            self.hear(&target.id, &report);
-        }
-    }
-
     fn hear(&mut self, id: &str, report: &InstanceReport) {
         self.outcome.own_words.retain(|(known, _)| known != id);
         self.outcome.own_words.push((id.to_string(), report.engine.clone()));
--- a/serving/src/instance.rs
+++ b/serving/src/instance.rs
@@ -49,8 +49,6 @@
     pub membership: Option<Membership>,
     /// Fabric domain.
     pub domain: Option<String>,
-    /// Number of orders that it has accepted in this life.
-    pub sequence: u64,
     /// Start of this life, in milliseconds since the Unix epoch.
     pub born_ms: u64,
 }
@@ -79,6 +77,8 @@
 pub struct InstanceReport {
     /// Place and weights.
     pub engine: EngineStatus,
+    /// Number of orders that it has accepted in this life.
+    pub sequence: u64,
     /// Whether an order is in progress.
     pub is_busy: bool,
     /// Requests that wait.
--- a/serving/src/order_client.rs
+++ b/serving/src/order_client.rs
@@ -59,8 +59,8 @@
     pub id: InstanceId,
     /// Address.
     pub address: SocketAddr,
-    /// Orders that it has accepted, as far as known.
-    pub sequence: u64,
+    /// Orders that it has accepted in this life; `None` until it was asked.
+    pub sequence: Option<u64>,
 }
 
 /// Gives an order until it holds, or fails. Orders without an answer are looked after by the
@@ -72,10 +72,13 @@
     holds: impl Fn(&InstanceReport) -> bool,
 ) -> Result<(), OrderError> {
     let mut last = OrderError::Refused("not tried".to_string());
+    if target.sequence.is_none() && holds(&report(cx, target).await?) {
+        return Ok(());
+    }
     for _ in 0..MAX_ATTEMPTS {
         match give_once(cx, target, kind).await {
             Ok(OrderAnswer::Begun) => {
-                target.sequence += 1;
+                target.sequence = target.sequence.map(|sequence| sequence + 1);
                 return Ok(());
             }
             Ok(OrderAnswer::Done) => return Ok(()),
@@ -112,7 +115,7 @@
         replica_health::ask_report(cx, &target.id, target.address, "order", REPORT_TIMEOUT).await;
     match asked {
         Ok(report) => {
-            target.sequence = report.engine.sequence;
+            target.sequence = Some(report.sequence);
             Ok(report)
         }
         Err(e) if e.is_proof_of_end() => Err(OrderError::Ended(e.to_string())),
@@ -130,7 +133,7 @@
     let order = Order {
         kind: kind.clone(),
         fencing_token: term,
-        expected_sequence: Some(target.sequence),
+        expected_sequence: target.sequence,
     };
     let body = Full::new(Bytes::from(cx.dialect.encode_order(&order)));
     let req = Request::post(cx.dialect.order_path()).body(body);
@@ -144,7 +147,14 @@
         MAX_ANSWER_BYTES,
     );
     let result = match answer.await {
-        Ok(answer) => Ok(cx.dialect.decode_order_answer(answer.status())),
+        Ok(answer) => {
+            let decoded = cx.dialect.decode_order_answer(answer.status());
+            if !matches!(decoded, OrderAnswer::Begun | OrderAnswer::Done) {
+                let text = String::from_utf8_lossy(answer.body());
+                log::info!("{} refused order {}: {text}", target.id, kind.name());
+            }
+            Ok(decoded)
+        }
         Err(CallError::NotSent(connection::ConnectError::Refused)) => {
             Err(OrderError::Ended("its connection was refused".to_string()))
         }
--- a/serving/src/stream_forward.rs
+++ b/serving/src/stream_forward.rs
@@ -122,7 +122,7 @@
 /// Waits until a replica is found to be down or the time of the request is over.
 async fn lost(down: &mut watch::Receiver<Option<Instant>>, task: &RequestTask) -> AttemptError {
     tokio::select! {
-        () = marked(down) => AttemptError::Silent("the replica was found to be down"),
+        () = marked(down) => AttemptError::Down,
         () = sleep_until(task.ends) => AttemptError::Silent("no event until the deadline"),
     }
 }
@@ -385,7 +385,7 @@
         );
     }
     match e {
-        AttemptError::Silent(_) => {}
+        AttemptError::Silent(_) | AttemptError::Down => {}
         AttemptError::NotRun { at_fault: Some(at_fault), .. } => {
             replica_health::suspect(cx, replica, SuspicionCause::Blamed(at_fault.clone()));
         }
@@ -405,7 +405,7 @@
         return refusal::not_run("no replica took the request", RETRY_AFTER);
     }
     let status = match error {
-        Some(AttemptError::Silent(_)) => StatusCode::GATEWAY_TIMEOUT,
+        Some(AttemptError::Silent(_) | AttemptError::Down) => StatusCode::GATEWAY_TIMEOUT,
         _ => StatusCode::BAD_GATEWAY,
     };
     trace.lost(status.as_u16(), &reason);
