--- a/daemon/src/log_queue.rs
+++ b/daemon/src/log_queue.rs
@@ -72,7 +72,8 @@
 fn line(record: &Record<'_>) -> String {
     let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     let level = record.level();
-    let mut line = format!("{}.{:03} {level} {}", unix.as_secs(), unix.subsec_millis(), record.args());
+    let mut line =
+        format!("{}.{:03} {level} {}", unix.as_secs(), unix.subsec_millis(), record.args());
     if line.len() > MAX_LINE_BYTES {
         let end = (0..=MAX_LINE_BYTES).rev().find(|end| line.is_char_boundary(*end)).unwrap_or(0);
         line.truncate(end);
--- a/serving/src/attempt.rs
+++ b/serving/src/attempt.rs
@@ -118,12 +118,21 @@
     /// Takes in how an attempt failed.
     pub fn failed(&mut self, error: AttemptError) {
         self.runs += u32::from(!error.is_not_run());
+        // A group that stands still has begun no request that has shown no event.
         let has_ended = error.is_not_run() || error == AttemptError::Down;
         self.runs_at_live_replicas += u32::from(!has_ended);
         self.has_arrived |= error.has_arrived();
         self.last_error = Some(error);
     }
 
+    /// Takes in how an attempt failed whose answer had begun.
+    pub fn failed_midway(&mut self, error: AttemptError) {
+        self.runs += 1;
+        self.runs_at_live_replicas += 1;
+        self.has_arrived = true;
+        self.last_error = Some(error);
+    }
+
     /// Tells whether the request may be sent once more, and takes that from the budget.
     pub fn may_send(&self, cx: &ServingCx, task: &RequestTask) -> bool {
         let is_allowed = match task.kind {
@@ -156,7 +165,8 @@
         instance: &replica.instance,
         deadline: task.upstream_deadline(Instant::now()),
         customer: task.customer.as_deref(),
-        urgency: task.urgency,
+        // Callers hold the beginning of such an answer.
+        urgency: if last_event_id > task.head.last_event_id { 0 } else { task.urgency },
         last_event_id,
     };
     let req = request(cx, task, &terms)?;
@@ -185,11 +195,7 @@
 }
 
 /// Checks that an answer is one to this request and usable.
-fn check(
-    task: &RequestTask,
-    status: StatusCode,
-    head: &AnswerHead,
-) -> Result<(), AttemptError> {
+fn check(task: &RequestTask, status: StatusCode, head: &AnswerHead) -> Result<(), AttemptError> {
     if head.request_id.as_ref().is_some_and(|id| *id != task.head.id) {
         return Err(AttemptError::Broken("the answer is to another request".to_string()));
     }
--- a/serving/src/connection.rs
+++ b/serving/src/connection.rs
@@ -20,13 +20,13 @@
 use tokio::time::timeout;
 
 /// Time without an acknowledgement after which the kernel gives a connection up.
-const TCP_USER_TIMEOUT: Duration = Duration::from_secs(4);
+const TCP_USER_TIMEOUT: Duration = Duration::from_secs(2);
 /// Idle time after which the kernel probes a connection.
-const KEEPALIVE_IDLE: Duration = Duration::from_secs(2);
+const KEEPALIVE_IDLE: Duration = Duration::from_secs(1);
 /// Time between two such probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 /// Unanswered probes after which the kernel gives a connection up.
-const KEEPALIVE_RETRIES: u32 = 2;
+const KEEPALIVE_RETRIES: u32 = 1;
 /// Largest head of an answer, in bytes.
 const MAX_HEAD_BYTES: usize = 32 << 10;
 
@@ -93,8 +93,7 @@
         let mut builder = http1::Builder::new();
         builder.max_buf_size(MAX_HEAD_BYTES);
         let failed = |e: hyper::Error| ConnectError::Failed(e.to_string());
-        let (sender, connection) =
-            builder.handshake(TokioIo::new(stream)).await.map_err(failed)?;
+        let (sender, connection) = builder.handshake(TokioIo::new(stream)).await.map_err(failed)?;
         let driver = tokio::spawn(async move {
             if let Err(e) = connection.await {
                 log::debug!("connection to {address} ended: {e}");
--- a/serving/src/decision_log.rs
+++ b/serving/src/decision_log.rs
@@ -49,11 +49,8 @@
             _ => NOTABLE_LINES,
         };
         let mut budgets = self.budgets.lock().unwrap_or_else(PoisonError::into_inner);
-        let budget = budgets.entry(kind).or_insert(Budget {
-            period_start: now,
-            lines: 0,
-            left_out: 0,
-        });
+        let budget =
+            budgets.entry(kind).or_insert(Budget { period_start: now, lines: 0, left_out: 0 });
         let mut left_out = 0;
         if now - budget.period_start >= PERIOD {
             left_out = std::mem::take(&mut budget.left_out);
--- a/serving/src/front.rs
+++ b/serving/src/front.rs
@@ -60,13 +60,14 @@
             fingerprint: format!("{:016x}", task.fingerprint),
             crashes: crashes as u64,
         });
-        return refusal::not_run("replicas crashed each time that they ran it", task.time_left(task.received));
+        return refusal::not_run(
+            "replicas crashed each time that they ran it",
+            task.time_left(task.received),
+        );
     }
     match task.kind {
         RouteKind::Streaming { .. } => stream_forward::forward(cx, Arc::new(task)).await,
-        RouteKind::Idempotent | RouteKind::NonIdempotent => {
-            plain_forward::forward(cx, &task).await
-        }
+        RouteKind::Idempotent | RouteKind::NonIdempotent => plain_forward::forward(cx, &task).await,
     }
 }
 
@@ -91,8 +92,7 @@
     let ends = received + patience;
     let body = read_body(cx, &route.name, body, table.config.limits.max_body_bytes, ends).await?;
     let uri = path_and_query(&parts.uri);
-    let fingerprint =
-        request_task::fingerprint(&parts.method, &uri, head.key.as_deref(), &body);
+    let fingerprint = request_task::fingerprint(&parts.method, &uri, head.key.as_deref(), &body);
     Ok(RequestTask {
         method: parts.method,
         uri,
--- a/serving/src/group_control.rs
+++ b/serving/src/group_control.rs
@@ -37,8 +37,6 @@
 const SETTLED_AFTER: Duration = Duration::from_millis(1500);
 /// Time in which an instance's entry follows a change of its state.
 const ENTRY_LAG: Duration = Duration::from_millis(500);
-/// Margin on the time after which a group without its head counts as broken.
-const STALL_MARGIN: Duration = Duration::from_millis(700);
 
 /// Control of the groups on one node.
 #[derive(Debug)]
@@ -50,10 +48,6 @@
     own_words: HashMap<InstanceId, (Instant, EngineStatus)>,
     /// Instances that did not answer, with the time until which they get no place.
     suspects: HashMap<InstanceId, Instant>,
-    /// Groups whose head is not registered, with the time at which that was first seen.
-    headless: HashMap<(GroupName, GroupEpoch), Instant>,
-    /// Groups whose head is known to have ended.
-    ended_heads: HashSet<(GroupName, GroupEpoch)>,
     /// Instances that were ever registered, and when the last new one was.
     known: HashSet<InstanceId>,
     last_newcomer: Instant,
@@ -69,8 +63,6 @@
             reserved: HashSet::new(),
             own_words: HashMap::new(),
             suspects: HashMap::new(),
-            headless: HashMap::new(),
-            ended_heads: HashSet::new(),
             known: HashSet::new(),
             last_newcomer: Instant::now(),
             loads_under_way: 0,
@@ -104,7 +96,6 @@
         if self.steps.is_empty() {
             self.reserved.clear();
             self.own_words.clear();
-            self.headless.clear();
             self.loads_under_way = 0;
         }
     }
@@ -121,9 +112,6 @@
         for id in outcome.silent {
             self.suspects.insert(id, now + SUSPECT_PERIOD);
         }
-        if let Some(group) = outcome.ended_head {
-            self.ended_heads.insert(group);
-        }
     }
 
     fn plan(&mut self) {
@@ -165,12 +153,10 @@
         let planned: Vec<PlanInstance> =
             instances.iter().map(|instance| self.plan_instance(instance)).collect();
         let down = self.down_groups(&planned, now);
-        let orphaned = self.orphaned_groups(&planned, now);
         let input = PlanInput {
             engine,
             instances: &planned,
             down: &down,
-            orphaned: &orphaned,
             loads_under_way: self.loads_under_way,
             is_settled: now - self.last_newcomer >= SETTLED_AFTER,
         };
@@ -186,6 +172,7 @@
             id: instance.id.clone(),
             domain: instance.engine.domain.clone().unwrap_or_default(),
             is_usable: !instance.is_draining && !is_suspect,
+            is_suspect,
             is_draining: instance.is_draining,
             is_reserved: self.reserved.contains(&instance.id),
             staged: instance.engine.staged.clone(),
@@ -216,33 +203,6 @@
         down
     }
 
-    /// Returns the groups whose head is not registered but may still serve.
-    fn orphaned_groups(
-        &mut self,
-        instances: &[PlanInstance],
-        now: Instant,
-    ) -> BTreeSet<(GroupName, GroupEpoch)> {
-        let mut headless: BTreeSet<(GroupName, GroupEpoch)> = BTreeSet::new();
-        let mut with_head: BTreeSet<(GroupName, GroupEpoch)> = BTreeSet::new();
-        for instance in instances {
-            let Some((name, epoch, rank, _)) = &instance.membership else { continue };
-            let key = (name.clone(), *epoch);
-            if *rank == 0 {
-                with_head.insert(key);
-            } else {
-                headless.insert(key);
-            }
-        }
-        headless.retain(|key| !with_head.contains(key));
-        self.headless.retain(|key, _| headless.contains(key));
-        let bound = self.cx.settings.stall + STALL_MARGIN;
-        headless.retain(|key| {
-            let since = *self.headless.entry(key.clone()).or_insert(now);
-            now - since < bound && !self.ended_heads.contains(key)
-        });
-        headless
-    }
-
     fn start(&mut self, engine: &Engine, step: PlanStep, instances: &[Instance]) {
         let ids = match &step {
             PlanStep::Dissolve { members, .. }
@@ -268,11 +228,7 @@
 
 /// Returns the newer of an instance's own words and its entry; `is_later` tells whether the entry
 /// changed after the words were heard.
-fn newer<'a>(
-    own: &'a EngineStatus,
-    entry: &'a EngineStatus,
-    is_later: bool,
-) -> &'a EngineStatus {
+fn newer<'a>(own: &'a EngineStatus, entry: &'a EngineStatus, is_later: bool) -> &'a EngineStatus {
     if own.born_ms != entry.born_ms {
         return if own.born_ms > entry.born_ms { own } else { entry };
     }
--- a/serving/src/group_plan.rs
+++ b/serving/src/group_plan.rs
@@ -33,6 +33,8 @@
     pub domain: String,
     /// Whether it may be a member of a new group: it is registered, answers and stays.
     pub is_usable: bool,
+    /// Whether it did not answer lately.
+    pub is_suspect: bool,
     /// Whether it has announced that it leaves.
     pub is_draining: bool,
     /// Whether a step that involves it is under way.
@@ -54,8 +56,6 @@
     pub instances: &'a [PlanInstance],
     /// Groups that were found to be down, as name and epoch.
     pub down: &'a BTreeSet<(GroupName, GroupEpoch)>,
-    /// Groups without a head of which the head may still serve, as name and epoch.
-    pub orphaned: &'a BTreeSet<(GroupName, GroupEpoch)>,
     /// Loads of weights that are under way.
     pub loads_under_way: usize,
     /// Whether no instance was registered for the first time lately.
@@ -65,15 +65,16 @@
 /// A step that is due.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum PlanStep {
-    /// Stop a group from serving, so that its members are free.
+    /// Stop a group from serving, so that its members are free. Where its head does not answer, each
+    /// member leaves by itself: a head without its members cannot serve, whatever it believes.
     Dissolve {
         /// Group.
         group: GroupName,
         /// Epoch.
         epoch: GroupEpoch,
-        /// Head.
-        head: InstanceId,
-        /// Members that are known.
+        /// Head, if it is known and answers.
+        head: Option<InstanceId>,
+        /// Members that are known and answer.
         members: Vec<InstanceId>,
         /// Whether its requests are finished first.
         is_graceful: bool,
@@ -205,16 +206,11 @@
     fn review(&mut self, group: &Group<'_>) {
         let key = (group.name.to_string(), group.epoch);
         let is_reserved = group.members.values().any(|member| member.is_reserved);
-        let Some(head) = group.head() else {
-            if self.input.orphaned.contains(&key) {
-                self.taken.extend(group.ids());
-            }
-            return;
-        };
         let model = group.model(self.input.engine);
         let size = model.map_or(0, |model| model.size);
         let is_complete = group.is_complete(size);
         match group.head_state() {
+            None if !is_reserved => self.dissolve(group, false, "its head is not registered"),
             Some(MembershipState::Open | MembershipState::Closing) => {
                 self.taken.extend(group.ids());
                 if let Some(model) = model.filter(|_| is_reserved) {
@@ -236,10 +232,10 @@
                     None
                 };
                 if let Some(reason) = reason {
-                    return self.dissolve(group, head, false, reason);
+                    return self.dissolve(group, false, reason);
                 }
                 if group.members.values().any(|member| member.is_draining) {
-                    return self.dissolve(group, head, true, "a member leaves");
+                    return self.dissolve(group, true, "a member leaves");
                 }
                 if let Some(model) = model {
                     *self.serving.entry(model.name.clone()).or_default() += 1;
@@ -260,18 +256,19 @@
         }
     }
 
-    fn dissolve(
-        &mut self,
-        group: &Group<'_>,
-        head: &PlanInstance,
-        is_graceful: bool,
-        reason: &str,
-    ) {
+    fn dissolve(&mut self, group: &Group<'_>, is_graceful: bool, reason: &str) {
+        let answering = group.members.values().filter(|member| !member.is_suspect);
+        let members: Vec<InstanceId> = answering.map(|member| member.id.clone()).collect();
+        self.taken.extend(group.ids());
+        if members.is_empty() {
+            return;
+        }
+        let head = group.head().map(|head| head.id.clone()).filter(|head| members.contains(head));
         self.steps.push(PlanStep::Dissolve {
             group: group.name.to_string(),
             epoch: group.epoch,
-            head: head.id.clone(),
-            members: group.ids(),
+            head,
+            members,
             is_graceful,
             reason: reason.to_string(),
         });
@@ -330,7 +327,9 @@
         let empty = |i: &PlanInstance| i.staged.is_empty() && i.last_model.is_none();
         for model in &models {
             let fits = |i: &PlanInstance| empty(i) && self.has_room_beside_larger(model, &i.domain);
-            if let Some((domain, mut members)) = self.largest_pool(fits, model.size + SPARES_PER_DOMAIN) {
+            if let Some((domain, mut members)) =
+                self.largest_pool(fits, model.size + SPARES_PER_DOMAIN)
+            {
                 members.truncate(model.size);
                 return Some((model, domain, members));
             }
--- a/serving/src/group_steps.rs
+++ b/serving/src/group_steps.rs
@@ -49,8 +49,6 @@
     pub own_words: Vec<(InstanceId, EngineStatus)>,
     /// Instances that did not answer.
     pub silent: Vec<InstanceId>,
-    /// Group whose head is known to have ended.
-    pub ended_head: Option<(GroupName, GroupEpoch)>,
 }
 
 /// Why a step failed.
@@ -92,8 +90,7 @@
     let targets: Vec<OrderTarget> = instances.iter().map(target).collect();
     match step {
         PlanStep::Dissolve { group, epoch, head, is_graceful, reason, .. } => {
-            let head = targets.into_iter().find(|target| target.id == head);
-            run.dissolve(group, epoch, head, is_graceful, reason).await;
+            run.dissolve(group, epoch, head, is_graceful, reason, &instances).await;
         }
         PlanStep::Open { group, epoch, .. } => {
             let started = Instant::now();
@@ -115,7 +112,7 @@
 }
 
 fn target(instance: &Instance) -> OrderTarget {
-    OrderTarget { id: instance.id.clone(), address: instance.address, sequence: None }
+    OrderTarget { id: instance.id.clone(), address: instance.address, accepted: None }
 }
 
 struct StepRun<'a> {
@@ -130,43 +127,67 @@
         &mut self,
         group: GroupName,
         epoch: GroupEpoch,
-        head: Option<OrderTarget>,
+        head: Option<InstanceId>,
         is_graceful: bool,
         reason: String,
+        members: &[Instance],
     ) {
         let started = Instant::now();
-        let Some(mut head) = head else { return };
-        if is_graceful {
-            self.finish_requests(&group, epoch, &mut head).await;
+        let known_head = members.iter().find(|member| Some(&member.id) == head.as_ref());
+        if let Some(head) = known_head.filter(|_| is_graceful) {
+            self.finish_requests(&group, epoch, &mut target(head)).await;
         }
-        let leave = OrderKind::Leave { group: group.clone(), epoch };
-        let has_left = |report: &InstanceReport| !order_client::is_in(report, &group, epoch);
-        let left = order_client::give(self.cx, &mut head, &leave, has_left).await;
-        let outcome = match left {
-            Ok(()) => {
-                if let Ok(report) = order_client::report(self.cx, &mut head).await {
-                    self.hear(&head.id, &report);
-                }
-                "left".to_string()
-            }
-            Err(e) => {
-                self.outcome.silent.push(head.id.clone());
-                if matches!(e, OrderError::Ended(_)) {
-                    self.outcome.ended_head = Some((group.clone(), epoch));
-                }
-                e.to_string()
-            }
+        let head_left = match known_head {
+            Some(head) => self.leave(&group, epoch, &[head]).await == 1,
+            None => false,
+        };
+        let outcome = if head_left {
+            "the head left".to_string()
+        } else {
+            let others = members.iter().filter(|member| Some(&member.id) != head.as_ref());
+            let others: Vec<&Instance> = others.collect();
+            let left = self.leave(&group, epoch, &others).await;
+            format!("{left} of {} members left", others.len())
         };
         let took = started.elapsed();
         self.cx.log.record(Event::GroupDissolved { group, reason, outcome, took });
     }
 
+    /// Orders members to leave a group; returns how many did.
+    async fn leave(&mut self, group: &str, epoch: GroupEpoch, members: &[&Instance]) -> usize {
+        let mut orders = JoinSet::new();
+        for (index, member) in members.iter().enumerate() {
+            let (cx, group, mut target) = (self.cx.clone(), group.to_string(), target(member));
+            orders.spawn(async move {
+                let leave = OrderKind::Leave { group: group.clone(), epoch };
+                let has_left =
+                    |report: &InstanceReport| !order_client::is_in(report, &group, epoch);
+                (index, order_client::give(&cx, &mut target, &leave, has_left).await)
+            });
+        }
+        let mut left = 0;
+        while let Some(Ok((index, given))) = orders.join_next().await {
+            let member = members[index];
+            match given {
+                // Reports lag, so what a member says right after it left may be older than that.
+                Ok(()) => {
+                    let status = EngineStatus { membership: None, ..member.engine.clone() };
+                    self.outcome.own_words.push((member.id.clone(), status));
+                    left += 1;
+                }
+                Err(_) => self.outcome.silent.push(member.id.clone()),
+            }
+        }
+        left
+    }
+
     /// Lets a group finish its requests.
     async fn finish_requests(&mut self, group: &str, epoch: GroupEpoch, head: &mut OrderTarget) {
         let mode = CloseMode::Finish;
         let close = OrderKind::Close { group: group.to_string(), epoch, mode };
         let is_open = |report: &InstanceReport| {
-            order_client::is_in(report, group, epoch) && state(report) == Some(MembershipState::Open)
+            order_client::is_in(report, group, epoch)
+                && state(report) == Some(MembershipState::Open)
         };
         if let Err(e) = order_client::give(self.cx, head, &close, |r| !is_open(r)).await {
             return log::info!("group {group} was not closed: {e}");
@@ -292,12 +313,12 @@
                 let report = report.map_err(|error| StepError::Order { member: id, error })?;
                 self.hear(&member.id, &report);
                 let place = report.engine.membership.as_ref();
-                let is_placed = place
-                    .is_some_and(|m| m.group == group && m.epoch == epoch && m.rank == rank);
-                if !is_placed {
-                    return Err(StepError::Misplaced(member.id.clone()));
-                }
+                let is_placed =
+                    place.is_some_and(|m| m.group == group && m.epoch == epoch && m.rank == rank);
+                let may_be_old = started.elapsed() < order_client::REPORT_LAG * 2;
                 match state(&report) {
+                    _ if !is_placed && may_be_old => {}
+                    _ if !is_placed => return Err(StepError::Misplaced(member.id.clone())),
                     Some(MembershipState::Ready | MembershipState::Open) => break,
                     Some(MembershipState::Joining) if started.elapsed() < longest => {}
                     _ => return Err(StepError::NotReady(member.id.clone())),
@@ -325,7 +346,8 @@
         let Some(mut head) = members.into_iter().next() else { return Ok(()) };
         let order = OrderKind::Open { group: group.to_string(), epoch };
         let is_open = |report: &InstanceReport| {
-            order_client::is_in(report, group, epoch) && state(report) == Some(MembershipState::Open)
+            order_client::is_in(report, group, epoch)
+                && state(report) == Some(MembershipState::Open)
         };
         let opened = order_client::give(self.cx, &mut head, &order, is_open).await;
         opened.map_err(|error| StepError::Order { member: head.id.clone(), error })?;
--- a/serving/src/instance_follow.rs
+++ b/serving/src/instance_follow.rs
@@ -14,10 +14,10 @@
 use tokio::time::Instant;
 use tokio::time::sleep;
 
-/// Longest wait of one watch: a connection that went silent is noticed soon after.
-const WATCH_WAIT: Duration = Duration::from_millis(1500);
+/// Longest wait of one watch. The kernel's own probes notice a connection that went silent.
+const WATCH_WAIT: Duration = Duration::from_secs(8);
 /// Shortest time from one watch to the next, so that changes that come together cost one call.
-const WATCH_PERIOD: Duration = Duration::from_millis(200);
+const WATCH_PERIOD: Duration = Duration::from_millis(300);
 /// Entries of which it is remembered that they were skipped.
 const MAX_SKIPPED: usize = 1024;
 
--- a/serving/src/lease_keeper.rs
+++ b/serving/src/lease_keeper.rs
@@ -121,7 +121,9 @@
         let reason = match &record {
             None => Some("its object was unreadable"),
             Some(record) if record.is_released => Some("it was given up"),
-            Some(record) if record.holder == self.cx.node() => Some("an earlier run of the node held it"),
+            Some(record) if record.holder == self.cx.node() => {
+                Some("an earlier run of the node held it")
+            }
             Some(_) if now - since >= LEASE => Some("it was not renewed"),
             Some(_) => None,
         };
--- a/serving/src/listeners.rs
+++ b/serving/src/listeners.rs
@@ -167,7 +167,11 @@
     }
 }
 
-async fn answer(cx: &ServingCx, role: ListenerRole, req: Request<Incoming>) -> Response<AnswerBody> {
+async fn answer(
+    cx: &ServingCx,
+    role: ListenerRole,
+    req: Request<Incoming>,
+) -> Response<AnswerBody> {
     match role {
         ListenerRole::Callers => front::handle(cx, req).await,
         ListenerRole::Directory => directory::handle(cx, &req),
--- a/serving/src/node_registry.rs
+++ b/serving/src/node_registry.rs
@@ -115,9 +115,7 @@
 /// Removes this node's object; once, since the holder of the lease removes what is left behind.
 pub async fn unregister(cx: &ServingCx) {
     let removed = match cx.store.get(ObjectKind::Nodes, cx.node()).await {
-        Ok(Some(object)) => {
-            cx.store.delete(ObjectKind::Nodes, cx.node(), object.revision).await
-        }
+        Ok(Some(object)) => cx.store.delete(ObjectKind::Nodes, cx.node(), object.revision).await,
         Ok(None) => Ok(()),
         Err(e) => Err(e),
     };
@@ -129,7 +127,8 @@
 /// Removes the objects of nodes that were not heard for long, as the holder of the lease.
 async fn remove_gone(cx: &ServingCx, objects: &[StoredObject]) {
     let now = Instant::now();
-    let is_settled = cx.clock.unix().as_millis() as u64 > cx.incarnation + GONE_AFTER.as_millis() as u64;
+    let is_settled =
+        cx.clock.unix().as_millis() as u64 > cx.incarnation + GONE_AFTER.as_millis() as u64;
     if cx.lease.term().is_none() || !is_settled {
         return;
     }
--- a/serving/src/order_client.rs
+++ b/serving/src/order_client.rs
@@ -27,6 +27,8 @@
 const REPORT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Pause before an order without an answer is looked after.
 const UNANSWERED_PAUSE: Duration = Duration::from_millis(100);
+/// Age that a report may have, by the platform's page on engines.
+pub const REPORT_LAG: Duration = Duration::from_millis(220);
 /// Attempts to give one order.
 const MAX_ATTEMPTS: u32 = 3;
 /// Largest answer to an order.
@@ -52,6 +54,15 @@
     Refused(String),
 }
 
+/// The orders that an instance has accepted in one life.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct AcceptedOrders {
+    /// Start of the life, in milliseconds since the Unix epoch.
+    pub born_ms: u64,
+    /// Number of orders.
+    pub sequence: u64,
+}
+
 /// An instance that takes orders.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct OrderTarget {
@@ -59,8 +70,8 @@
     pub id: InstanceId,
     /// Address.
     pub address: SocketAddr,
-    /// Orders that it has accepted in this life; `None` until it was asked.
-    pub sequence: Option<u64>,
+    /// Start of its life and the orders that it has accepted in it; `None` until it was asked.
+    pub accepted: Option<AcceptedOrders>,
 }
 
 /// Gives an order until it holds, or fails. Orders without an answer are looked after by the
@@ -72,18 +83,21 @@
     holds: impl Fn(&InstanceReport) -> bool,
 ) -> Result<(), OrderError> {
     let mut last = OrderError::Refused("not tried".to_string());
-    if target.sequence.is_none() && holds(&report(cx, target).await?) {
+    if target.accepted.is_none() && holds(&report(cx, target).await?) {
         return Ok(());
     }
     for _ in 0..MAX_ATTEMPTS {
         match give_once(cx, target, kind).await {
             Ok(OrderAnswer::Begun) => {
-                target.sequence = target.sequence.map(|sequence| sequence + 1);
+                if let Some(accepted) = &mut target.accepted {
+                    accepted.sequence += 1;
+                }
                 return Ok(());
             }
             Ok(OrderAnswer::Done) => return Ok(()),
             Ok(OrderAnswer::Conflict) => {
                 last = OrderError::Refused("it does not fit its state".to_string());
+                sleep(REPORT_LAG).await;
             }
             Ok(OrderAnswer::Fenced) => return Err(OrderError::Fenced),
             Ok(OrderAnswer::WrongInstance) => {
@@ -115,7 +129,16 @@
         replica_health::ask_report(cx, &target.id, target.address, "order", REPORT_TIMEOUT).await;
     match asked {
         Ok(report) => {
-            target.sequence = Some(report.sequence);
+            let reported =
+                AcceptedOrders { born_ms: report.engine.born_ms, sequence: report.sequence };
+            // A report may be older than the last order.
+            target.accepted = match target.accepted {
+                Some(known) if known.born_ms == reported.born_ms => Some(AcceptedOrders {
+                    sequence: known.sequence.max(reported.sequence),
+                    ..known
+                }),
+                _ => Some(reported),
+            };
             Ok(report)
         }
         Err(e) if e.is_proof_of_end() => Err(OrderError::Ended(e.to_string())),
@@ -133,7 +156,7 @@
     let order = Order {
         kind: kind.clone(),
         fencing_token: term,
-        expected_sequence: target.sequence,
+        expected_sequence: target.accepted.map(|accepted| accepted.sequence),
     };
     let body = Full::new(Bytes::from(cx.dialect.encode_order(&order)));
     let req = Request::post(cx.dialect.order_path()).body(body);
--- a/serving/src/placement.rs
+++ b/serving/src/placement.rs
@@ -148,7 +148,8 @@
     let replica = &candidate.replica;
     let running = requests_at(&candidate.state) + 1;
     let model = input.engine.zip(replica.model.as_deref());
-    let pass = model.and_then(|(engine, name)| Some(engine.pass_time(engine.model(name)?, running)));
+    let pass =
+        model.and_then(|(engine, name)| Some(engine.pass_time(engine.model(name)?, running)));
     let load = f64::from(running) / f64::from(replica.slots);
     let time = match pass {
         Some(pass) => pass.as_secs_f64() * (1.0 + load),
--- a/serving/src/plain_forward.rs
+++ b/serving/src/plain_forward.rs
@@ -46,7 +46,7 @@
                 return refusal::not_run(shortage.name(), retry_after);
             }
         };
-        trace.attempt(&replica.key);
+        trace.attempt(&replica);
         attempts.tried.push(replica.key.clone());
         match attempt_once(cx, task, &replica, &attempts).await {
             Ok(answer) => {
--- a/serving/src/refusal.rs
+++ b/serving/src/refusal.rs
@@ -28,8 +28,6 @@
 /// Returns an answer in JSON.
 pub fn json(body: Vec<u8>) -> Response<AnswerBody> {
     let mut answer = Response::new(AnswerBody::whole(body));
-    answer
-        .headers_mut()
-        .insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    answer.headers_mut().insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
     answer
 }
--- a/serving/src/replica_health.rs
+++ b/serving/src/replica_health.rs
@@ -33,13 +33,13 @@
 /// Passes without any event after which a replica with running streams is suspected.
 const SILENT_PASSES: u32 = 4;
 /// Shortest silence that makes a replica suspect.
-const MIN_SILENCE: Duration = Duration::from_millis(220);
+const MIN_SILENCE: Duration = Duration::from_millis(160);
 /// Silence that makes a replica suspect while its requests only wait for their first event.
-const UNANSWERED_SILENCE: Duration = Duration::from_millis(400);
+const UNANSWERED_SILENCE: Duration = Duration::from_millis(320);
 /// Pause between two suspicions of the same replica that came to nothing.
 const SUSPICION_PAUSE: Duration = Duration::from_millis(500);
 /// Longest wait for a member's report; an instance answers in a millisecond or two.
-const REPORT_TIMEOUT: Duration = Duration::from_millis(180);
+const REPORT_TIMEOUT: Duration = Duration::from_millis(110);
 /// Lateness of this process from which on its own time-outs prove nothing.
 const OWN_LATENESS: Duration = Duration::from_millis(60);
 /// Largest report.
@@ -100,8 +100,7 @@
     let req = Request::get(cx.dialect.report_path()).body(Full::new(Bytes::new()));
     let mut req = req.map_err(|e| ReportError::Unusable(e.to_string()))?;
     *req.headers_mut() = cx.dialect.instance_headers(instance);
-    let answer =
-        connection::call_once(address, req, bound, bound, MAX_REPORT_BYTES).await?;
+    let answer = connection::call_once(address, req, bound, bound, MAX_REPORT_BYTES).await?;
     match answer.status() {
         StatusCode::OK => cx
             .dialect
--- a/serving/src/replica_set.rs
+++ b/serving/src/replica_set.rs
@@ -49,10 +49,7 @@
 
 impl ReplicaSet {
     /// Derives the replicas from the registered instances.
-    pub fn derive<'a>(
-        instances: impl Iterator<Item = &'a Instance>,
-        config: &FleetConfig,
-    ) -> Self {
+    pub fn derive<'a>(instances: impl Iterator<Item = &'a Instance>, config: &FleetConfig) -> Self {
         let mut groups: BTreeMap<(&str, u64), Vec<(&Instance, &Membership)>> = BTreeMap::new();
         let mut by_service: HashMap<String, Vec<Arc<Replica>>> = HashMap::new();
         for instance in instances {
@@ -130,8 +127,7 @@
     let has_every_rank = members.len() == model.size
         && members.iter().enumerate().all(|(rank, (_, membership))| membership.rank == rank);
     let is_usable = |(instance, membership): &(&Instance, &Membership)| {
-        let is_ready =
-            matches!(membership.state, MembershipState::Ready | MembershipState::Open);
+        let is_ready = matches!(membership.state, MembershipState::Ready | MembershipState::Open);
         is_ready && !instance.is_draining && instance.service == head.service
     };
     let is_open = membership.state == MembershipState::Open;
--- a/serving/src/request_task.rs
+++ b/serving/src/request_task.rs
@@ -6,6 +6,7 @@
 use crate::key_hash::key_hash;
 use crate::listeners::RunningRequest;
 use crate::placement::Occupancy;
+use crate::replica_set::Replica;
 use crate::serving_cx::ServingCx;
 use bytes::Bytes;
 use guavaladder_lib::generated::events::Event;
@@ -87,6 +88,8 @@
     pub replica: String,
     /// Attempts.
     pub attempts: u64,
+    /// Requests at the replica when the last attempt began.
+    pub ahead: u64,
     /// Events that were passed on.
     pub events: u64,
     /// Time to the first byte of the answer.
@@ -107,6 +110,7 @@
             received: task.received,
             replica: String::new(),
             attempts: 0,
+            ahead: 0,
             events: 0,
             first: None,
             is_ended: false,
@@ -115,9 +119,11 @@
     }
 
     /// Takes in that an attempt begins.
-    pub fn attempt(&mut self, replica: &str) {
+    pub fn attempt(&mut self, replica: &Replica) {
+        let state = self.cx.loads.state(replica, Instant::now());
         self.attempts += 1;
-        self.replica = replica.to_string();
+        self.ahead = u64::from(state.own + state.remote);
+        self.replica = replica.key.clone();
     }
 
     /// Takes in that the answer begins.
@@ -154,6 +160,7 @@
             replica: self.replica.clone(),
             status: u64::from(status),
             attempts: self.attempts,
+            ahead: self.ahead,
             first: self.first.unwrap_or(took),
             took,
             config: self.config,
--- a/serving/src/store.rs
+++ b/serving/src/store.rs
@@ -6,12 +6,12 @@
 use crate::connection;
 use crate::connection::CallError;
 use crate::connection::Connection;
+use crate::decision_log::DecisionLog;
 use crate::dialect::Dialect;
 use crate::dialect::ObjectKind;
 use crate::dialect::ObjectRead;
 use crate::dialect::StoredObject;
 use crate::dialect::WatchBatch;
-use crate::decision_log::DecisionLog;
 use crate::serving_metrics::ServingMetrics;
 use bytes::Bytes;
 use guavaladder_lib::generated::events::Event;
--- a/serving/src/stream_forward.rs
+++ b/serving/src/stream_forward.rs
@@ -78,7 +78,7 @@
                 return refusal::not_run(shortage.name(), retry_after);
             }
         };
-        trace.attempt(&replica.key);
+        trace.attempt(&replica);
         attempts.tried.push(replica.key.clone());
         let last_event_id = task.head.last_event_id;
         match begin(cx, &task, &replica, last_event_id).await {
@@ -218,14 +218,8 @@
     let status = source.answered.response.status();
     let headers = cx.dialect.caller_headers(source.answered.response.headers());
     let (tx, rx) = mpsc::channel(EVENT_QUEUE_LEN);
-    let relay = Relay {
-        cx: cx.clone(),
-        last_event_id: task.head.last_event_id,
-        task,
-        trace,
-        attempts,
-        tx,
-    };
+    let relay =
+        Relay { cx: cx.clone(), last_event_id: task.head.last_event_id, task, trace, attempts, tx };
     tokio::spawn(relay.run(source, first));
     answer(status, headers, rx)
 }
@@ -339,13 +333,18 @@
     /// Goes on with a stream at another replica after the last event that was passed on.
     async fn go_on(&mut self, error: AttemptError) -> Result<(Source, Next), Relayed> {
         let mut error = error;
+        let mut has_begun = true;
         loop {
             if self.tx.is_closed() {
                 return Err(Relayed::CallerLeft);
             }
             self.trace.moved(&self.task.service, &error.to_string(), error.name());
             let cause = error.to_string();
-            self.attempts.failed(error);
+            match has_begun {
+                true => self.attempts.failed_midway(error),
+                false => self.attempts.failed(error),
+            }
+            has_begun = false;
             let is_resumable = self.task.kind == RouteKind::Streaming { is_resumable: true };
             if !is_resumable || !self.attempts.may_send(&self.cx, &self.task) {
                 return Err(Relayed::Lost(cause));
@@ -354,7 +353,7 @@
             let Ok(replica) = candidates::choose(&self.cx, &self.task, tried, true) else {
                 return Err(Relayed::Lost(format!("{cause}; no other replica")));
             };
-            self.trace.attempt(&replica.key);
+            self.trace.attempt(&replica);
             self.attempts.tried.push(replica.key.clone());
             let begun = tokio::select! {
                 begun = begin(&self.cx, &self.task, &replica, self.last_event_id) => begun,
@@ -379,10 +378,7 @@
         return;
     }
     if matches!(e, AttemptError::Broken(_)) {
-        cx.crashes.crashed(
-            CrashMark { fingerprint: task.fingerprint, replica: replica.hash },
-            now,
-        );
+        cx.crashes.crashed(CrashMark { fingerprint: task.fingerprint, replica: replica.hash }, now);
     }
     match e {
         AttemptError::Silent(_) | AttemptError::Down => {}
--- a/serving/src/upstream_pool.rs
+++ b/serving/src/upstream_pool.rs
@@ -50,11 +50,7 @@
     }
 
     /// Returns an idle connection to a replica, or opens one; `is_fresh` asks for a new one.
-    pub async fn get(
-        &self,
-        replica: &Replica,
-        is_fresh: bool,
-    ) -> Result<Connection, ConnectError> {
+    pub async fn get(&self, replica: &Replica, is_fresh: bool) -> Result<Connection, ConnectError> {
         let idle = if is_fresh { None } else { self.take_idle(replica) };
         if let Some(connection) = idle {
             return Ok(connection);
--- /dev/null
+++ b/serving/tests/runner.rs
@@ -0,0 +1,17 @@
+//! Tests of the serving crate, one module a topic.
+
+mod test_crash_record;
+mod test_directory;
+mod test_fleet_view;
+mod test_group_plan;
+mod test_lease_state;
+mod test_load_table;
+mod test_node_table;
+mod test_peer_codec;
+mod test_placement;
+mod test_replica_set;
+mod test_retry_budget;
+mod test_route_match;
+mod test_serving_settings;
+mod test_sse;
+mod util;
--- /dev/null
+++ b/serving/tests/test_group_plan.rs
@@ -0,0 +1,197 @@
+//! Tests of the planner of groups.
+
+use crate::util::engine;
+use guavaladder_serving::group_plan::PlanInput;
+use guavaladder_serving::group_plan::PlanInstance;
+use guavaladder_serving::group_plan::PlanStep;
+use guavaladder_serving::group_plan::plan;
+use guavaladder_serving::instance::MembershipState;
+use rstest::rstest;
+use std::collections::BTreeSet;
+
+fn bare(id: String, domain: &str) -> PlanInstance {
+    PlanInstance {
+        id,
+        domain: domain.to_string(),
+        is_usable: true,
+        is_suspect: false,
+        is_draining: false,
+        is_reserved: false,
+        staged: vec![],
+        last_model: None,
+        membership: None,
+    }
+}
+
+fn staged(id: &str, domain: &str, model: &str) -> PlanInstance {
+    PlanInstance { staged: vec![model.to_string()], ..bare(id.to_string(), domain) }
+}
+
+/// Returns the members of an open group, the head first.
+fn open_group(name: &str, domain: &str, model: &str, size: usize) -> Vec<PlanInstance> {
+    let member = |rank: usize| {
+        let state = if rank == 0 { MembershipState::Open } else { MembershipState::Ready };
+        PlanInstance {
+            last_model: Some(model.to_string()),
+            membership: Some((name.to_string(), 5, rank, state)),
+            ..staged(&format!("{name}-{rank}"), domain, model)
+        }
+    };
+    (0..size).map(member).collect()
+}
+
+fn steps(instances: &[PlanInstance], down: &[&str], loads: usize) -> Vec<PlanStep> {
+    let engine = engine();
+    let keys = |names: &[&str]| -> BTreeSet<(String, u64)> {
+        names.iter().map(|name| (name.to_string(), 5)).collect()
+    };
+    plan(&PlanInput {
+        engine: &engine,
+        instances,
+        down: &keys(down),
+        loads_under_way: loads,
+        is_settled: true,
+    })
+}
+
+fn assemblies(steps: &[PlanStep]) -> Vec<(String, String, usize)> {
+    let assembly = |step: &PlanStep| match step {
+        PlanStep::Assemble { model, domain, loads, .. } => {
+            Some((model.clone(), domain.clone(), *loads))
+        }
+        _ => None,
+    };
+    steps.iter().filter_map(assembly).collect()
+}
+
+#[test]
+fn cold_domains_get_the_larger_model_first() {
+    let instances: Vec<PlanInstance> =
+        (0..16).map(|i| bare(format!("i{i:02}"), if i < 8 { "d0" } else { "d1" })).collect();
+    let found = assemblies(&steps(&instances, &[], 0));
+    assert_eq!(found[0], ("large".to_string(), "d1".to_string(), 4));
+    assert!(found.iter().map(|(_, _, loads)| loads).sum::<usize>() <= 12);
+}
+
+#[test]
+fn unsettled_domain_keeps_room_for_the_larger_model() {
+    let instances: Vec<PlanInstance> = (0..3).map(|i| bare(format!("i{i}"), "d0")).collect();
+    let engine = engine();
+    let none = BTreeSet::new();
+    let input = PlanInput {
+        engine: &engine,
+        instances: &instances,
+        down: &none,
+        loads_under_way: 0,
+        is_settled: false,
+    };
+    assert_eq!(assemblies(&plan(&input)), vec![]);
+    let settled = PlanInput { is_settled: true, ..input };
+    assert_eq!(assemblies(&plan(&settled)), vec![("small".to_string(), "d0".to_string(), 2)]);
+}
+
+#[test]
+fn lost_member_whole_again_with_the_staged_spare() {
+    let mut instances = open_group("g", "d0", "large", 4);
+    instances.remove(2);
+    instances.push(staged("spare", "d0", "large"));
+    let first = steps(&instances, &[], 0);
+    assert!(
+        matches!(&first[0], PlanStep::Dissolve { group, is_graceful: false, .. } if group == "g"),
+        "{first:?}"
+    );
+    // Once the head has left, its members and the spare make a new group without a load.
+    instances[0].membership = None;
+    let then = steps(&instances, &[], 0);
+    let members = then.iter().find_map(|step| match step {
+        PlanStep::Assemble { members, loads: 0, .. } => Some(members.clone()),
+        _ => None,
+    });
+    let mut members = members.expect("an assembly");
+    members.sort();
+    assert_eq!(members, ["g-0", "g-1", "g-3", "spare"]);
+}
+
+#[test]
+fn group_found_down_is_dissolved_though_its_entries_look_whole() {
+    let instances = open_group("g", "d0", "large", 4);
+    assert_eq!(steps(&instances, &[], 0), vec![]);
+    let found = steps(&instances, &["g"], 0);
+    assert!(matches!(&found[..], [PlanStep::Dissolve { is_graceful: false, .. }]), "{found:?}");
+}
+
+#[test]
+fn leaving_member_lets_its_group_finish() {
+    let mut instances = open_group("g", "d0", "large", 4);
+    instances[3].is_draining = true;
+    instances[3].is_usable = false;
+    let found = steps(&instances, &[], 0);
+    assert!(matches!(&found[..], [PlanStep::Dissolve { is_graceful: true, .. }]), "{found:?}");
+}
+
+/// A replica cut off from the store loses its entry and goes on serving with its members; they must
+/// have left it before they join another group.
+#[test]
+fn members_of_an_unregistered_head_leave_before_they_join() {
+    let mut instances = open_group("g", "d0", "large", 4);
+    instances.remove(0);
+    instances.push(staged("spare", "d0", "large"));
+    let found = steps(&instances, &[], 0);
+    assert_eq!(assemblies(&found), vec![]);
+    assert!(
+        matches!(&found[..], [PlanStep::Dissolve { head: None, members, .. }] if members.len() == 3)
+    );
+    instances.iter_mut().for_each(|instance| instance.membership = None);
+    assert_eq!(assemblies(&steps(&instances, &[], 0)).len(), 1);
+}
+
+#[test]
+fn members_of_a_silent_head_leave_by_themselves() {
+    let mut instances = open_group("g", "d0", "large", 4);
+    instances[0].is_suspect = true;
+    instances[0].is_usable = false;
+    let found = steps(&instances, &["g"], 0);
+    assert!(
+        matches!(&found[..], [PlanStep::Dissolve { head: None, members, .. }] if members.len() == 3)
+    );
+    // Nothing is left to do for a head that does not answer and whose members are gone.
+    instances.truncate(1);
+    assert_eq!(steps(&instances, &["g"], 0), vec![]);
+}
+
+#[rstest]
+#[case::ready_group_is_opened(MembershipState::Ready, true)]
+#[case::joining_group_is_not(MembershipState::Joining, false)]
+fn group_left_by_an_earlier_holder(#[case] last: MembershipState, #[case] is_opened: bool) {
+    let mut instances = open_group("g", "d0", "large", 4);
+    for instance in &mut instances {
+        if let Some(membership) = &mut instance.membership {
+            membership.3 = MembershipState::Ready;
+        }
+    }
+    if let Some(membership) = &mut instances[3].membership {
+        membership.3 = last;
+    }
+    let found = steps(&instances, &[], 0);
+    let opens = found.iter().any(|step| matches!(step, PlanStep::Open { .. }));
+    assert_eq!(opens, is_opened, "{found:?}");
+}
+
+#[test]
+fn reserved_instances_are_left_alone() {
+    let mut instances = open_group("g", "d0", "large", 4);
+    instances.iter_mut().for_each(|instance| instance.is_reserved = true);
+    assert_eq!(steps(&instances, &["g"], 0), vec![]);
+}
+
+#[test]
+fn empty_newcomer_is_staged_for_the_model_that_its_domain_lacks() {
+    let mut instances = open_group("g", "d0", "large", 4);
+    instances.extend(open_group("h", "d0", "small", 2));
+    instances.push(bare("new".to_string(), "d0"));
+    let found = steps(&instances, &[], 0);
+    let step = PlanStep::Stage { instance: "new".to_string(), model: "large".to_string() };
+    assert_eq!(found, vec![step]);
+    // Not beyond what the weight store bears at once.
+    assert_eq!(steps(&instances, &[], 6), vec![]);
+}
--- /dev/null
+++ b/serving/tests/test_load_table.rs
@@ -0,0 +1,72 @@
+//! Tests of the table of loads.
+
+use crate::util::config;
+use crate::util::instance;
+use guavaladder_serving::load_table::LoadTable;
+use guavaladder_serving::replica_set::Replica;
+use guavaladder_serving::replica_set::ReplicaSet;
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::Instant;
+
+fn replica() -> Arc<Replica> {
+    let instances = [instance("x", "orders")];
+    ReplicaSet::derive(instances.iter(), &config(1)).of_service("orders")[0].clone()
+}
+
+#[test]
+fn places_are_counted_and_given_back() {
+    let (table, replica) = (LoadTable::new(), replica());
+    let mut place = table.enter(&replica);
+    let other = table.enter(&replica);
+    place.answered();
+    let state = table.state(&replica, Instant::now());
+    assert_eq!((state.own, state.unanswered), (2, 1));
+    drop(place);
+    drop(other);
+    let state = table.state(&replica, Instant::now());
+    assert_eq!((state.own, state.unanswered), (0, 0));
+}
+
+#[test]
+fn other_nodes_count_until_they_fall_silent() {
+    let (table, replica) = (LoadTable::new(), replica());
+    let start = Instant::now();
+    table.set_remote("n2", HashMap::from([(replica.hash, 3)]), start);
+    table.set_remote("n3", HashMap::from([(replica.hash, 4)]), start);
+    assert_eq!(table.state(&replica, start).remote, 7);
+    table.set_remote("n3", HashMap::new(), start + Duration::from_secs(4));
+    assert_eq!(table.state(&replica, start).remote, 0);
+}
+
+#[test]
+fn failures_in_a_row_eject_for_longer_each_time() {
+    let (table, replica) = (LoadTable::new(), replica());
+    let start = Instant::now();
+    let _place = table.enter(&replica);
+    assert_eq!(table.fail(replica.hash, start), None);
+    assert_eq!(table.fail(replica.hash, start), None);
+    let first = table.fail(replica.hash, start).expect("an ejection");
+    assert!(table.state(&replica, start).is_ejected);
+    let later = start + first;
+    assert!(!table.state(&replica, later).is_ejected);
+    let second = table.fail(replica.hash, later).expect("an ejection");
+    assert!(second > first);
+    table.succeed(replica.hash);
+    assert!(!table.state(&replica, later).is_ejected);
+}
+
+#[tokio::test(start_paused = true)]
+async fn streams_are_told_when_their_replica_is_down() {
+    let (table, replica) = (LoadTable::new(), replica());
+    let mut down = table.watch_down(replica.hash);
+    let waiting = tokio::spawn(async move { down.wait_for(Option::is_some).await.is_ok() });
+    assert!(table.mark_down(replica.hash, "m", Instant::now()));
+    assert!(!table.mark_down(replica.hash, "m", Instant::now()));
+    assert!(waiting.await.unwrap());
+    assert!(table.state(&replica, Instant::now()).is_down);
+    assert_eq!(table.down_members(Instant::now())[&replica.hash], "m");
+    tokio::time::advance(Duration::from_secs(4)).await;
+    assert!(!table.state(&replica, Instant::now()).is_down);
+}
--- /dev/null
+++ b/serving/tests/test_node_table.rs
@@ -0,0 +1,77 @@
+//! Tests of the table of the other nodes.
+
+use crate::util::log;
+use guavaladder_lib::generated::serving_peer::NodeBeat;
+use guavaladder_lib::generated::serving_peer::NodePhase;
+use guavaladder_serving::node_table::NodeTable;
+use std::net::IpAddr;
+use std::time::Duration;
+use tokio::time::Instant;
+
+const PERIOD: Duration = Duration::from_millis(100);
+
+pub fn beat(node: &str, incarnation: u64, sequence: u64) -> NodeBeat {
+    NodeBeat {
+        node: node.to_string(),
+        incarnation,
+        sequence,
+        phase: NodePhase::Serving,
+        caller_address: "10.0.0.2:80".to_string(),
+        data_centre: "east".to_string(),
+        config_version: 3,
+        lease_term: 0,
+        loads: vec![],
+        downs: vec![],
+        crashes: vec![],
+    }
+}
+
+fn address(last: u8) -> IpAddr {
+    IpAddr::from([10, 0, 0, last])
+}
+
+#[test]
+fn older_messages_are_ignored() {
+    let table = NodeTable::new("n1", log());
+    let now = Instant::now();
+    assert!(table.heard(address(2), beat("n2", 1, 5), now));
+    assert!(!table.heard(address(2), beat("n2", 1, 5), now));
+    assert!(!table.heard(address(2), beat("n2", 1, 4), now));
+    assert!(table.heard(address(3), beat("n2", 2, 1), now));
+    assert!(!table.heard(address(2), beat("n2", 1, 9), now));
+    assert!(!table.heard(address(1), beat("n1", 1, 9), now));
+    assert_eq!(table.addresses(), [address(3)]);
+}
+
+#[test]
+fn entries_are_nodes_that_serve_and_were_heard_lately() {
+    let table = NodeTable::new("n1", log());
+    let start = Instant::now();
+    table.heard(address(2), beat("n2", 1, 1), start);
+    table.heard(address(3), NodeBeat { phase: NodePhase::Leaving, ..beat("n3", 1, 1) }, start);
+    assert_eq!(table.entries(start, PERIOD).len(), 1);
+    assert_eq!(table.entries(start + Duration::from_secs(2), PERIOD).len(), 0);
+}
+
+#[test]
+fn registered_nodes_share_the_budget_even_when_silent() {
+    let table = NodeTable::new("n1", log());
+    let start = Instant::now();
+    table.set_registered(&[("n1".to_string(), address(1)), ("n2".to_string(), address(2))]);
+    table.heard(address(3), beat("n3", 1, 1), start);
+    assert_eq!(table.count(start, PERIOD), 3);
+    let later = start + Duration::from_secs(30);
+    table.review(later, PERIOD);
+    assert_eq!(table.count(later, PERIOD), 2);
+    assert_eq!(table.unheard(later, Duration::from_secs(5)), ["n2"]);
+}
+
+#[test]
+fn holder_of_the_lease_is_the_one_of_the_highest_term() {
+    let table = NodeTable::new("n1", log());
+    let now = Instant::now();
+    table.heard(address(2), NodeBeat { lease_term: 4, ..beat("n2", 1, 1) }, now);
+    table.heard(address(3), NodeBeat { lease_term: 5, ..beat("n3", 1, 1) }, now);
+    assert_eq!(table.lease_holder(now, PERIOD), Some(("n3".to_string(), 5)));
+    assert_eq!(table.lease_holder(now + PERIOD, PERIOD), None);
+}
--- /dev/null
+++ b/serving/tests/test_placement.rs
@@ -0,0 +1,89 @@
+//! Tests of the choice of a replica.
+
+use crate::util::engine;
+use guavaladder_serving::load_table::ReplicaState;
+use guavaladder_serving::placement::Candidate;
+use guavaladder_serving::placement::PlacementInput;
+use guavaladder_serving::placement::Shortage;
+use guavaladder_serving::placement::choose;
+use guavaladder_serving::placement::occupancy;
+use guavaladder_serving::replica_set::Replica;
+use std::sync::Arc;
+use std::time::Duration;
+
+fn candidate(name: &str, data_centre: &str, running: u32) -> Candidate {
+    let replica = Replica {
+        key: name.to_string(),
+        hash: 0,
+        service: "drafting".to_string(),
+        instance: name.to_string(),
+        address: ([127, 0, 0, 1], 1).into(),
+        data_centre: data_centre.to_string(),
+        slots: 26,
+        model: Some("large".to_string()),
+        members: vec![],
+    };
+    let state = ReplicaState {
+        own: 0,
+        remote: running,
+        unanswered: 0,
+        last_sign: None,
+        slowness: 1.0,
+        is_down: false,
+        is_ejected: false,
+        failure_rate: 0.0,
+    };
+    Candidate { replica: Arc::new(replica), state }
+}
+
+fn chosen(candidates: &[Candidate], has_begun: bool) -> Result<String, Shortage> {
+    let engine = engine();
+    let input = PlacementInput { data_centre: "east", engine: Some(&engine), has_begun };
+    choose(candidates, &input).map(|replica| replica.key.clone())
+}
+
+#[test]
+fn choice_by_requests_of_all_nodes() {
+    let candidates = [candidate("a", "east", 12), candidate("b", "east", 3)];
+    assert_eq!(chosen(&candidates, false), Ok("b".to_string()));
+}
+
+#[test]
+fn choice_near_where_equal() {
+    let candidates = [candidate("a", "west", 5), candidate("b", "east", 5)];
+    assert_eq!(chosen(&candidates, false), Ok("b".to_string()));
+}
+
+#[test]
+fn choice_spares_replicas_that_are_down_ejected_or_slow() {
+    let mut down = candidate("down", "east", 0);
+    down.state.is_down = true;
+    let mut ejected = candidate("ejected", "east", 0);
+    ejected.state.is_ejected = true;
+    let mut slow = candidate("slow", "east", 0);
+    slow.state.slowness = 5.0;
+    let sound = candidate("sound", "west", 20);
+    let candidates = [down.clone(), ejected.clone(), slow, sound];
+    assert_eq!(chosen(&candidates, false), Ok("sound".to_string()));
+    // One that only failed lately is better than none; one that is down is not.
+    assert_eq!(chosen(&[down.clone(), ejected], false), Ok("ejected".to_string()));
+    assert_eq!(chosen(&[down], false), Err(Shortage::NoReplica));
+}
+
+#[test]
+fn overload_refuses_new_requests_but_not_begun_ones() {
+    let candidates = [candidate("a", "east", 60), candidate("b", "east", 60)];
+    assert_eq!(chosen(&candidates, false), Err(Shortage::AllBusy));
+    assert!(chosen(&candidates, true).is_ok());
+    let sum = occupancy(&candidates);
+    assert_eq!((sum.running, sum.places, sum.replicas), (120, 52, 2));
+}
+
+#[test]
+fn refused_callers_do_not_return_together() {
+    let times: Vec<Duration> = (0..50).map(|_| Shortage::AllBusy.retry_after()).collect();
+    let least = times.iter().min().unwrap();
+    let most = times.iter().max().unwrap();
+    assert!(*most > *least + Duration::from_millis(50), "{least:?} to {most:?}");
+    assert!(*least > Duration::ZERO);
+}
--- /dev/null
+++ b/serving/tests/test_route_match.rs
@@ -0,0 +1,52 @@
+//! Tests of the matching of requests to routes and customers.
+
+use crate::util::config;
+use guavaladder_serving::route_match::ConfigInForce;
+use guavaladder_serving::route_match::MatchError;
+use guavaladder_serving::route_match::RoutingTable;
+use rstest::rstest;
+
+#[rstest]
+#[case::longest_prefix("a.example", "/a/b/c", Ok("deep"))]
+#[case::shorter_prefix("a.example", "/a/x", Ok("mid"))]
+#[case::root("a.example", "/x", Ok("all"))]
+#[case::no_part_of_a_segment("a.example", "/a/bc", Ok("mid"))]
+#[case::port_and_case("A.Example:80", "/a/", Ok("mid"))]
+#[case::other_host("b.example", "/a/", Err(MatchError::NoRoute))]
+fn route_by_host_and_path(
+    #[case] host: &str,
+    #[case] path: &str,
+    #[case] expected: Result<&str, MatchError>,
+) {
+    let table = RoutingTable::new(config(1));
+    assert_eq!(table.route(host, path).map(|route| route.name.as_str()), expected);
+}
+
+#[rstest]
+#[case::known(Some("key-1"), false, Ok(Some("baker")))]
+#[case::unknown(Some("key-2"), false, Err(MatchError::NoCustomer))]
+#[case::missing(None, false, Err(MatchError::NoCustomer))]
+#[case::public_route(None, true, Ok(None))]
+fn customer_by_key(
+    #[case] key: Option<&str>,
+    #[case] is_public: bool,
+    #[case] expected: Result<Option<&str>, MatchError>,
+) {
+    let mut config = config(1);
+    config.routes.iter_mut().for_each(|route| route.is_public = is_public);
+    let table = RoutingTable::new(config);
+    let route = table.route("a.example", "/").unwrap();
+    let found = table.customer(route, key);
+    assert_eq!(found.map(|customer| customer.map(|c| c.name.as_str())), expected);
+}
+
+#[test]
+fn configuration_never_gets_older() {
+    let in_force = ConfigInForce::new();
+    assert!(in_force.offer(config(5)));
+    assert!(!in_force.offer(config(4)));
+    assert!(!in_force.offer(config(5)));
+    assert_eq!(in_force.version(), Some(5));
+    assert!(in_force.offer(config(9)));
+    assert_eq!(in_force.version(), Some(9));
+}
--- /dev/null
+++ b/serving/tests/test_serving_settings.rs
@@ -0,0 +1,48 @@
+//! Tests of the settings file of a node on the users' platform.
+
+use guavaladder_serving::serving_settings::parse;
+use rstest::rstest;
+use serde_json::Value;
+use serde_json::json;
+use std::time::Duration;
+
+fn document() -> Value {
+    json!({
+        "node": "n1", "data_centre": "east", "peer_port": 7340, "store": "10.0.0.9:80",
+        "listen": {
+            "callers": "10.0.0.1:1", "readiness": "10.0.0.1:2", "directory": "10.0.0.1:3"
+        },
+        "bounds": {"shutdown_s": 8, "retry_slack": 132, "stall_ms": 4000},
+        "something_new": {"a": [1]}
+    })
+}
+
+#[test]
+fn settings_with_unknown_keys_are_read() {
+    let settings = parse(&document().to_string()).unwrap();
+    assert_eq!(settings.shutdown, Duration::from_secs(8));
+    assert_eq!(settings.retry_ratio, 0.2);
+    assert_eq!(settings.peers.to_string(), "10.0.0.1:7340");
+    assert_eq!(settings.metrics, None);
+}
+
+#[rstest]
+#[case::missing_key("/node", Value::Null, "/node: found nothing")]
+#[case::wrong_type("/peer_port", json!("x"), "/peer_port: found \"x\"")]
+#[case::out_of_range("/peer_port", json!(70000), "/peer_port: found 70000")]
+#[case::no_address("/listen/callers", json!("localhost:1"), "/listen/callers: found \"localhost:1\"")]
+#[case::no_store_address("/store", json!("10.0.0.9"), "/store: found \"10.0.0.9\"")]
+#[case::negative_bound("/bounds/retry_slack", json!(-1), "/bounds/retry_slack: found -1")]
+fn problem_is_one_line_with_a_hint(
+    #[case] path: &str,
+    #[case] value: Value,
+    #[case] expected: &str,
+) {
+    let mut document = document();
+    *document.pointer_mut(path).unwrap() = value;
+    let problems = parse(&document.to_string()).unwrap_err();
+    assert_eq!(problems.len(), 1, "{problems:?}");
+    let line = problems[0].to_string();
+    assert!(line.starts_with(expected), "{line}");
+    assert!(line.contains("allowed: ") && line.contains("hint: "), "{line}");
+}
