--- a/serving/src/group_steps.rs
+++ b/serving/src/group_steps.rs
@@ -169,7 +169,8 @@
             let left = self.leave(&group, epoch, &others).await;
             format!("{left} of {} members left", others.len())
         };
-        if head_left || self.outcome.silent.is_empty() {
+        // A head that did not leave may still believe that it serves once it answers again.
+        if head_left {
             self.outcome.dissolved = Some((group.clone(), epoch));
         }
         let took = started.elapsed();
