groups: place the large model's groups first and stage its spares before others

A takeover of the lease waited out its whole length again. Ruled out: more loads at once, which the weight store slows down in proportion. Test: a cold fleet gets the same groups in any order of registration (failed before).

--- a/serving/src/group_control.rs
+++ b/serving/src/group_control.rs
@@ -15,6 +15,7 @@
 use crate::instance::GroupName;
 use crate::instance::Instance;
 use crate::instance::InstanceId;
+use crate::instance::Membership;
 use crate::instance::MembershipState;
 use crate::order_client::AcceptedOrders;
 use crate::replica_set::group_key;
@@ -49,6 +50,8 @@
     reserved: HashSet<InstanceId>,
     /// What instances said of themselves, with the time.
     own_words: HashMap<InstanceId, (Instant, EngineStatus)>,
+    /// Models that are being staged, by instance.
+    staging: HashMap<InstanceId, String>,
     /// Orders that instances have accepted, as far as this node knows.
     accepted: HashMap<InstanceId, AcceptedOrders>,
     /// Groups that this node has dissolved.
@@ -69,6 +72,7 @@
             cx,
             reserved: HashSet::new(),
             own_words: HashMap::new(),
+            staging: HashMap::new(),
             accepted: HashMap::new(),
             dissolved: BTreeSet::new(),
             suspects: HashMap::new(),
@@ -115,6 +119,7 @@
         let now = Instant::now();
         for id in &outcome.reserved {
             self.reserved.remove(id);
+            self.staging.remove(id);
         }
         self.loads_under_way = self.loads_under_way.saturating_sub(outcome.loads);
         for (id, status) in outcome.own_words {
@@ -166,9 +171,9 @@
                 instance.engine = newer(own, &instance.engine, is_later).clone();
             }
         }
+        let down = self.down_groups(&instances, now);
         let planned: Vec<PlanInstance> =
             instances.iter().map(|instance| self.plan_instance(instance)).collect();
-        let down = self.down_groups(&planned, now);
         let input = PlanInput {
             engine,
             instances: &planned,
@@ -192,6 +197,7 @@
             is_suspect,
             is_draining: instance.is_draining,
             is_reserved: self.reserved.contains(&instance.id),
+            staging: self.staging.get(&instance.id).cloned(),
             staged: instance.engine.staged.clone(),
             last_model: instance.engine.model.clone(),
             membership: membership.map(|m| (m.group.clone(), m.epoch, m.rank, m.state)),
@@ -201,13 +207,15 @@
     /// Returns the groups that were found to be down; the member that was missing is suspected.
     fn down_groups(
         &mut self,
-        instances: &[PlanInstance],
+        instances: &[Instance],
         now: Instant,
     ) -> BTreeSet<(GroupName, GroupEpoch)> {
         let found = self.cx.loads.down_members(now);
         let mut down = BTreeSet::new();
         for instance in instances {
-            let Some((name, epoch, _, _)) = &instance.membership else { continue };
+            let Some(Membership { group: name, epoch, .. }) = &instance.engine.membership else {
+                continue;
+            };
             let key = group_key(name, *epoch);
             let Some(member) = found.get(&crate::key_hash::key_hash(key.as_bytes())) else {
                 continue;
@@ -230,8 +238,9 @@
         if let PlanStep::Assemble { loads, .. } = &step {
             self.loads_under_way += loads;
         }
-        if matches!(step, PlanStep::Stage { .. }) {
+        if let PlanStep::Stage { instance, model } = &step {
             self.loads_under_way += 1;
+            self.staging.insert(instance.clone(), model.clone());
         }
         self.reserved.extend(ids.iter().cloned());
         let involved: Vec<Instance> = ids
--- a/serving/src/group_plan.rs
+++ b/serving/src/group_plan.rs
@@ -39,6 +39,8 @@
     pub is_draining: bool,
     /// Whether a step that involves it is under way.
     pub is_reserved: bool,
+    /// Model that is being staged on its host.
+    pub staging: Option<String>,
     /// Models that are staged on its host.
     pub staged: Vec<String>,
     /// Model of its last group in this life.
@@ -185,9 +187,9 @@
     /// Groups that serve or will, by model.
     serving: BTreeMap<String, usize>,
     /// The same by domain and model.
-    in_domain: BTreeMap<(String, String), usize>,
+    in_domain: GroupCounts,
     /// Groups that each domain should have, by domain and model.
-    wanted: BTreeMap<(String, String), usize>,
+    wanted: GroupCounts,
     loads: usize,
     /// Whether an assembly waits for loads that are under way.
     is_waiting_for_loads: bool,
@@ -202,7 +204,7 @@
             input,
             taken,
             serving: BTreeMap::new(),
-            in_domain: BTreeMap::new(),
+            in_domain: GroupCounts::new(),
             wanted: allocate(input.engine, input.instances),
             loads: input.loads_under_way,
             is_waiting_for_loads: false,
@@ -395,15 +397,14 @@
     /// Stages weights on free instances that have none of use.
     fn stage(&mut self) {
         let at_once = self.input.engine.loads_at_once as usize;
-        let free: Vec<&PlanInstance> = self.free().collect();
         if self.is_waiting_for_loads || !self.input.is_settled {
             return;
         }
-        for instance in free {
-            if self.loads >= at_once {
-                return;
-            }
-            let Some(model) = self.lacking_model(instance) else { continue };
+        while self.loads < at_once {
+            // The loss of a member costs most where the groups are large, so their spares come first.
+            let lacking = self.free().filter_map(|i| Some((i, self.lacking_model(i)?)));
+            let first = lacking.max_by_key(|(_, (lack, model))| (*lack > 0, model.size, *lack));
+            let Some((instance, (_, model))) = first else { return };
             self.loads += 1;
             self.taken.insert(instance.id.clone());
             let (instance, model) = (instance.id.clone(), model.name.clone());
@@ -412,13 +413,27 @@
     }
 
     /// Returns the model that an instance should be staged for, unless what it has is of use.
-    fn lacking_model(&self, instance: &PlanInstance) -> Option<&'a Model> {
+    fn lacking_model(&self, instance: &PlanInstance) -> Option<(i64, &'a Model)> {
         let in_domain = || {
             let is_there = |i: &&PlanInstance| i.domain == instance.domain && !i.is_draining;
             self.input.instances.iter().filter(is_there)
         };
         let all = in_domain().count();
-        let with = |model: &Model| in_domain().filter(|i| has_weights(i, &model.name)).count();
+        // Those that this plan stages count as well.
+        let planned = |i: &PlanInstance, model: &Model| {
+            self.steps.iter().any(|step| match step {
+                PlanStep::Stage { instance, model: staged } => {
+                    *instance == i.id && *staged == model.name
+                }
+                _ => false,
+            })
+        };
+        let has = |i: &PlanInstance, model: &Model| {
+            has_weights(i, &model.name)
+                || i.staging.as_ref() == Some(&model.name)
+                || planned(i, model)
+        };
+        let with = |model: &Model| in_domain().filter(|i| has(i, model)).count();
         let possible: Vec<&Model> =
             self.input.engine.models.iter().filter(|model| model.size <= all).collect();
         if possible.iter().any(|model| has_weights(instance, &model.name)) {
@@ -429,38 +444,84 @@
             let key = (instance.domain.clone(), model.name.clone());
             let groups = self.wanted.get(&key).copied().unwrap_or(0);
             let wanted = groups * model.size + SPARES_PER_DOMAIN;
-            (wanted as i64 - with(model) as i64, model.size)
+            wanted as i64 - with(model) as i64
         };
-        possible.into_iter().max_by_key(lack)
+        let lacks = possible.iter().map(|model| (lack(model), *model));
+        lacks.max_by_key(|(lack, model)| (*lack, model.size))
     }
 }
 
-/// Returns how many groups of each model each domain should have, as if none existed: the model
-/// that has least for its share comes next, in the domain with most room.
-fn allocate(engine: &Engine, instances: &[PlanInstance]) -> BTreeMap<(String, String), usize> {
+/// Groups by domain and model.
+type GroupCounts = BTreeMap<(String, String), usize>;
+
+/// Returns how many groups of each model each domain should have, as if none existed.
+///
+/// Small groups fit where large ones no longer do, but not the other way round. So the number of
+/// groups of the largest model is tried from the most that fit downwards, the rest is filled by need,
+/// and the allocation counts that gives the least served model most for its share.
+fn allocate(engine: &Engine, instances: &[PlanInstance]) -> GroupCounts {
     let mut room: BTreeMap<&str, usize> = BTreeMap::new();
     for instance in instances.iter().filter(|i| !i.is_draining && !i.is_suspect) {
         *room.entry(&instance.domain).or_default() += 1;
     }
-    let mut wanted: BTreeMap<(String, String), usize> = BTreeMap::new();
-    let mut groups: BTreeMap<&str, usize> = BTreeMap::new();
+    let Some(largest) = engine.models.iter().max_by_key(|model| model.size) else {
+        return GroupCounts::new();
+    };
+    let most = room.values().map(|room| room / largest.size.max(1)).sum::<usize>();
+    let mut best = (f64::MIN, GroupCounts::new());
+    for count in (0..=most).rev() {
+        let allocation = fill(engine, largest, count, room.clone());
+        let least = least_served(engine, &allocation);
+        if least > best.0 {
+            best = (least, allocation);
+        }
+    }
+    best.1
+}
+
+/// Places `count` groups of the largest model, then the others by need.
+fn fill(
+    engine: &Engine,
+    largest: &Model,
+    count: usize,
+    mut room: BTreeMap<&str, usize>,
+) -> GroupCounts {
+    let mut groups = GroupCounts::new();
+    for _ in 0..count {
+        place(largest, &mut room, &mut groups);
+    }
     loop {
-        let mut models: Vec<&Model> = engine.models.iter().collect();
-        let need = |model: &Model| {
-            let groups = groups.get(model.name.as_str()).copied().unwrap_or(0);
-            (groups * model.size) as f64 / model.share.max(0.001)
-        };
-        models.sort_by(|a, b| need(a).total_cmp(&need(b)).then(b.size.cmp(&a.size)));
-        let roomiest = room.iter().max_by_key(|(_, room)| **room);
-        let Some((domain, most)) = roomiest.map(|(domain, room)| (*domain, *room)) else {
-            return wanted;
-        };
-        let fitting = models.into_iter().find(|model| most >= model.size + SPARES_PER_DOMAIN);
-        let Some(model) = fitting else { return wanted };
-        *wanted.entry((domain.to_string(), model.name.clone())).or_default() += 1;
-        *groups.entry(model.name.as_str()).or_default() += 1;
-        room.insert(domain, most - model.size);
+        let mut others: Vec<&Model> =
+            engine.models.iter().filter(|model| model.name != largest.name).collect();
+        let need = |model: &Model| served(model, &groups);
+        others.sort_by(|a, b| need(a).total_cmp(&need(b)).then(b.size.cmp(&a.size)));
+        if !others.into_iter().any(|model| place(model, &mut room, &mut groups)) {
+            return groups;
+        }
+    }
+}
+
+/// Places a group in the domain with most room; tells whether there was enough.
+fn place(model: &Model, room: &mut BTreeMap<&str, usize>, groups: &mut GroupCounts) -> bool {
+    let roomiest = room.iter_mut().max_by_key(|(_, room)| **room);
+    let Some((domain, room)) = roomiest else { return false };
+    if *room < model.size + SPARES_PER_DOMAIN {
+        return false;
     }
+    *room -= model.size;
+    *groups.entry((domain.to_string(), model.name.clone())).or_default() += 1;
+    true
+}
+
+/// Returns the members of a model's groups for its share of the work.
+fn served(model: &Model, groups: &GroupCounts) -> f64 {
+    let of_model = groups.iter().filter(|((_, name), _)| *name == model.name);
+    let count: usize = of_model.map(|(_, count)| count).sum();
+    (count * model.size) as f64 / model.share.max(0.001)
+}
+
+fn least_served(engine: &Engine, groups: &GroupCounts) -> f64 {
+    engine.models.iter().map(|model| served(model, groups)).fold(f64::MAX, f64::min)
 }
 
 /// Tells whether an instance can join a group of a model without a load.
--- a/serving/src/lease_keeper.rs
+++ b/serving/src/lease_keeper.rs
@@ -19,18 +19,18 @@
 /// Name of the object.
 const NAME: &str = "groups";
 /// Time without a change after which the lease may be taken over.
-const LEASE: Duration = Duration::from_millis(2500);
+const LEASE: Duration = Duration::from_millis(2000);
 /// Part of the lease that the holder does not use, for clocks that run differently and for orders
 /// that are on their way.
-const MARGIN: Duration = Duration::from_millis(600);
+const MARGIN: Duration = Duration::from_millis(500);
 /// Period in which the holder renews.
-const RENEW_PERIOD: Duration = Duration::from_millis(600);
+const RENEW_PERIOD: Duration = Duration::from_millis(500);
 /// Pause before a failed renewal is tried again.
-const RENEW_RETRY: Duration = Duration::from_millis(120);
+const RENEW_RETRY: Duration = Duration::from_millis(100);
 /// Silence of the holder from which on another node looks at the object.
-const HOLDER_SILENCE: Duration = Duration::from_millis(700);
+const HOLDER_SILENCE: Duration = Duration::from_millis(600);
 /// Period in which a node that is not the holder looks at the object, while the holder is silent.
-const LOOK_PERIOD: Duration = Duration::from_millis(300);
+const LOOK_PERIOD: Duration = Duration::from_millis(200);
 /// Head start of each node over the next in line.
 const RANK_DELAY: Duration = Duration::from_millis(120);
 
@@ -86,8 +86,11 @@
                 continue;
             }
             let now = Instant::now();
-            if self.cx.nodes.lease_holder(now, HOLDER_SILENCE).is_some() {
-                self.seen = None;
+            if let Some(renewal) = self.cx.nodes.lease_holder(now, HOLDER_SILENCE) {
+                // The holder tells when it wrote the revision, which need not be waited out again.
+                let told = (now - renewal.heard) + renewal.age;
+                let written = self.cx.clock.now().saturating_sub(told);
+                self.seen = Some((renewal.revision, written));
                 sleep(LOOK_PERIOD).await;
                 continue;
             }
@@ -170,7 +173,7 @@
     /// Renews the lease until it is lost or given up.
     async fn hold(&mut self, record: LeaseRecord, mut revision: u64, sent: Duration) {
         let cx = self.cx.clone();
-        cx.lease.hold(record.term, sent + LEASE - MARGIN);
+        cx.lease.hold(record.term, revision, sent, sent + LEASE - MARGIN);
         let mut pause = RENEW_PERIOD;
         let reason = loop {
             sleep(pause).await;
@@ -184,7 +187,7 @@
             match cx.store.replace(ObjectKind::Leases, &object).await {
                 Ok(object) => {
                     revision = object.revision;
-                    cx.lease.hold(record.term, sent + LEASE - MARGIN);
+                    cx.lease.hold(record.term, revision, sent, sent + LEASE - MARGIN);
                     pause = RENEW_PERIOD;
                 }
                 // An earlier renewal may have been carried out without an answer.
--- a/serving/src/lease_state.rs
+++ b/serving/src/lease_state.rs
@@ -22,6 +22,8 @@
 #[derive(Debug, Clone, Copy)]
 struct Held {
     term: u64,
+    revision: u64,
+    renewed: Duration,
     until: Duration,
     next_epoch: u64,
 }
@@ -33,13 +35,15 @@
     }
 
     /// Takes in that the lease of a term is held until a time on the clock.
-    pub fn hold(&self, term: u64, until: Duration) {
+    ///
+    /// `revision` is that of the lease's object, and `renewed` the time at which it was written.
+    pub fn hold(&self, term: u64, revision: u64, renewed: Duration, until: Duration) {
         let mut held = self.lock();
         let next_epoch = match *held {
             Some(held) if held.term == term => held.next_epoch,
             _ => term * EPOCHS_PER_TERM + 1,
         };
-        *held = Some(Held { term, until, next_epoch });
+        *held = Some(Held { term, revision, renewed, until, next_epoch });
     }
 
     /// Gives the lease up.
@@ -53,6 +57,14 @@
         (self.clock.now() < held.until).then_some(held.term)
     }
 
+    /// Returns the revision of the lease's object and the time since it was written, while orders may
+    /// be given.
+    pub fn renewal(&self) -> Option<(u64, Duration)> {
+        self.term()?;
+        let held = (*self.lock())?;
+        Some((held.revision, self.clock.now().saturating_sub(held.renewed)))
+    }
+
     /// Returns a new epoch, larger than all of this and earlier terms, while orders may be given.
     pub fn next_epoch(&self) -> Option<u64> {
         self.term()?;
--- a/serving/src/node_table.rs
+++ b/serving/src/node_table.rs
@@ -51,6 +51,19 @@
     nodes: Arc<Mutex<HashMap<String, PeerNode>>>,
 }
 
+/// What the holder of the lease on the groups told of it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LeaseRenewal {
+    /// Holder.
+    pub holder: String,
+    /// Revision of the lease's object.
+    pub revision: u64,
+    /// When this was heard.
+    pub heard: Instant,
+    /// Time from the write of the revision until it was told.
+    pub age: Duration,
+}
+
 /// An entry node as callers may use it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct EntryNode {
@@ -148,12 +161,18 @@
         serving.filter_map(entry).collect()
     }
 
-    /// Tells whether some other node that was heard lately holds the lease on the groups.
-    pub fn lease_holder(&self, now: Instant, bound: Duration) -> Option<(String, u64)> {
+    /// Returns what another node that was heard lately told of its lease on the groups.
+    pub fn lease_holder(&self, now: Instant, bound: Duration) -> Option<LeaseRenewal> {
         let nodes = self.lock();
-        let beats = nodes.values().filter_map(|peer| peer.fresh_beat(now, bound));
-        let holders = beats.filter(|beat| beat.lease_term > 0);
-        holders.max_by_key(|beat| beat.lease_term).map(|b| (b.node.clone(), b.lease_term))
+        let heard = nodes.values().filter_map(|peer| peer.heard.as_ref());
+        let holders = heard.filter(|(at, beat)| now - *at < bound && beat.lease_term > 0);
+        let (heard, beat) = holders.max_by_key(|(_, beat)| beat.lease_term)?;
+        Some(LeaseRenewal {
+            holder: beat.node.clone(),
+            revision: beat.lease_revision,
+            heard: *heard,
+            age: Duration::from_millis(beat.lease_age_ms),
+        })
     }
 
     /// Records the nodes that fell silent and forgets those that are gone.
--- a/serving/src/peer_exchange.rs
+++ b/serving/src/peer_exchange.rs
@@ -97,6 +97,7 @@
         let cx = &self.cx;
         let uses = cx.loads.own_loads().into_iter();
         let loads = uses.map(|(replica, running)| ReplicaUse { replica, running }).collect();
+        let (lease_revision, lease_age) = cx.lease.renewal().unwrap_or_default();
         NodeBeat {
             node: cx.node().to_string(),
             incarnation: cx.incarnation,
@@ -106,6 +107,8 @@
             data_centre: cx.settings.data_centre.clone(),
             config_version: cx.config.version().unwrap_or(0),
             lease_term: cx.lease.term().unwrap_or(0),
+            lease_revision,
+            lease_age_ms: lease_age.as_millis() as u64,
             loads,
             downs: cx.downs.to_tell(now),
             crashes: cx.crashes.news(now),
--- a/serving/tests/test_group_plan.rs
+++ b/serving/tests/test_group_plan.rs
@@ -17,6 +17,7 @@
         is_suspect: false,
         is_draining: false,
         is_reserved: false,
+        staging: None,
         staged: vec![],
         last_model: None,
         membership: None,
@@ -84,6 +85,52 @@
     assert!(found.iter().map(|(_, _, loads)| loads).sum::<usize>() <= 12);
 }
 
+/// A fleet of six domains whose instances register one by one, in any order, ends up with a large and a
+/// small group in each domain, never with small groups in the place of large ones.
+#[test]
+fn cold_fleet_is_assembled_alike_in_any_order_of_registration() {
+    for seed in 0..20u64 {
+        let mut order: Vec<usize> = (0..48).collect();
+        order.sort_by_key(|i| (*i as u64 + 1).wrapping_mul(seed * 2 + 2_654_435_761) % 1009);
+        let mut fleet: Vec<PlanInstance> = vec![];
+        let engine = engine();
+        let none = BTreeSet::new();
+        let mut groups = 0;
+        for step in 0..80 {
+            for i in order.iter().skip(fleet.len()).take(2) {
+                fleet.push(bare(format!("i{i:02}"), &format!("d{}", i / 8)));
+            }
+            let input = PlanInput {
+                engine: &engine,
+                instances: &fleet,
+                down: &none,
+                dissolved: &none,
+                loads_under_way: 0,
+                is_settled: step > 40,
+            };
+            let steps = plan(&input);
+            for step in steps {
+                let PlanStep::Assemble { model, members, .. } = step else { continue };
+                groups += 1;
+                for (rank, id) in members.iter().enumerate() {
+                    let member = fleet.iter_mut().find(|i| i.id == *id).unwrap();
+                    let state =
+                        if rank == 0 { MembershipState::Open } else { MembershipState::Ready };
+                    member.staged = vec![model.clone()];
+                    member.last_model = Some(model.clone());
+                    member.membership = Some((format!("g{groups}"), 5, rank, state));
+                }
+            }
+        }
+        let heads = |model: &str| {
+            let is_head = |i: &&PlanInstance| i.membership.as_ref().is_some_and(|m| m.2 == 0);
+            let of_model = |i: &&PlanInstance| i.last_model.as_deref() == Some(model);
+            fleet.iter().filter(is_head).filter(of_model).count()
+        };
+        assert_eq!((heads("large"), heads("small")), (6, 6), "seed {seed}");
+    }
+}
+
 #[test]
 fn unsettled_domain_keeps_room_for_the_larger_model() {
     let instances: Vec<PlanInstance> = (0..3).map(|i| bare(format!("i{i}"), "d0")).collect();
--- a/serving/tests/test_node_table.rs
+++ b/serving/tests/test_node_table.rs
@@ -20,6 +20,8 @@
         data_centre: "east".to_string(),
         config_version: 3,
         lease_term: 0,
+        lease_revision: 0,
+        lease_age_ms: 0,
         loads: vec![],
         downs: vec![],
         crashes: vec![],
@@ -72,6 +74,6 @@
     let now = Instant::now();
     table.heard(address(2), NodeBeat { lease_term: 4, ..beat("n2", 1, 1) }, now);
     table.heard(address(3), NodeBeat { lease_term: 5, ..beat("n3", 1, 1) }, now);
-    assert_eq!(table.lease_holder(now, PERIOD), Some(("n3".to_string(), 5)));
+    assert_eq!(table.lease_holder(now, PERIOD).map(|lease| lease.holder), Some("n3".to_string()));
     assert_eq!(table.lease_holder(now + PERIOD, PERIOD), None);
 }
