--- a/serving/src/group_control.rs
+++ b/serving/src/group_control.rs
@@ -61,6 +61,8 @@
     /// Instances that were ever registered, and when the last new one was.
     known: HashSet<InstanceId>,
     last_newcomer: Instant,
+    /// Groups that are being assembled or opened, as domain and model, by the head.
+    assembling: HashMap<InstanceId, (String, String)>,
     loads_under_way: usize,
     steps: JoinSet<StepOutcome>,
 }
@@ -78,6 +80,7 @@
             suspects: HashMap::new(),
             known: HashSet::new(),
             last_newcomer: Instant::now(),
+            assembling: HashMap::new(),
             loads_under_way: 0,
             steps: JoinSet::new(),
         }
@@ -120,6 +123,7 @@
         for id in &outcome.reserved {
             self.reserved.remove(id);
             self.staging.remove(id);
+            self.assembling.remove(id);
         }
         self.loads_under_way = self.loads_under_way.saturating_sub(outcome.loads);
         for (id, status) in outcome.own_words {
@@ -174,11 +178,13 @@
         let down = self.down_groups(&instances, now);
         let planned: Vec<PlanInstance> =
             instances.iter().map(|instance| self.plan_instance(instance)).collect();
+        let assembling: Vec<(String, String)> = self.assembling.values().cloned().collect();
         let input = PlanInput {
             engine,
             instances: &planned,
             down: &down,
             dissolved: &self.dissolved,
+            assembling: &assembling,
             loads_under_way: self.loads_under_way,
             is_settled: now - self.last_newcomer >= SETTLED_AFTER,
         };
@@ -235,8 +241,18 @@
             | PlanStep::Assemble { members, .. } => members.clone(),
             PlanStep::Stage { instance, .. } => vec![instance.clone()],
         };
-        if let PlanStep::Assemble { loads, .. } = &step {
+        if let PlanStep::Assemble { model, domain, members, loads, .. } = &step {
             self.loads_under_way += loads;
+            let place = (domain.clone(), model.clone());
+            self.assembling.extend(members.first().map(|head| (head.clone(), place)));
+        }
+        if let PlanStep::Open { members, .. } = &step {
+            let head = instances.iter().find(|instance| Some(&instance.id) == members.first());
+            let place = head.map(|head| {
+                let EngineStatus { domain, model, .. } = head.engine.clone();
+                (head.id.clone(), (domain.unwrap_or_default(), model.unwrap_or_default()))
+            });
+            self.assembling.extend(place);
         }
         if let PlanStep::Stage { instance, model } = &step {
             self.loads_under_way += 1;
--- a/serving/src/group_plan.rs
+++ b/serving/src/group_plan.rs
@@ -60,6 +60,8 @@
     pub down: &'a BTreeSet<(GroupName, GroupEpoch)>,
     /// Groups that were dissolved, whose members are free whatever they still tell.
     pub dissolved: &'a BTreeSet<(GroupName, GroupEpoch)>,
+    /// Groups that are being assembled or opened, as domain and model.
+    pub assembling: &'a [(String, String)],
     /// Loads of weights that are under way.
     pub loads_under_way: usize,
     /// Whether no instance was registered for the first time lately.
@@ -200,7 +202,7 @@
     fn new(input: &'a PlanInput<'a>) -> Self {
         let is_taken = |instance: &&PlanInstance| !instance.is_usable || instance.is_reserved;
         let taken = input.instances.iter().filter(is_taken).map(|i| i.id.clone()).collect();
-        Self {
+        let mut draft = Self {
             input,
             taken,
             serving: BTreeMap::new(),
@@ -209,7 +211,11 @@
             loads: input.loads_under_way,
             is_waiting_for_loads: false,
             steps: vec![],
+        };
+        for (domain, model) in input.assembling {
+            draft.count_in(model, domain.clone());
         }
+        draft
     }
 
     /// Decides what becomes of a group.
@@ -227,7 +233,7 @@
             Some(MembershipState::Open | MembershipState::Closing) => {
                 self.taken.extend(group.ids());
                 if is_reserved {
-                    return self.count(model, group);
+                    return;
                 }
                 let is_in_place = |_: &PlanInstance, state: MembershipState| {
                     matches!(state, MembershipState::Ready | MembershipState::Open)
--- a/serving/src/group_steps.rs
+++ b/serving/src/group_steps.rs
@@ -398,9 +398,15 @@
     async fn stage(&mut self, model: String, mut target: OrderTarget) {
         let order = OrderKind::Stage { model: model.clone() };
         let is_staged = |report: &InstanceReport| report.engine.staged.contains(&model);
-        let given = order_client::give(self.cx, &mut target, &order, is_staged).await;
+        // An earlier holder of the lease may have ordered a load, which a second one would slow down.
+        let is_busy = order_client::report(self.cx, &mut target).await.is_ok_and(|r| r.is_busy);
+        let given = match is_busy {
+            true => Ok(()),
+            false => order_client::give(self.cx, &mut target, &order, is_staged).await,
+        };
         self.remember(&target);
         let outcome = match &given {
+            Ok(()) if is_busy => "under way".to_string(),
             Ok(()) => "begun".to_string(),
             Err(e) => e.to_string(),
         };
--- a/serving/src/order_client.rs
+++ b/serving/src/order_client.rs
@@ -95,10 +95,17 @@
                 }
                 return Ok(());
             }
-            Ok(OrderAnswer::Done) => return Ok(()),
+            Ok(OrderAnswer::Done) => {
+                if let (OrderKind::Leave { .. }, Some(accepted)) = (kind, &mut target.accepted) {
+                    accepted.sequence += 1;
+                }
+                return Ok(());
+            }
             Ok(OrderAnswer::Conflict) => {
                 last = OrderError::Refused("it does not fit its state".to_string());
+                // What is known of its sequence is wrong; a report that is new enough tells it.
                 sleep(REPORT_LAG).await;
+                target.accepted = None;
             }
             Ok(OrderAnswer::Fenced) => return Err(OrderError::Fenced),
             Ok(OrderAnswer::WrongInstance) => {
--- a/serving/tests/test_group_plan.rs
+++ b/serving/tests/test_group_plan.rs
@@ -61,6 +61,7 @@
         instances,
         down: &keys(down),
         dissolved: &keys(dissolved),
+        assembling: &[],
         loads_under_way: loads,
         is_settled: true,
     })
@@ -105,6 +106,7 @@
                 instances: &fleet,
                 down: &none,
                 dissolved: &none,
+                assembling: &[],
                 loads_under_way: 0,
                 is_settled: step > 40,
             };
@@ -131,6 +133,27 @@
     }
 }
 
+/// The load of a cold start takes seconds, in which plan follows plan: a group that is on its way
+/// counts as the one that its domain wants.
+#[test]
+fn group_on_its_way_is_not_assembled_again() {
+    let engine = engine();
+    let none = BTreeSet::new();
+    let mut fleet: Vec<PlanInstance> = (0..8).map(|i| bare(format!("i{i}"), "d0")).collect();
+    fleet[..6].iter_mut().for_each(|instance| instance.is_reserved = true);
+    let place = |model: &str| ("d0".to_string(), model.to_string());
+    let input = PlanInput {
+        engine: &engine,
+        instances: &fleet,
+        down: &none,
+        dissolved: &none,
+        assembling: &[place("large"), place("small")],
+        loads_under_way: 0,
+        is_settled: true,
+    };
+    assert_eq!(assemblies(&plan(&input)), vec![]);
+}
+
 #[test]
 fn unsettled_domain_keeps_room_for_the_larger_model() {
     let instances: Vec<PlanInstance> = (0..3).map(|i| bare(format!("i{i}"), "d0")).collect();
@@ -141,6 +164,7 @@
         instances: &instances,
         down: &none,
         dissolved: &none,
+        assembling: &[],
         loads_under_way: 0,
         is_settled: false,
     };
