placement: fill the places of a group and no queue behind them

Refused callers returned after 0.7 s to the same. Ruled out: batches that are too large: the first event hardly depends on the batch below its slots. Change: a queue of one request to a group; callers that were refused before leave the last places to new ones and are asked to return after about 1.5 s. Test: a sustained overload fills the places and no queue (failed before).

--- a/serving/src/candidates.rs
+++ b/serving/src/candidates.rs
@@ -4,6 +4,7 @@
 use crate::placement::Candidate;
 use crate::placement::Occupancy;
 use crate::placement::PlacementInput;
+use crate::placement::Prospect;
 use crate::placement::Shortage;
 use crate::replica_set::Replica;
 use crate::replica_set::ReplicaKey;
@@ -13,20 +14,18 @@
 use tokio::time::Instant;
 
 /// Chooses a replica for a request among those that were not tried, or tells why there is none.
-///
-/// Where every replica was tried, they are tried again only if `may_return`.
 pub fn choose(
     cx: &ServingCx,
     task: &RequestTask,
     tried: &[ReplicaKey],
-    has_begun: bool,
+    prospect: Prospect,
 ) -> Result<Arc<Replica>, (Shortage, Occupancy)> {
     let candidates = candidates(cx, task, tried);
     let table = cx.config.get();
     let input = PlacementInput {
         data_centre: &cx.settings.data_centre,
         engine: table.as_ref().and_then(|table| table.config.engine(&task.service)),
-        has_begun,
+        prospect,
     };
     let chosen = placement::choose(&candidates, &input);
     chosen.map_err(|shortage| (shortage, placement::occupancy(&candidates)))
--- a/serving/src/front.rs
+++ b/serving/src/front.rs
@@ -106,6 +106,7 @@
         max_attempts: route.max_attempts,
         target_latency: route.target_latency,
         config_version: table.config.version,
+        was_refused: head.deadline.is_some_and(|d| d + route.target_latency < route.timeout),
         received,
         ends,
         fingerprint,
--- a/serving/src/placement.rs
+++ b/serving/src/placement.rs
@@ -4,8 +4,11 @@
 //! - Replicas are lost one after the other while the load stays: the rest must take over without
 //!   one of them being overrun, so each request goes where the next event is expected first, by the
 //!   requests of all nodes there.
-//! - More requests come than all replicas can begin in time: those beyond a short queue at each
-//!   replica are refused at once, so that those within are answered on time.
+//! - More requests come than all replicas can begin in time, for seconds. A queue would not raise the
+//!   rate at which requests end, it would only make every one of them late by the same wait. So a
+//!   group gets as many requests as it runs at once, and the others are refused at once.
+//! - Refused callers come back while the load stays. Their answers can no longer be on time, so they
+//!   leave the last places to requests whose answers can.
 
 use crate::fleet_config::Engine;
 use crate::load_table::ReplicaState;
@@ -13,8 +16,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Requests that may wait at a group, as a part of its slots.
-const GROUP_QUEUE_PART: f64 = 0.25;
+/// Requests that may wait at a group, as a part of its slots: they cover the lag with which the nodes
+/// learn of each other's requests.
+const GROUP_QUEUE_PART: f64 = 0.04;
+/// Part of the places that requests may fill whose answers can no longer be on time.
+const LATE_PART: f64 = 0.85;
 /// Requests that may wait at a plain instance, as a part of its slots.
 const PLAIN_QUEUE_PART: f64 = 1.5;
 /// Factor by which a replica in another data centre must be better.
@@ -24,9 +30,9 @@
 /// Failure rate from which on a replica is used only when no other has room.
 const FAILING: f64 = 0.5;
 /// Time after which a caller comes back when there is no replica: about the time of a repair.
-const REPAIR_RETRY_AFTER: Duration = Duration::from_millis(1500);
+const REPAIR_RETRY_AFTER: Duration = Duration::from_millis(1900);
 /// Time after which a caller comes back when all replicas are full: some requests end by then.
-const BUSY_RETRY_AFTER: Duration = Duration::from_millis(700);
+const BUSY_RETRY_AFTER: Duration = Duration::from_millis(1500);
 /// Part of the time after which a caller comes back that is drawn at random, so that callers who
 /// were refused together do not return together.
 const RETRY_SPREAD: f64 = 0.4;
@@ -47,8 +53,19 @@
     pub data_centre: &'a str,
     /// Engine of the service; `None` for a plain service.
     pub engine: Option<&'a Engine>,
-    /// Whether the caller holds the beginning of the answer, which must not be refused.
-    pub has_begun: bool,
+    /// What the answer can still be.
+    pub prospect: Prospect,
+}
+
+/// What the answer to a request can still be.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Prospect {
+    /// On time.
+    OnTime,
+    /// Late: the caller was refused before, or an attempt failed.
+    Late,
+    /// The caller holds its beginning, so the request must not be refused.
+    Begun,
 }
 
 /// Why a request is refused.
@@ -122,7 +139,11 @@
     candidates: &[&'a Candidate],
     input: &PlacementInput<'_>,
 ) -> Option<&'a Candidate> {
-    let has_room = |c: &&&Candidate| input.has_begun || requests_at(&c.state) < limit(c);
+    let has_room = |c: &&&Candidate| match input.prospect {
+        Prospect::Begun => true,
+        Prospect::OnTime => requests_at(&c.state) < limit(c),
+        Prospect::Late => f64::from(requests_at(&c.state)) < f64::from(limit(c)) * LATE_PART,
+    };
     let with_room = candidates.iter().filter(has_room);
     let cost = |c: &&&Candidate| expected_cost(c, input) * rand::random_range(0.97..1.03);
     let costs = with_room.map(|c| (cost(&c), *c));
--- a/serving/src/plain_forward.rs
+++ b/serving/src/plain_forward.rs
@@ -37,7 +37,12 @@
         if attempts.last_error.is_some() && !attempts.may_send(cx, task) {
             return give_up(&mut trace, &attempts);
         }
-        let replica = match candidates::choose(cx, task, &attempts.tried, false) {
+        let replica = match candidates::choose(
+            cx,
+            task,
+            &attempts.tried,
+            task.prospect(attempts.tried.len()),
+        ) {
             Ok(replica) => replica,
             Err(_) if attempts.runs > 0 => return give_up(&mut trace, &attempts),
             Err((shortage, occupancy)) => {
--- a/serving/src/request_task.rs
+++ b/serving/src/request_task.rs
@@ -6,6 +6,7 @@
 use crate::key_hash::key_hash;
 use crate::listeners::RunningRequest;
 use crate::placement::Occupancy;
+use crate::placement::Prospect;
 use crate::replica_set::Replica;
 use crate::serving_cx::ServingCx;
 use bytes::Bytes;
@@ -45,6 +46,9 @@
     pub target_latency: Duration,
     /// Version of the configuration that it was matched by.
     pub config_version: ConfigVersion,
+    /// Whether the caller has waited for it before: its deadline is shorter than the route's time-out
+    /// by more than the objective.
+    pub was_refused: bool,
     /// When it came.
     pub received: Instant,
     /// When it must have its final answer.
@@ -59,6 +63,14 @@
         self.ends.saturating_duration_since(now)
     }
 
+    /// Returns what the answer can still be, after so many attempts.
+    pub fn prospect(&self, attempts: usize) -> Prospect {
+        match self.was_refused || attempts > 0 {
+            true => Prospect::Late,
+            false => Prospect::OnTime,
+        }
+    }
+
     /// Returns the deadline that a replica is told: what is left of the caller's and the route's.
     pub fn upstream_deadline(&self, now: Instant) -> Duration {
         self.time_left(now).max(Duration::from_millis(1))
--- a/serving/src/stream_forward.rs
+++ b/serving/src/stream_forward.rs
@@ -13,6 +13,7 @@
 use crate::fleet_config::RouteKind;
 use crate::load_table::Place;
 use crate::placement::Occupancy;
+use crate::placement::Prospect;
 use crate::refusal;
 use crate::replica_health;
 use crate::replica_health::SuspicionCause;
@@ -69,7 +70,12 @@
         if attempts.last_error.is_some() && !attempts.may_send(cx, &task) {
             return give_up(&mut trace, &attempts);
         }
-        let replica = match candidates::choose(cx, &task, &attempts.tried, false) {
+        let replica = match candidates::choose(
+            cx,
+            &task,
+            &attempts.tried,
+            task.prospect(attempts.tried.len()),
+        ) {
             Ok(replica) => replica,
             Err(_) if attempts.runs > 0 => return give_up(&mut trace, &attempts),
             Err((shortage, occupancy)) => {
@@ -350,7 +356,8 @@
                 return Err(Relayed::Lost(cause));
             }
             let tried = &self.attempts.tried;
-            let Ok(replica) = candidates::choose(&self.cx, &self.task, tried, true) else {
+            let Ok(replica) = candidates::choose(&self.cx, &self.task, tried, Prospect::Begun)
+            else {
                 return Err(Relayed::Lost(format!("{cause}; no other replica")));
             };
             self.trace.attempt(&replica);
--- a/serving/tests/test_placement.rs
+++ b/serving/tests/test_placement.rs
@@ -4,6 +4,7 @@
 use guavaladder_serving::load_table::ReplicaState;
 use guavaladder_serving::placement::Candidate;
 use guavaladder_serving::placement::PlacementInput;
+use guavaladder_serving::placement::Prospect;
 use guavaladder_serving::placement::Shortage;
 use guavaladder_serving::placement::choose;
 use guavaladder_serving::placement::occupancy;
@@ -36,22 +37,22 @@
     Candidate { replica: Arc::new(replica), state }
 }
 
-fn chosen(candidates: &[Candidate], has_begun: bool) -> Result<String, Shortage> {
+fn chosen(candidates: &[Candidate], prospect: Prospect) -> Result<String, Shortage> {
     let engine = engine();
-    let input = PlacementInput { data_centre: "east", engine: Some(&engine), has_begun };
+    let input = PlacementInput { data_centre: "east", engine: Some(&engine), prospect };
     choose(candidates, &input).map(|replica| replica.key.clone())
 }
 
 #[test]
 fn choice_by_requests_of_all_nodes() {
     let candidates = [candidate("a", "east", 12), candidate("b", "east", 3)];
-    assert_eq!(chosen(&candidates, false), Ok("b".to_string()));
+    assert_eq!(chosen(&candidates, Prospect::OnTime), Ok("b".to_string()));
 }
 
 #[test]
 fn choice_near_where_equal() {
     let candidates = [candidate("a", "west", 5), candidate("b", "east", 5)];
-    assert_eq!(chosen(&candidates, false), Ok("b".to_string()));
+    assert_eq!(chosen(&candidates, Prospect::OnTime), Ok("b".to_string()));
 }
 
 #[test]
@@ -64,17 +65,17 @@
     slow.state.slowness = 5.0;
     let sound = candidate("sound", "west", 20);
     let candidates = [down.clone(), ejected.clone(), slow, sound];
-    assert_eq!(chosen(&candidates, false), Ok("sound".to_string()));
+    assert_eq!(chosen(&candidates, Prospect::OnTime), Ok("sound".to_string()));
     // One that only failed lately is better than none; one that is down is not.
-    assert_eq!(chosen(&[down.clone(), ejected], false), Ok("ejected".to_string()));
-    assert_eq!(chosen(&[down], false), Err(Shortage::NoReplica));
+    assert_eq!(chosen(&[down.clone(), ejected], Prospect::OnTime), Ok("ejected".to_string()));
+    assert_eq!(chosen(&[down], Prospect::OnTime), Err(Shortage::NoReplica));
 }
 
 #[test]
 fn overload_refuses_new_requests_but_not_begun_ones() {
     let candidates = [candidate("a", "east", 60), candidate("b", "east", 60)];
-    assert_eq!(chosen(&candidates, false), Err(Shortage::AllBusy));
-    assert!(chosen(&candidates, true).is_ok());
+    assert_eq!(chosen(&candidates, Prospect::OnTime), Err(Shortage::AllBusy));
+    assert!(chosen(&candidates, Prospect::Begun).is_ok());
     let sum = occupancy(&candidates);
     assert_eq!((sum.running, sum.places, sum.replicas), (120, 52, 2));
 }
@@ -87,3 +88,40 @@
     assert!(*most > *least + Duration::from_millis(50), "{least:?} to {most:?}");
     assert!(*least > Duration::ZERO);
 }
+
+/// Replays a load beyond what the groups run at once, for long enough that a queue would be full all the
+/// time: every request that is taken finds a place to run in at once, and as many end as with a queue.
+#[test]
+fn sustained_overload_fills_the_places_and_no_queue() {
+    let mut candidates = [candidate("a", "east", 0), candidate("b", "east", 0)];
+    let (mut taken, mut refused) = (0, 0);
+    for step in 0..3000u32 {
+        // A place becomes free at each group every 60 ms; a request comes every 20 ms.
+        if step % 3 == 0 {
+            for candidate in &mut candidates {
+                let is_busy = candidate.state.remote >= 20;
+                candidate.state.remote -= u32::from(is_busy);
+            }
+        }
+        match chosen(&candidates, Prospect::OnTime) {
+            Ok(key) => {
+                let chosen = candidates.iter_mut().find(|c| c.replica.key == key).unwrap();
+                chosen.state.remote += 1;
+                taken += 1;
+            }
+            Err(_) => refused += 1,
+        }
+        for candidate in &candidates {
+            assert!(candidate.state.remote <= candidate.replica.slots + 2);
+        }
+    }
+    assert!(taken > 1900, "{taken} taken, {refused} refused");
+}
+
+#[test]
+fn last_places_are_for_answers_that_can_be_on_time() {
+    let candidates = [candidate("a", "east", 24)];
+    assert!(chosen(&candidates, Prospect::OnTime).is_ok());
+    assert_eq!(chosen(&candidates, Prospect::Late), Err(Shortage::AllBusy));
+    assert!(chosen(&[candidate("a", "east", 15)], Prospect::Late).is_ok());
+}
