--- a/serving/tests/runner.rs
+++ b/serving/tests/runner.rs
@@ -1,5 +1,6 @@
 //! Tests of the serving crate, one module a topic.
 
+mod fleet;
 mod test_crash_record;
 mod test_directory;
 mod test_fleet_view;
@@ -12,6 +13,7 @@
 mod test_replica_set;
 mod test_retry_budget;
 mod test_route_match;
+mod test_serving_path;
 mod test_serving_settings;
 mod test_sse;
 mod util;
--- /dev/null
+++ b/serving/tests/test_serving_path.rs
@@ -0,0 +1,222 @@
+//! Tests of the whole path on loopback: nodes, the platform's store, groups of instances and callers.
+
+use crate::fleet::Call;
+use crate::fleet::Fleet;
+use crate::fleet::config;
+use crate::fleet::event_ids;
+use crate::fleet::eventually;
+use crate::fleet::spec;
+use guavaladder_platform_testutils::InstanceMode;
+use guavaladder_platform_testutils::StoreMode;
+use guavaladder_platform_testutils::spawn_instance;
+use http::Method;
+use rstest::rstest;
+use std::time::Duration;
+use tokio::time::sleep;
+
+#[tokio::test]
+async fn calm_fleet_serves_every_kind_of_request() {
+    let mut fleet = Fleet::new(5).await;
+    fleet.add_node().await;
+    fleet.add_node().await;
+    fleet.wait_for_replicas(1, "drafting", 2).await;
+    for node in 0..2 {
+        let to = fleet.callers(node);
+        let answer = Call::new(Method::POST, "/draft/x").send(to).await.expect("a stream");
+        assert_eq!(event_ids(&answer), (1..=20).collect::<Vec<u64>>());
+        assert_eq!(answer.headers()["x-response-stamp"], "stamp");
+        let answer = Call::new(Method::POST, "/book/x").send(to).await.expect("an answer");
+        assert_eq!((answer.status().as_u16(), &answer.body()[..]), (200, &b"a body"[..]));
+        assert_eq!(Call::new(Method::GET, "/look/x").status(to).await, 200);
+        assert_eq!(Call::new(Method::GET, "/nowhere/").status(to).await, 404);
+        assert_eq!(Call::new(Method::GET, "/look/x").with_key(None).status(to).await, 401);
+        assert_eq!(Call::new(Method::GET, "/look/x").with_key(Some("x")).status(to).await, 401);
+    }
+    assert_eq!(fleet.world.breaches(), vec![]);
+}
+
+/// A member vanishes while streams run: each goes on where it stopped, and the group is whole again.
+#[tokio::test]
+async fn lost_member_streams_go_on_and_the_group_is_repaired() {
+    let mut fleet = Fleet::new(5).await;
+    fleet.add_node().await;
+    fleet.wait_for_replicas(0, "drafting", 2).await;
+    let to = fleet.callers(0);
+    let streams: Vec<_> = (0..6)
+        .map(|_| tokio::spawn(async move { Call::new(Method::POST, "/draft/x").send(to).await }))
+        .collect();
+    sleep(Duration::from_millis(100)).await;
+    let lost = fleet.world.open_groups()[0][1].clone();
+    fleet.world.set_mode(&lost, InstanceMode::Dark);
+    for stream in streams {
+        let answer = stream.await.unwrap().expect("a whole stream");
+        assert_eq!(event_ids(&answer), (1..=20).collect::<Vec<u64>>());
+    }
+    eventually(|| {
+        let groups = fleet.world.open_groups();
+        groups.len() == 2 && !groups.iter().flatten().any(|member| *member == lost)
+    })
+    .await;
+    assert_eq!(fleet.world.breaches(), vec![]);
+}
+
+/// A head falls silent and its entry lapses, as one that is cut off from the store: its members leave
+/// it before they join another group, also if it answers again later.
+#[tokio::test]
+async fn silent_head_is_left_before_its_members_join_elsewhere() {
+    let mut fleet = Fleet::new(5).await;
+    fleet.add_node().await;
+    fleet.wait_for_replicas(0, "drafting", 2).await;
+    let head = fleet.world.open_groups()[0][0].clone();
+    fleet.world.set_mode(&head, InstanceMode::Dark);
+    fleet.world.lapse(&head);
+    eventually(|| {
+        let others = fleet.world.open_groups().into_iter().filter(|group| group[0] != head);
+        others.count() == 2
+    })
+    .await;
+    fleet.world.set_mode(&head, InstanceMode::Up);
+    fleet.world.register(&head);
+    eventually(|| fleet.world.orders(&head).last().is_some_and(|order| order == "leave")).await;
+    assert_eq!(fleet.world.breaches(), vec![]);
+}
+
+#[tokio::test]
+async fn leaving_member_is_replaced_after_its_group_finished() {
+    let mut fleet = Fleet::new(5).await;
+    fleet.add_node().await;
+    fleet.wait_for_replicas(0, "drafting", 2).await;
+    let group = fleet.world.open_groups()[0].clone();
+    fleet.world.drain(&group[1]);
+    eventually(|| fleet.world.orders(&group[0]).contains(&"close".to_string())).await;
+    eventually(|| {
+        let groups = fleet.world.open_groups();
+        groups.len() == 2 && !groups.iter().flatten().any(|member| *member == group[1])
+    })
+    .await;
+    assert_eq!(fleet.world.breaches(), vec![]);
+}
+
+#[rstest]
+#[case::answer_lost(InstanceMode::LosesAnswers, Method::POST, "/book/x", 502)]
+#[case::failed(InstanceMode::Fails, Method::POST, "/book/x", 500)]
+#[case::refused(InstanceMode::Refuses, Method::POST, "/book/x", 503)]
+#[case::answer_lost_idempotent(InstanceMode::LosesAnswers, Method::GET, "/look/x", 502)]
+#[case::refused_idempotent(InstanceMode::Refuses, Method::GET, "/look/x", 503)]
+#[tokio::test]
+async fn failing_service_is_told_truthfully(
+    #[case] mode: InstanceMode,
+    #[case] method: Method,
+    #[case] path: &str,
+    #[case] expected: u16,
+) {
+    let mut fleet = Fleet::new(0).await;
+    fleet.add_node().await;
+    fleet.wait_for_replicas(0, "orders", 2).await;
+    for id in ["p-00", "p-01"] {
+        fleet.world.set_mode(id, mode);
+    }
+    let call = Call::new(method, path);
+    let answer = call.send(fleet.callers(0)).await.expect("an answer");
+    assert_eq!(answer.status().as_u16(), expected);
+    // A promise that it did not run, with the time to come back, or no promise at all.
+    assert_eq!(answer.headers().contains_key("retry-after"), expected == 503);
+    assert_eq!(fleet.world.runs(&call.id) == 0, expected == 503);
+    assert_eq!(fleet.world.breaches(), vec![]);
+}
+
+#[tokio::test]
+async fn refused_request_is_served_by_another_instance() {
+    let mut fleet = Fleet::new(0).await;
+    fleet.add_node().await;
+    fleet.wait_for_replicas(0, "orders", 2).await;
+    fleet.world.set_mode("p-00", InstanceMode::Refuses);
+    for _ in 0..10 {
+        let call = Call::new(Method::POST, "/book/x");
+        assert_eq!(call.status(fleet.callers(0)).await, 200);
+        assert_eq!(fleet.world.runs(&call.id), 1);
+    }
+    assert_eq!(fleet.world.breaches(), vec![]);
+}
+
+#[rstest]
+#[case::busy(StoreMode::Busy)]
+#[case::silent(StoreMode::Silent)]
+#[tokio::test]
+async fn store_away_serving_goes_on_and_changes_follow_its_return(#[case] mode: StoreMode) {
+    let mut fleet = Fleet::new(2).await;
+    fleet.add_node().await;
+    fleet.wait_for_replicas(0, "drafting", 1).await;
+    fleet.store.set_mode(mode);
+    fleet.store.compact();
+    sleep(Duration::from_millis(500)).await;
+    fleet.world.lapse("p-00");
+    let to = fleet.callers(0);
+    assert_eq!(Call::new(Method::GET, "/look/x").status(to).await, 200);
+    assert!(Call::new(Method::POST, "/draft/x").send(to).await.is_some());
+    fleet.store.put("config", "main", config(9));
+    fleet.store.set_mode(StoreMode::Up);
+    let cx = fleet.nodes[0].cx.clone();
+    eventually(|| cx.config.version() == Some(9)).await;
+    // The entry that lapsed meanwhile is kept for a moment, and is gone when it does not come back.
+    eventually(|| cx.fleet.instance("p-00").is_none()).await;
+    assert_eq!(fleet.world.breaches(), vec![]);
+}
+
+#[tokio::test]
+async fn lost_answers_of_the_store_leave_one_holder_of_the_lease() {
+    let mut fleet = Fleet::new(3).await;
+    fleet.store.set_mode(StoreMode::LosesAnswers);
+    fleet.add_node().await;
+    fleet.add_node().await;
+    sleep(Duration::from_millis(1500)).await;
+    fleet.store.set_mode(StoreMode::Up);
+    fleet.wait_for_replicas(0, "drafting", 1).await;
+    let holders = fleet.nodes.iter().filter(|node| node.cx.lease.term().is_some()).count();
+    assert_eq!(holders, 1);
+    assert_eq!(fleet.world.breaches(), vec![]);
+}
+
+#[tokio::test]
+async fn stopping_node_finishes_what_runs_and_leaves_the_answers() {
+    let mut fleet = Fleet::new(2).await;
+    fleet.add_node().await;
+    fleet.add_node().await;
+    fleet.wait_for_replicas(0, "drafting", 1).await;
+    fleet.wait_for_replicas(1, "drafting", 1).await;
+    eventually(|| fleet.nodes.iter().all(|node| !node.cx.nodes.addresses().is_empty())).await;
+    let to = fleet.callers(0);
+    let stream = tokio::spawn(async move { Call::new(Method::POST, "/draft/x").send(to).await });
+    sleep(Duration::from_millis(100)).await;
+    let stopping = fleet.nodes.remove(0);
+    let other = fleet.nodes[0].cx.clone();
+    let stop = tokio::spawn(stopping.stop());
+    let answer = stream.await.unwrap().expect("a whole stream");
+    assert_eq!(event_ids(&answer).len(), 20);
+    stop.await.unwrap();
+    let now = tokio::time::Instant::now();
+    assert_eq!(other.nodes.entries(now, other.beat_period()), vec![]);
+    assert_eq!(fleet.store.get("guavaladder-nodes", "n0"), None);
+    // The other node takes the duty over and assembles what comes.
+    eventually(|| other.lease.term().is_some()).await;
+    for id in ["i-08", "i-09"] {
+        spawn_instance(&fleet.world, spec(id, "drafting", Some("d0"))).await;
+    }
+    eventually(|| fleet.world.open_groups().len() == 2).await;
+    assert_eq!(fleet.world.breaches(), vec![]);
+}
+
+#[tokio::test]
+async fn malformed_entries_name_no_replica() {
+    let mut fleet = Fleet::new(0).await;
+    for (name, entry) in [
+        ("x-1", serde_json::json!({"service": "orders"})),
+        ("x-2", serde_json::json!("bytes")),
+        ("x-3", serde_json::Value::Null),
+    ] {
+        fleet.store.put("servers", name, entry);
+    }
+    fleet.add_node().await;
+    fleet.wait_for_replicas(0, "orders", 2).await;
+    assert_eq!(Call::new(Method::GET, "/look/x").status(fleet.callers(0)).await, 200);
+}
