groups: act on a list read since the term began, and let members leave before they join

Ruled out: a longer lease; the orders of the earlier holder had been carried out in time. Change: a new term begins with a list; an instance's own report must show the place that it is believed to have, which it leaves before it joins; missing entries dissolve no group until they had time to come back. Test: missing entries dissolve no group while they may come back (failed before).

--- a/serving/src/fleet_view.rs
+++ b/serving/src/fleet_view.rs
@@ -17,6 +17,7 @@
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::time::Duration;
+use tokio::sync::Notify;
 use tokio::sync::watch;
 use tokio::time::Instant;
 
@@ -39,6 +40,7 @@
     log: DecisionLog,
     inner: Arc<Mutex<Inner>>,
     changes: Arc<watch::Sender<u64>>,
+    list_wanted: Arc<Notify>,
 }
 
 #[derive(Debug, Default)]
@@ -50,14 +52,16 @@
     held: HashMap<InstanceId, Instant>,
     config: Option<Arc<FleetConfig>>,
     replicas: Arc<ReplicaSet>,
-    is_known: bool,
+    /// When the list was read as a whole: the first time and the last.
+    first_listed: Option<Instant>,
+    last_listed: Option<Instant>,
 }
 
 impl FleetView {
     /// Returns an empty view.
     pub fn new(log: DecisionLog) -> Self {
         let (tx, _) = watch::channel(0);
-        Self { log, inner: Arc::default(), changes: Arc::new(tx) }
+        Self { log, inner: Arc::default(), changes: Arc::new(tx), list_wanted: Arc::default() }
     }
 
     /// Replaces all entries by those of a list; missing ones are kept until `hold_until`.
@@ -72,7 +76,9 @@
             for (id, instance) in before {
                 miss(inner, log, id, instance, hold_until);
             }
-            inner.is_known = true;
+            let now = Instant::now();
+            inner.first_listed.get_or_insert(now);
+            inner.last_listed = Some(now);
         });
     }
 
@@ -149,7 +155,29 @@
 
     /// Tells whether the instance list has been read.
     pub fn is_known(&self) -> bool {
-        self.lock().is_known
+        self.lock().first_listed.is_some()
+    }
+
+    /// Asks for the list to be read as a whole, soon.
+    pub fn ask_for_list(&self) {
+        self.list_wanted.notify_one();
+    }
+
+    /// Waits until somebody asks for the list.
+    pub async fn list_wanted(&self) {
+        self.list_wanted.notified().await;
+    }
+
+    /// Tells whether the list was read as a whole since a moment.
+    pub fn is_listed_since(&self, moment: Instant) -> bool {
+        self.lock().last_listed.is_some_and(|listed| listed >= moment)
+    }
+
+    /// Tells whether an entry that is missing now means that its instance is gone: the list has been
+    /// known, and the store back, for longer than entries that lapsed need to come back.
+    pub fn is_absence_trusted(&self, regained_at: Option<Instant>, now: Instant) -> bool {
+        let known = self.lock().first_listed.is_some_and(|at| now - at >= LAPSED_ENTRY_GRACE);
+        known && regained_at.is_none_or(|at| now - at >= LAPSED_ENTRY_GRACE)
     }
 
     /// Returns a receiver that is notified of each change.
--- a/serving/src/group_control.rs
+++ b/serving/src/group_control.rs
@@ -46,6 +46,8 @@
 #[derive(Debug)]
 pub struct GroupControl {
     cx: ServingCx,
+    /// Term of the lease and when this node began to act on it.
+    term: Option<(u64, Instant)>,
     /// Instances that a running step involves.
     reserved: HashSet<InstanceId>,
     /// What instances said of themselves, with the time.
@@ -72,6 +74,7 @@
     pub fn new(cx: ServingCx) -> Self {
         Self {
             cx,
+            term: None,
             reserved: HashSet::new(),
             own_words: HashMap::new(),
             staging: HashMap::new(),
@@ -100,13 +103,28 @@
                 self.finish(outcome);
             }
             match self.cx.lease.term() {
-                Some(_) if self.cx.fleet.is_known() => self.plan(),
+                Some(term) if self.has_fresh_list(term) => self.plan(),
                 Some(_) => {}
                 None => self.forget(),
             }
         }
     }
 
+    /// Tells whether the instance list was read since this term began, and has it read if not: what an
+    /// earlier holder ordered last may not have reached this node's view.
+    fn has_fresh_list(&mut self, term: u64) -> bool {
+        let since = match self.term {
+            Some((known, since)) if known == term => since,
+            _ => {
+                let now = Instant::now();
+                self.term = Some((term, now));
+                self.cx.fleet.ask_for_list();
+                now
+            }
+        };
+        self.cx.fleet.is_listed_since(since)
+    }
+
     /// Forgets what only the holder of the lease needs.
     fn forget(&mut self) {
         if self.steps.is_empty() {
@@ -186,6 +204,10 @@
             dissolved: &self.dissolved,
             assembling: &assembling,
             loads_under_way: self.loads_under_way,
+            is_absence_trusted: self
+                .cx
+                .fleet
+                .is_absence_trusted(self.cx.store.health().regained_at, now),
             is_settled: now - self.last_newcomer >= SETTLED_AFTER,
         };
         for step in group_plan::plan(&input) {
--- a/serving/src/group_plan.rs
+++ b/serving/src/group_plan.rs
@@ -66,6 +66,9 @@
     pub loads_under_way: usize,
     /// Whether no instance was registered for the first time lately.
     pub is_settled: bool,
+    /// Whether a missing entry means that its instance is gone: entries lapse while the store is away,
+    /// and are back a moment after it.
+    pub is_absence_trusted: bool,
 }
 
 /// A step that is due.
@@ -229,7 +232,11 @@
         let size = model.map_or(0, |model| model.size);
         let is_complete = group.is_complete(size);
         match group.head_state() {
-            None if !is_reserved => self.dissolve(group, false, "its head is not registered"),
+            None if is_reserved => {}
+            None if self.input.is_absence_trusted => {
+                self.dissolve(group, false, "its head is not registered");
+            }
+            None => self.taken.extend(group.ids()),
             Some(MembershipState::Open | MembershipState::Closing) => {
                 self.taken.extend(group.ids());
                 if is_reserved {
@@ -240,7 +247,7 @@
                 };
                 let reason = if self.input.down.contains(&key) {
                     Some("it was found to be down")
-                } else if !is_complete {
+                } else if !is_complete && self.input.is_absence_trusted {
                     Some("a member is not in its place")
                 } else if !group.all(is_in_place) {
                     Some("a member is not ready")
--- a/serving/src/group_steps.rs
+++ b/serving/src/group_steps.rs
@@ -9,6 +9,7 @@
 use crate::instance::Instance;
 use crate::instance::InstanceId;
 use crate::instance::InstanceReport;
+use crate::instance::Membership;
 use crate::instance::MembershipState;
 use crate::instance::OrderKind;
 use crate::order_client;
@@ -57,6 +58,24 @@
     pub dissolved: Option<(GroupName, GroupEpoch)>,
 }
 
+/// A group to be assembled.
+#[derive(Debug)]
+struct Assembly {
+    model: String,
+    domain: String,
+    /// Members, the head first.
+    members: Vec<Instance>,
+    /// Members that have to load weights.
+    loads: usize,
+    reason: String,
+}
+
+impl Assembly {
+    fn ids(&self) -> Vec<InstanceId> {
+        self.members.iter().map(|member| member.id.clone()).collect()
+    }
+}
+
 /// Why a step failed.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 enum StepError {
@@ -104,9 +123,10 @@
             let opened = run.open(&group, epoch, targets).await;
             run.note_assembly(&group, opened, started);
         }
-        PlanStep::Assemble { model, domain, members, loads, reason } => {
+        PlanStep::Assemble { model, domain, loads, reason, .. } => {
             run.outcome.loads = loads;
-            run.assemble(model, domain, members, loads, reason, targets).await;
+            let members = instances;
+            run.assemble(Assembly { model, domain, members, loads, reason }).await;
         }
         PlanStep::Stage { model, .. } => {
             run.outcome.loads = 1;
@@ -230,27 +250,19 @@
     }
 
     /// Assembles a group and opens it.
-    async fn assemble(
-        &mut self,
-        model: String,
-        domain: String,
-        members: Vec<InstanceId>,
-        loads: usize,
-        reason: String,
-        targets: Vec<OrderTarget>,
-    ) {
+    async fn assemble(&mut self, assembly: Assembly) {
         let started = Instant::now();
         let Some(epoch) = self.cx.lease.next_epoch() else { return };
-        let group = format!("{model}-{epoch}");
+        let group = format!("{}-{epoch}", assembly.model);
         self.cx.log.record(Event::AssemblyStarted {
             group: group.clone(),
-            model: model.clone(),
-            domain,
-            members: members.join(","),
-            loads: loads as u64,
-            reason,
+            model: assembly.model.clone(),
+            domain: assembly.domain.clone(),
+            members: assembly.ids().join(","),
+            loads: assembly.loads as u64,
+            reason: assembly.reason.clone(),
         });
-        let result = self.join_and_open(&group, epoch, &model, &members, loads, targets).await;
+        let result = self.join_and_open(&group, epoch, &assembly).await;
         self.note_assembly(&group, result, started);
     }
 
@@ -275,41 +287,46 @@
         &mut self,
         group: &str,
         epoch: GroupEpoch,
-        model: &str,
-        members: &[InstanceId],
-        loads: usize,
-        targets: Vec<OrderTarget>,
+        assembly: &Assembly,
     ) -> Result<(), StepError> {
+        let members = assembly.ids();
         let join = OrderKind::Join {
             group: group.to_string(),
             epoch,
-            model: model.to_string(),
-            members: members.to_vec(),
+            model: assembly.model.clone(),
+            members: members.clone(),
         };
         let mut joins = JoinSet::new();
-        for mut target in targets {
+        for member in &assembly.members {
             let (cx, join, group) = (self.cx.clone(), join.clone(), group.to_string());
+            let (mut target, believed) = (self.target(member), member.engine.membership.clone());
             joins.spawn(async move {
-                let holds = |report: &InstanceReport| order_client::is_in(report, &group, epoch);
-                let given = order_client::give(&cx, &mut target, &join, holds).await;
+                let given = join_member(&cx, &mut target, &join, &group, epoch, believed).await;
                 (target, given)
             });
         }
         let mut joined = vec![];
         let mut failure = None;
-        while let Some(Ok((target, given))) = joins.join_next().await {
+        while let Some(Ok((mut target, given))) = joins.join_next().await {
             self.remember(&target);
             match given {
                 Ok(()) => joined.push(target),
-                Err(error) => failure = Some(StepError::Order { member: target.id, error }),
+                Err(error) => {
+                    if matches!(error, OrderError::Elsewhere(_))
+                        && let Ok(report) = order_client::report(self.cx, &mut target).await
+                    {
+                        self.hear(&target.id, &report);
+                    }
+                    failure = Some(StepError::Order { member: target.id, error });
+                }
             }
         }
         if let Some(failure) = failure {
             return Err(failure);
         }
-        let expected = self.join_time(model, loads);
+        let expected = self.join_time(&assembly.model, assembly.loads);
         joined.sort_by_key(|target| members.iter().position(|id| *id == target.id));
-        self.wait_until_ready(group, epoch, &mut joined, expected, loads > 0).await?;
+        self.wait_until_ready(group, epoch, &mut joined, expected, assembly.loads > 0).await?;
         self.open(group, epoch, joined).await
     }
 
@@ -435,6 +452,35 @@
     }
 }
 
+/// Orders an instance to join a group, once its own report shows the place that it is believed to
+/// have. It leaves that first: the head may be open for all that is known here.
+async fn join_member(
+    cx: &ServingCx,
+    target: &mut OrderTarget,
+    join: &OrderKind,
+    group: &str,
+    epoch: GroupEpoch,
+    believed: Option<Membership>,
+) -> Result<(), OrderError> {
+    if target.accepted.is_none() {
+        let place = order_client::report(cx, target).await?.engine.membership;
+        let key = |place: &Membership| (place.group.clone(), place.epoch);
+        let is_believed = place.as_ref().map(key) == believed.as_ref().map(key);
+        if let Some(place) = place {
+            if !is_believed {
+                let found = format!("it is in group {} of epoch {}", place.group, place.epoch);
+                return Err(OrderError::Elsewhere(found));
+            }
+            let leave = OrderKind::Leave { group: place.group.clone(), epoch: place.epoch };
+            let has_left =
+                |report: &InstanceReport| !order_client::is_in(report, &place.group, place.epoch);
+            order_client::give(cx, target, &leave, has_left).await?;
+        }
+    }
+    let holds = |report: &InstanceReport| order_client::is_in(report, group, epoch);
+    order_client::give(cx, target, join, holds).await
+}
+
 fn state(report: &InstanceReport) -> Option<MembershipState> {
     report.engine.membership.as_ref().map(|membership| membership.state)
 }
--- a/serving/src/instance_follow.rs
+++ b/serving/src/instance_follow.rs
@@ -64,7 +64,10 @@
     async fn follow(&mut self, mut revision: u64) {
         loop {
             let started = Instant::now();
-            let watched = self.cx.store.watch(ObjectKind::Instances, revision, WATCH_WAIT).await;
+            let watched = tokio::select! {
+                watched = self.cx.store.watch(ObjectKind::Instances, revision, WATCH_WAIT) => watched,
+                () = self.cx.fleet.list_wanted() => return,
+            };
             match watched {
                 Ok(batch) => {
                     let changes = batch.changes.iter().filter_map(|c| self.change(c)).collect();
--- a/serving/src/order_client.rs
+++ b/serving/src/order_client.rs
@@ -46,6 +46,9 @@
     /// The instance does not answer; an order may have reached it.
     #[error("the instance does not answer: {0}")]
     Silent(String),
+    /// The instance has another place than it was believed to have.
+    #[error("the instance is elsewhere: {0}")]
+    Elsewhere(String),
     /// A higher fencing token or epoch was seen.
     #[error("the instance has seen a higher token or epoch")]
     Fenced,
--- a/serving/tests/test_group_plan.rs
+++ b/serving/tests/test_group_plan.rs
@@ -64,6 +64,7 @@
         assembling: &[],
         loads_under_way: loads,
         is_settled: true,
+        is_absence_trusted: true,
     })
 }
 
@@ -109,6 +110,7 @@
                 assembling: &[],
                 loads_under_way: 0,
                 is_settled: step > 40,
+                is_absence_trusted: true,
             };
             let steps = plan(&input);
             for step in steps {
@@ -150,6 +152,7 @@
         assembling: &[place("large"), place("small")],
         loads_under_way: 0,
         is_settled: true,
+        is_absence_trusted: true,
     };
     assert_eq!(assemblies(&plan(&input)), vec![]);
 }
@@ -167,9 +170,10 @@
         assembling: &[],
         loads_under_way: 0,
         is_settled: false,
+        is_absence_trusted: true,
     };
     assert_eq!(assemblies(&plan(&input)), vec![]);
-    let settled = PlanInput { is_settled: true, ..input };
+    let settled = PlanInput { is_settled: true, is_absence_trusted: true, ..input };
     assert_eq!(assemblies(&plan(&settled)), vec![("small".to_string(), "d0".to_string(), 2)]);
 }
 
@@ -228,6 +232,29 @@
     assert_eq!(assemblies(&steps(&instances, &[], 0)).len(), 1);
 }
 
+/// Right after the store was away, or this node started, entries that lapsed are not back yet.
+#[test]
+fn missing_entries_dissolve_no_group_while_they_may_come_back() {
+    let engine = engine();
+    let none = BTreeSet::new();
+    for missing in [0, 2] {
+        let mut instances = open_group("g", "d0", "large", 4);
+        instances.remove(missing);
+        instances.push(staged("spare", "d0", "large"));
+        let input = PlanInput {
+            engine: &engine,
+            instances: &instances,
+            down: &none,
+            dissolved: &none,
+            assembling: &[],
+            loads_under_way: 0,
+            is_settled: true,
+            is_absence_trusted: false,
+        };
+        assert_eq!(plan(&input), vec![]);
+    }
+}
+
 #[test]
 fn members_of_a_silent_head_leave_by_themselves() {
     let mut instances = open_group("g", "d0", "large", 4);
--- a/serving/tests/test_serving_path.rs
+++ b/serving/tests/test_serving_path.rs
@@ -19,6 +19,7 @@
     let mut fleet = Fleet::new(5).await;
     fleet.add_node().await;
     fleet.add_node().await;
+    fleet.wait_for_replicas(0, "drafting", 2).await;
     fleet.wait_for_replicas(1, "drafting", 2).await;
     for node in 0..2 {
         let to = fleet.callers(node);
