--- a/serving/src/group_steps.rs
+++ b/serving/src/group_steps.rs
@@ -2,7 +2,7 @@
 
 use crate::fleet_config::Engine;
 use crate::group_plan::PlanStep;
-use crate::instance::CloseMode;
+use crate::instance::DrainMode;
 use crate::instance::EngineStatus;
 use crate::instance::GroupEpoch;
 use crate::instance::GroupName;
@@ -230,7 +230,7 @@
 
     /// Lets a group finish its requests.
     async fn finish_requests(&mut self, group: &str, epoch: GroupEpoch, head: &mut OrderTarget) {
-        let mode = CloseMode::Finish;
+        let mode = DrainMode::Finish;
         let close = OrderKind::Close { group: group.to_string(), epoch, mode };
         let is_open = |report: &InstanceReport| {
             order_client::is_in(report, group, epoch)
--- a/serving/src/instance.rs
+++ b/serving/src/instance.rs
@@ -91,7 +91,7 @@
 
 /// How a group's head ends its work.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum CloseMode {
+pub enum DrainMode {
     /// Requests that run or wait are finished.
     Finish,
     /// Requests are cut off.
@@ -126,7 +126,7 @@
         /// Epoch.
         epoch: GroupEpoch,
         /// What becomes of the requests.
-        mode: CloseMode,
+        mode: DrainMode,
     },
     /// Leave the group.
     Leave {
