--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -7,6 +7,7 @@
 mod error;
 mod exception;
 mod help;
+mod log;
 mod output;
 mod service;
 mod subcommands;
@@ -43,6 +44,9 @@
     if invocation.subcommand == Subcommand::TokenHash {
         return output::print(&hash_token(&connection::token(invocation)?));
     }
+    if invocation.subcommand == Subcommand::LogExplain {
+        return log::explain(invocation);
+    }
     let client = connection::client(invocation)?;
     match invocation.subcommand {
         Subcommand::Status => view::status(&client, invocation).await,
@@ -59,6 +63,6 @@
         Subcommand::InstanceList => view::instances(&client, invocation).await,
         Subcommand::Why => view::why(&client, invocation).await,
         Subcommand::ReportBurn => view::report_burn(&client, invocation).await,
-        Subcommand::TokenHash => Ok(()),
+        Subcommand::TokenHash | Subcommand::LogExplain => Ok(()),
     }
 }
--- a/cli/src/subcommands.rs
+++ b/cli/src/subcommands.rs
@@ -54,6 +54,8 @@
     ReportBurn,
     /// `token hash`
     TokenHash,
+    /// `log explain REQUEST`
+    LogExplain,
 }
 
 /// Words, argument, options and purpose of a subcommand.
@@ -117,6 +119,11 @@
     option("pin-instance", Takes::One("ID"), "keep an instance for the service of --service"),
     option("service", Takes::One("ID"), "service that is meant"),
     option("expires-in", Takes::One("SECONDS"), "time after which the exception no longer holds"),
+    option(
+        "log",
+        Takes::Many("FILE"),
+        "log of a node, repeatable; the file's name stands for the node",
+    ),
     option("html", Takes::One("FILE"), "write the report as one HTML page"),
 ];
 
@@ -241,4 +248,11 @@
         &[],
         "prints the hash of a token, as settings and configuration hold it",
     ),
+    subcommand(
+        Subcommand::LogExplain,
+        "log explain",
+        Some("REQUEST"),
+        &["log"],
+        "joins the lines of several nodes' logs into one account of a request",
+    ),
 ];
--- a/lib/tests/test_catalogues.rs
+++ b/lib/tests/test_catalogues.rs
@@ -41,7 +41,7 @@
 /// Returns the text of all sources of the library and the daemon that are not generated.
 fn sources() -> String {
     let mut text = String::new();
-    for folder in ["lib/src", "daemon/src"] {
+    for folder in ["lib/src", "daemon/src", "serving/src"] {
         for entry in fs::read_dir(root().join(folder)).unwrap() {
             let path = entry.unwrap().path();
             if path.extension().is_some_and(|extension| extension == "rs") {
