--- a/serving/src/load_table.rs
+++ b/serving/src/load_table.rs
@@ -13,8 +13,9 @@
 
 /// Weight of the newest value in the moving averages.
 const NEWEST_WEIGHT: f64 = 0.2;
-/// Time for which a replica that was found to be down gets no requests unless its key changes.
-const DOWN_PERIOD: Duration = Duration::from_secs(3);
+/// Time for which a replica that was found to be down gets no requests unless its key changes: longer
+/// than the entry of an instance that vanished stays registered, which is three heartbeats.
+const DOWN_PERIOD: Duration = Duration::from_secs(6);
 /// Age from which on the other nodes' numbers count no more.
 const MAX_REMOTE_AGE: Duration = Duration::from_secs(3);
 /// Failures in a row that eject a replica.
--- a/serving/tests/test_load_table.rs
+++ b/serving/tests/test_load_table.rs
@@ -68,5 +68,7 @@
     assert!(table.state(&replica, Instant::now()).is_down);
     assert_eq!(table.down_members(Instant::now())[&replica.hash], "m");
     tokio::time::advance(Duration::from_secs(4)).await;
+    assert!(table.state(&replica, Instant::now()).is_down);
+    tokio::time::advance(Duration::from_secs(3)).await;
     assert!(!table.state(&replica, Instant::now()).is_down);
 }
