bench: soak the daemons of the users' platform under seeded faults

What: serving-soak runs real daemons before the stand-ins, a proxy before the store, signals, lost members, leaving members, lost answers; fails on a breach, a broken promise, a wrong event, or no recovery.

--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -6,6 +6,7 @@
 use guavaladder_bench::groups;
 use guavaladder_bench::load;
 use guavaladder_bench::requests;
+use guavaladder_bench::serving_soak;
 use guavaladder_bench::soak;
 use guavaladder_bench::standins;
 use std::process::ExitCode;
@@ -22,6 +23,8 @@
   groups     simulates a month of failures and measures downtime and stranded accelerators
   load       measures one daemon under load against direct streams [--seconds N] [--json]
   soak       runs daemons under traffic and seeded faults [--seed N] [--seconds S] [--json]
+  serving-soak  runs daemons of the users' platform before its stand-ins, under seeded faults
+             [--seed N] [--seconds S] [--nodes N]
   standins   runs a platform and upstreams on loopback until interrupted
 ";
 
@@ -49,6 +52,7 @@
         "groups" => groups::run(rest),
         "load" => load::run(rest).await,
         "soak" => soak::run(rest).await,
+        "serving-soak" => serving_soak::run(rest).await,
         "standins" => standins::run(rest).await,
         "help" | "--help" | "-h" => {
             print!("{HELP}");
--- a/serving/tests/test_serving_path.rs
+++ b/serving/tests/test_serving_path.rs
@@ -1,13 +1,13 @@
 //! Tests of the whole path on loopback: nodes, the platform's store, groups of instances and callers.
 
-use crate::fleet::Call;
 use crate::fleet::Fleet;
-use crate::fleet::config;
-use crate::fleet::event_ids;
 use crate::fleet::eventually;
 use crate::fleet::spec;
+use guavaladder_platform_testutils::Call;
 use guavaladder_platform_testutils::InstanceMode;
 use guavaladder_platform_testutils::StoreMode;
+use guavaladder_platform_testutils::config;
+use guavaladder_platform_testutils::event_ids;
 use guavaladder_platform_testutils::spawn_instance;
 use http::Method;
 use rstest::rstest;
