placement: compare a few replicas drawn at random in a large fleet

Change: each compares about four times its share of the replicas, at least two; beats come twice as often. Test: many nodes spread over the replicas (failed before).

--- a/serving/src/candidates.rs
+++ b/serving/src/candidates.rs
@@ -26,6 +26,7 @@
         data_centre: &cx.settings.data_centre,
         engine: table.as_ref().and_then(|table| table.config.engine(&task.service)),
         prospect,
+        nodes: cx.sharing_nodes(),
     };
     let chosen = placement::choose(&candidates, &input);
     chosen.map_err(|shortage| (shortage, placement::occupancy(&candidates)))
--- a/serving/src/placement.rs
+++ b/serving/src/placement.rs
@@ -7,6 +7,9 @@
 //! - More requests come than all replicas can begin in time, for seconds. A queue would not raise the
 //!   rate at which requests end, it would only make every one of them late by the same wait. So a
 //!   group gets as many requests as it runs at once, and the others are refused at once.
+//! - Many nodes place requests by loads that are some tenths of a second old. If all chose the best
+//!   replica of all, they would choose the same one; so in a large fleet each compares a few that it
+//!   draws at random.
 //! - Refused callers come back while the load stays. Their answers can no longer be on time, so they
 //!   leave the last places to requests whose answers can.
 
@@ -19,6 +22,10 @@
 /// Requests that may wait at a group, as a part of its slots: they cover the lag with which the nodes
 /// learn of each other's requests.
 const GROUP_QUEUE_PART: f64 = 0.04;
+/// Candidates that a node compares, as a multiple of all candidates for each node of the fleet.
+const COMPARED_FACTOR: f64 = 4.0;
+/// Candidates that a node compares at least.
+const MIN_COMPARED: usize = 2;
 /// Part of the places that requests may fill whose answers can no longer be on time.
 const LATE_PART: f64 = 0.85;
 /// Requests that may wait at a plain instance, as a part of its slots.
@@ -55,6 +62,8 @@
     pub engine: Option<&'a Engine>,
     /// What the answer can still be.
     pub prospect: Prospect,
+    /// Nodes that place requests.
+    pub nodes: usize,
 }
 
 /// What the answer to a request can still be.
@@ -144,9 +153,14 @@
         Prospect::OnTime => requests_at(&c.state) < limit(c),
         Prospect::Late => f64::from(requests_at(&c.state)) < f64::from(limit(c)) * LATE_PART,
     };
-    let with_room = candidates.iter().filter(has_room);
-    let cost = |c: &&&Candidate| expected_cost(c, input) * rand::random_range(0.97..1.03);
-    let costs = with_room.map(|c| (cost(&c), *c));
+    let mut with_room: Vec<&&Candidate> = candidates.iter().filter(has_room).collect();
+    let share = with_room.len() as f64 * COMPARED_FACTOR / input.nodes.max(1) as f64;
+    let compared = (share.ceil() as usize).max(MIN_COMPARED);
+    while with_room.len() > compared {
+        with_room.swap_remove(rand::random_range(0..with_room.len()));
+    }
+    let cost = |c: &Candidate| expected_cost(c, input) * rand::random_range(0.97..1.03);
+    let costs = with_room.into_iter().map(|c| (cost(c), *c));
     costs.min_by(|(a, _), (b, _)| a.total_cmp(b)).map(|(_, candidate)| candidate)
 }
 
--- a/serving/src/serving_cx.rs
+++ b/serving/src/serving_cx.rs
@@ -30,7 +30,7 @@
 /// Longest period of the messages between nodes.
 const MAX_BEAT_PERIOD: Duration = Duration::from_secs(1);
 /// Part of the period for each node, so that a node's cost grows slower than the fleet.
-const BEAT_PERIOD_PER_NODE: Duration = Duration::from_millis(6);
+const BEAT_PERIOD_PER_NODE: Duration = Duration::from_millis(3);
 
 /// What all parts of a node share.
 #[derive(Debug, Clone)]
--- a/serving/tests/test_placement.rs
+++ b/serving/tests/test_placement.rs
@@ -39,7 +39,7 @@
 
 fn chosen(candidates: &[Candidate], prospect: Prospect) -> Result<String, Shortage> {
     let engine = engine();
-    let input = PlacementInput { data_centre: "east", engine: Some(&engine), prospect };
+    let input = PlacementInput { data_centre: "east", engine: Some(&engine), prospect, nodes: 7 };
     choose(candidates, &input).map(|replica| replica.key.clone())
 }
 
@@ -49,6 +49,26 @@
     assert_eq!(chosen(&candidates, Prospect::OnTime), Ok("b".to_string()));
 }
 
+/// Seventy-five nodes place requests at once by the same loads: they must not all choose one replica.
+#[test]
+fn many_nodes_spread_over_the_replicas() {
+    let candidates: Vec<Candidate> =
+        (0..24).map(|i| candidate(&format!("r{i:02}"), "east", 5 + i % 3)).collect();
+    let engine = engine();
+    let input = PlacementInput {
+        data_centre: "east",
+        engine: Some(&engine),
+        prospect: Prospect::OnTime,
+        nodes: 75,
+    };
+    let mut placed = std::collections::BTreeMap::new();
+    for _ in 0..150 {
+        let replica = choose(&candidates, &input).unwrap();
+        *placed.entry(replica.key.clone()).or_insert(0) += 1;
+    }
+    assert!(placed.values().max().unwrap() < &25, "{placed:?}");
+}
+
 #[test]
 fn choice_near_where_equal() {
     let candidates = [candidate("a", "west", 5), candidate("b", "east", 5)];
