instance_news: hand changes of the instance list on in a large fleet

Ruled out: longer batches, which DRAIN does not allow, and reads that may be stale. Change: beyond 12 nodes six elected ones and the holder of the lease watch and hand changes on, each message with all changes between two revisions; a node that misses one, or hears no watcher for 1 s, reads by itself. Test: differential against the plain history; silent watchers and gaps. A test's ports were taken twice by chance (failing_service_is_told_truthfully, seen once); each node now has a loopback address of its own.

--- a/serving/src/fleet_view.rs
+++ b/serving/src/fleet_view.rs
@@ -8,14 +8,21 @@
 use crate::fleet_config::FleetConfig;
 use crate::instance::Instance;
 use crate::instance::InstanceId;
+use crate::instance_news;
+use crate::instance_news::InstanceNews;
+use crate::instance_news::NewsFit;
+use crate::instance_news::NewsState;
 use crate::replica_set::Replica;
 use crate::replica_set::ReplicaSet;
 use guavaladder_lib::generated::events::Event;
+use guavaladder_proc_macros::common_derives;
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::sync::Notify;
 use tokio::sync::watch;
@@ -26,7 +33,7 @@
 pub const LAPSED_ENTRY_GRACE: Duration = Duration::from_millis(2300);
 
 /// Change of one entry.
-#[derive(Debug, Clone, PartialEq)]
+#[common_derives]
 pub enum EntryChange {
     /// Created or replaced.
     Put(Box<Instance>),
@@ -40,6 +47,8 @@
     log: DecisionLog,
     inner: Arc<Mutex<Inner>>,
     changes: Arc<watch::Sender<u64>>,
+    news: Arc<Mutex<NewsState>>,
+    is_watching: Arc<AtomicBool>,
     list_wanted: Arc<Notify>,
 }
 
@@ -61,7 +70,14 @@
     /// Returns an empty view.
     pub fn new(log: DecisionLog) -> Self {
         let (tx, _) = watch::channel(0);
-        Self { log, inner: Arc::default(), changes: Arc::new(tx), list_wanted: Arc::default() }
+        Self {
+            log,
+            inner: Arc::default(),
+            changes: Arc::new(tx),
+            news: Arc::default(),
+            is_watching: Arc::default(),
+            list_wanted: Arc::default(),
+        }
     }
 
     /// Replaces all entries by those of a list; missing ones are kept until `hold_until`.
@@ -158,6 +174,53 @@
         self.lock().first_listed.is_some()
     }
 
+    /// Returns the node's place in the changes that watchers hand on.
+    pub fn news(&self) -> NewsState {
+        *self.lock_news()
+    }
+
+    /// Takes in that the list has a revision.
+    pub fn reach(&self, revision: u64) {
+        self.lock_news().reach(revision);
+    }
+
+    /// Takes in that another node watches and has a list of a revision.
+    pub fn hear_watcher(&self, revision: u64, now: Instant) {
+        self.lock_news().hear(revision, now);
+    }
+
+    /// Takes in changes that another node handed on.
+    pub fn take_news(&self, news: InstanceNews, hold_until: Option<Instant>, now: Instant) {
+        let mut state = self.lock_news();
+        match instance_news::fit(&news, state.revision) {
+            NewsFit::Known => {}
+            NewsFit::Gap => state.hear(news.to, now),
+            NewsFit::Next => {
+                state.reach(news.to);
+                state.heard = Some(now);
+                drop(state);
+                self.apply(news.changes, hold_until);
+            }
+        }
+    }
+
+    /// Sets whether this node watches the list in the store, and that the watch works.
+    pub fn set_watching(&self, is_watching: bool) {
+        self.is_watching.store(is_watching, Ordering::Relaxed);
+    }
+
+    /// Returns the revision of the list while this node watches it in the store, else 0.
+    pub fn watched_revision(&self) -> u64 {
+        match self.is_watching.load(Ordering::Relaxed) {
+            true => self.lock_news().revision,
+            false => 0,
+        }
+    }
+
+    fn lock_news(&self) -> MutexGuard<'_, NewsState> {
+        self.news.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Asks for the list to be read as a whole, soon.
     pub fn ask_for_list(&self) {
         self.list_wanted.notify_one();
--- a/serving/src/instance.rs
+++ b/serving/src/instance.rs
@@ -1,5 +1,6 @@
 //! Instances of the services: what they register, what they report, and the orders that they take.
 
+use guavaladder_proc_macros::common_derives;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -11,7 +12,7 @@
 pub type GroupEpoch = u64;
 
 /// State of an instance in its group.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[common_derives(Copy, Eq)]
 pub enum MembershipState {
     /// Loads weights or waits for the other members.
     Joining,
@@ -26,7 +27,7 @@
 }
 
 /// Place of an instance in a group.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[common_derives(Eq)]
 pub struct Membership {
     /// Name of the group.
     pub group: GroupName,
@@ -39,7 +40,7 @@
 }
 
 /// What an instance tells about its place and its weights.
-#[derive(Debug, Clone, PartialEq, Eq, Default)]
+#[common_derives(Eq, Default)]
 pub struct EngineStatus {
     /// Model that it serves or serves with.
     pub model: Option<String>,
@@ -54,7 +55,7 @@
 }
 
 /// A registered instance.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[common_derives(Eq)]
 pub struct Instance {
     /// Id.
     pub id: InstanceId,
--- a/serving/src/lib.rs
+++ b/serving/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod group_steps;
 pub mod instance;
 pub mod instance_follow;
+pub mod instance_news;
 pub mod key_hash;
 pub mod lease_keeper;
 pub mod lease_state;
--- a/serving/src/peer_codec.rs
+++ b/serving/src/peer_codec.rs
@@ -1,6 +1,8 @@
 //! Encoding of the messages between nodes: postcard, with a tag by the fleet key before it.
 
+use crate::instance_news::InstanceNews;
 use guavaladder_lib::generated::serving_peer::NodeBeat;
+use guavaladder_proc_macros::common_derives;
 
 /// Bytes of the tag.
 const TAG_LEN: usize = 16;
@@ -10,6 +12,15 @@
 /// Key that authenticates the messages between nodes.
 pub type PeerKey = [u8; 32];
 
+/// A message between nodes.
+#[common_derives]
+pub enum PeerMessage {
+    /// The sender's full current state.
+    Beat(NodeBeat),
+    /// Changes of the instance list.
+    News(InstanceNews),
+}
+
 /// Errors of a received message.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 pub enum PeerCodecError {
@@ -25,16 +36,16 @@
 }
 
 /// Encodes a message.
-pub fn encode(beat: &NodeBeat, key: &PeerKey) -> Result<Vec<u8>, PeerCodecError> {
-    let content = postcard::to_stdvec(beat)?;
-    let mut message = Vec::with_capacity(TAG_LEN + content.len());
-    message.extend_from_slice(&tag(&content, key));
-    message.extend_from_slice(&content);
-    Ok(message)
+pub fn encode(message: &PeerMessage, key: &PeerKey) -> Result<Vec<u8>, PeerCodecError> {
+    let content = postcard::to_stdvec(message)?;
+    let mut bytes = Vec::with_capacity(TAG_LEN + content.len());
+    bytes.extend_from_slice(&tag(&content, key));
+    bytes.extend_from_slice(&content);
+    Ok(bytes)
 }
 
 /// Checks and decodes a message.
-pub fn decode(message: &[u8], key: &PeerKey) -> Result<NodeBeat, PeerCodecError> {
+pub fn decode(message: &[u8], key: &PeerKey) -> Result<PeerMessage, PeerCodecError> {
     if message.len() < TAG_LEN {
         return Err(PeerCodecError::TooShort(message.len()));
     }
--- a/serving/src/peer_exchange.rs
+++ b/serving/src/peer_exchange.rs
@@ -5,8 +5,11 @@
 //! time. Each tells the others how many it has at each, several times while an answer lasts.
 
 use crate::config_follow;
+use crate::instance_follow;
+use crate::instance_news::InstanceNews;
 use crate::peer_codec;
 use crate::peer_codec::PeerKey;
+use crate::peer_codec::PeerMessage;
 use crate::replica_health;
 use crate::serving_cx::ServingCx;
 use guavaladder_lib::generated::serving_peer::NodeBeat;
@@ -20,6 +23,7 @@
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use tokio::net::UdpSocket;
+use tokio::sync::mpsc;
 use tokio::time::Instant;
 use tokio::time::sleep;
 
@@ -58,9 +62,20 @@
         }
     }
 
-    /// Sends one message to each node.
+    /// Sends this node's state to each node.
     pub async fn send_to_all(&self) {
-        let message = match peer_codec::encode(&self.beat(), &self.key) {
+        self.send(PeerMessage::Beat(self.beat())).await;
+    }
+
+    /// Hands changes of the instance list on until the task is ended.
+    pub async fn news_loop(self, mut news: mpsc::Receiver<InstanceNews>) {
+        while let Some(news) = news.recv().await {
+            self.send(PeerMessage::News(news)).await;
+        }
+    }
+
+    async fn send(&self, message: PeerMessage) {
+        let message = match peer_codec::encode(&message, &self.key) {
             Ok(message) if message.len() <= peer_codec::MAX_MESSAGE_LEN => message,
             Ok(message) => return log::warn!("a message of {} bytes is not sent", message.len()),
             Err(e) => return log::warn!("a message is not sent: {e}"),
@@ -79,7 +94,11 @@
         loop {
             match self.socket.recv_from(&mut buf).await {
                 Ok((len, from)) => match peer_codec::decode(&buf[..len], &self.key) {
-                    Ok(beat) => self.take(from.ip(), beat),
+                    Ok(PeerMessage::Beat(beat)) => self.take(from.ip(), beat),
+                    Ok(PeerMessage::News(news)) => {
+                        let hold_until = instance_follow::hold_until(&self.cx);
+                        self.cx.fleet.take_news(news, hold_until, Instant::now());
+                    }
                     Err(e) => log::debug!("a message from {from} was refused: {e}"),
                 },
                 // An earlier datagram of ours met a closed port.
@@ -107,6 +126,7 @@
             data_centre: cx.settings.data_centre.clone(),
             config_version: cx.config.version().unwrap_or(0),
             lease_term: cx.lease.term().unwrap_or(0),
+            instances_revision: cx.fleet.watched_revision(),
             lease_revision,
             lease_age_ms: lease_age.as_millis() as u64,
             loads,
@@ -125,6 +145,9 @@
             beat.loads.iter().map(|load| (load.replica, load.running)).collect();
         cx.loads.set_remote(&beat.node, loads, now);
         cx.crashes.merge(&beat.crashes, now);
+        if beat.instances_revision > 0 {
+            cx.fleet.hear_watcher(beat.instances_revision, now);
+        }
         self.take_downs(&beat);
         if beat.config_version > cx.config.version().unwrap_or(0) {
             self.read_config_again();
--- a/serving/src/serving_node.rs
+++ b/serving/src/serving_node.rs
@@ -20,6 +20,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::UdpSocket;
+use tokio::sync::mpsc;
 use tokio::time::Instant;
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
@@ -29,6 +30,8 @@
 const STILL_TAKING: Duration = Duration::from_millis(3000);
 /// Part of the time to stop that is kept for the end of the process.
 const STOP_RESERVE: Duration = Duration::from_millis(400);
+/// Changes of the instance list that may wait to be handed on.
+const NEWS_QUEUE_LEN: usize = 16;
 /// Period in which a stopping node looks whether its requests have ended.
 const STOP_PERIOD: Duration = Duration::from_millis(50);
 /// Period in which the process looks whether it was paused.
@@ -86,7 +89,8 @@
             incarnation: cx.incarnation,
         });
         spawn_until(&stopping, config_follow::run(cx.clone()));
-        spawn_until(&stopping, instance_follow::run(cx.clone()));
+        let (news_tx, news) = mpsc::channel(NEWS_QUEUE_LEN);
+        spawn_until(&stopping, instance_follow::run(cx.clone(), news_tx));
         spawn_until(&stopping, instance_follow::expire(cx.clone()));
         spawn_until(&stopping, replica_health::run(cx.clone()));
         spawn_until(&stopping, node_registry::run(cx.clone()));
@@ -99,6 +103,7 @@
             let exchange = PeerExchange::new(peers_cx, key, peers);
             spawn_until(&peers_stopping, exchange.clone().receive_loop());
             spawn_until(&peers_stopping, exchange.clone().send_loop());
+            spawn_until(&peers_stopping, exchange.clone().news_loop(news));
             exchange_tx.send_replace(Some(exchange));
         });
         Ok(Self { cx, exchange, closing_callers, stopping })
--- a/serving/tests/fleet.rs
+++ b/serving/tests/fleet.rs
@@ -11,7 +11,6 @@
 use guavaladder_serving::serving_settings;
 use serde_json::json;
 use std::net::SocketAddr;
-use std::net::TcpListener;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU8;
 use std::sync::atomic::Ordering;
@@ -21,7 +20,9 @@
 
 /// Longest wait for something that a test expects to happen.
 const PATIENCE: Duration = Duration::from_secs(20);
-/// Last part of the next node's loopback address: nodes use the same port for their messages.
+/// Port for the messages between nodes.
+const PEER_PORT: u16 = 7004;
+/// Last part of the next node's loopback address.
 static NEXT_HOST: AtomicU8 = AtomicU8::new(10);
 
 /// A fleet with its platform.
@@ -29,7 +30,6 @@
     pub store: FakeStore,
     pub world: World,
     pub nodes: Vec<ServingNode>,
-    peer_port: u16,
 }
 
 impl Fleet {
@@ -50,17 +50,19 @@
         for id in ["p-00", "p-01"] {
             spawn_instance(&world, spec(id, "orders", None)).await;
         }
-        Self { store, world, nodes: vec![], peer_port: free_port([127, 0, 0, 1]) }
+        Self { store, world, nodes: vec![] }
     }
 
     /// Starts one more node.
     pub async fn add_node(&mut self) {
-        let host = [127, 0, 0, NEXT_HOST.fetch_add(1, Ordering::Relaxed)];
-        let listen = || SocketAddr::from((host, free_port(host))).to_string();
+        let host = next_host();
+        let listen = |port: u16| SocketAddr::from((host, port)).to_string();
         let settings = json!({
             "node": format!("n{}", self.nodes.len()), "data_centre": "east",
-            "peer_port": self.peer_port, "store": self.store.address.to_string(),
-            "listen": {"callers": listen(), "readiness": listen(), "directory": listen()},
+            "peer_port": PEER_PORT, "store": self.store.address.to_string(),
+            "listen": {
+                "callers": listen(7001), "readiness": listen(7002), "directory": listen(7003),
+            },
             "bounds": {"shutdown_s": 2, "retry_slack": 100},
         });
         let settings = serving_settings::parse(&settings.to_string()).expect("valid settings");
@@ -80,9 +82,11 @@
     }
 }
 
-fn free_port(host: [u8; 4]) -> u16 {
-    let listener = TcpListener::bind(SocketAddr::from((host, 0))).expect("a free port");
-    listener.local_addr().expect("its address").port()
+/// Returns a loopback address of its own for a node, so that its ports are free: those of outgoing
+/// connections belong to other addresses.
+fn next_host() -> [u8; 4] {
+    let [_, _, high, low] = std::process::id().to_be_bytes();
+    [127, 1 + high % 250, low, NEXT_HOST.fetch_add(1, Ordering::Relaxed)]
 }
 
 pub fn spec(id: &str, service: &str, domain: Option<&str>) -> InstanceSpec {
--- a/serving/tests/runner.rs
+++ b/serving/tests/runner.rs
@@ -5,6 +5,7 @@
 mod test_directory;
 mod test_fleet_view;
 mod test_group_plan;
+mod test_instance_news;
 mod test_lease_state;
 mod test_load_table;
 mod test_node_table;
--- a/serving/tests/test_node_table.rs
+++ b/serving/tests/test_node_table.rs
@@ -22,6 +22,7 @@
         lease_term: 0,
         lease_revision: 0,
         lease_age_ms: 0,
+        instances_revision: 0,
         loads: vec![],
         downs: vec![],
         crashes: vec![],
--- a/serving/tests/test_peer_codec.rs
+++ b/serving/tests/test_peer_codec.rs
@@ -2,6 +2,7 @@
 
 use crate::test_node_table::beat;
 use guavaladder_serving::peer_codec::PeerCodecError;
+use guavaladder_serving::peer_codec::PeerMessage;
 use guavaladder_serving::peer_codec::decode;
 use guavaladder_serving::peer_codec::encode;
 use proptest::prelude::*;
@@ -10,13 +11,13 @@
 
 #[test]
 fn message_is_decoded_as_encoded() {
-    let message = encode(&beat("n2", 1, 2), &KEY).unwrap();
-    assert_eq!(decode(&message, &KEY).unwrap(), beat("n2", 1, 2));
+    let message = encode(&PeerMessage::Beat(beat("n2", 1, 2)), &KEY).unwrap();
+    assert_eq!(decode(&message, &KEY).unwrap(), PeerMessage::Beat(beat("n2", 1, 2)));
 }
 
 #[test]
 fn message_of_another_key_is_refused() {
-    let message = encode(&beat("n2", 1, 2), &[8; 32]).unwrap();
+    let message = encode(&PeerMessage::Beat(beat("n2", 1, 2)), &[8; 32]).unwrap();
     assert_eq!(decode(&message, &KEY), Err(PeerCodecError::WrongTag));
     assert_eq!(decode(&message[..5], &KEY), Err(PeerCodecError::TooShort(5)));
 }
@@ -24,7 +25,7 @@
 proptest! {
     #[test]
     fn changed_message_is_refused(at in 0usize..60, bit in 0u8..8) {
-        let mut message = encode(&beat("n2", 1, 2), &KEY).unwrap();
+        let mut message = encode(&PeerMessage::Beat(beat("n2", 1, 2)), &KEY).unwrap();
         let at = at % message.len();
         message[at] ^= 1 << bit;
         prop_assert_eq!(decode(&message, &KEY), Err(PeerCodecError::WrongTag));
