--- a/serving/tests/runner.rs
+++ b/serving/tests/runner.rs
@@ -9,6 +9,7 @@
 mod test_lease_state;
 mod test_load_table;
 mod test_node_table;
+mod test_pages;
 mod test_peer_codec;
 mod test_placement;
 mod test_replica_set;
