node_registry: list the registered nodes once a minute

Change: a list a minute; the configuration's watch waits 15 s, its connection is probed by the kernel. The daemon's help starts again as its test expects.

--- a/daemon/src/args.rs
+++ b/daemon/src/args.rs
@@ -62,7 +62,7 @@
 
 /// Returns the help text.
 pub fn help() -> String {
-    let brief = "Usage: guavaladderd [--serve] --config FILE [--check]\n\nServes models whose replicas span \
+    let brief = "Usage: guavaladderd --config FILE [--check] [--serve]\n\nServes models whose replicas span \
                  several instances; see docs/operators/install.md.";
     let usage = options().usage(brief);
     format!(
--- a/serving/src/config_follow.rs
+++ b/serving/src/config_follow.rs
@@ -12,7 +12,7 @@
 /// Name of the object that holds the newest configuration.
 const NAME: &str = "main";
 /// Longest wait of one watch. The kernel's own probes notice a connection that went silent.
-const WATCH_WAIT: Duration = Duration::from_secs(8);
+const WATCH_WAIT: Duration = Duration::from_secs(15);
 /// Pause before the configuration is asked for again while there is none.
 const ABSENT_PAUSE: Duration = Duration::from_millis(300);
 
--- a/serving/src/node_registry.rs
+++ b/serving/src/node_registry.rs
@@ -21,7 +21,7 @@
 /// Bytes of the key.
 const KEY_LEN: usize = 32;
 /// Period in which the registered nodes are read while this node hears others.
-const REVIEW_PERIOD: Duration = Duration::from_secs(10);
+const REVIEW_PERIOD: Duration = Duration::from_secs(60);
 /// The same while it hears nobody.
 const LONELY_PERIOD: Duration = Duration::from_millis(1500);
 /// Silence after which a registered node counts as gone for good.
