next_replica: one place for what comes next, and come back after a third of the time left

Change: refusals name about 0.28 of the time left, spread by a quarter. A setting that nothing read is gone.

--- a/serving/src/placement.rs
+++ b/serving/src/placement.rs
@@ -36,13 +36,13 @@
 const SLOW: f64 = 3.0;
 /// Failure rate from which on a replica is used only when no other has room.
 const FAILING: f64 = 0.5;
-/// Time after which a caller comes back when there is no replica: about the time of a repair.
-const REPAIR_RETRY_AFTER: Duration = Duration::from_millis(1900);
-/// Time after which a caller comes back when all replicas are full: some requests end by then.
-const BUSY_RETRY_AFTER: Duration = Duration::from_millis(1500);
+/// Part of the time that is left after which a refused caller comes back. Callers honour up to a third,
+/// and an answer that begins after a refusal is late in any case; the later they come, the more likely a
+/// group was repaired or a burst has passed.
+const RETRY_PART: f64 = 0.32;
 /// Part of the time after which a caller comes back that is drawn at random, so that callers who
 /// were refused together do not return together.
-const RETRY_SPREAD: f64 = 0.4;
+const RETRY_SPREAD: f64 = 0.25;
 
 /// A replica with its state.
 #[derive(Debug, Clone)]
@@ -94,15 +94,11 @@
             Self::AllBusy => "all_busy",
         }
     }
+}
 
-    /// Returns when a refused caller should come back.
-    pub fn retry_after(self) -> Duration {
-        let base = match self {
-            Self::NoReplica => REPAIR_RETRY_AFTER,
-            Self::AllBusy => BUSY_RETRY_AFTER,
-        };
-        base.mul_f64(1.0 - RETRY_SPREAD / 2.0 + rand::random_range(0.0..RETRY_SPREAD))
-    }
+/// Returns when a refused caller should come back that has so much time left.
+pub fn retry_after(time_left: Duration) -> Duration {
+    time_left.mul_f64(RETRY_PART * (1.0 - rand::random_range(0.0..RETRY_SPREAD)))
 }
 
 /// Places and requests of the candidates together, for the log of a refusal.
--- a/serving/src/plain_forward.rs
+++ b/serving/src/plain_forward.rs
@@ -5,20 +5,17 @@
 use crate::attempt::Answered;
 use crate::attempt::AttemptError;
 use crate::attempt::Attempts;
-use crate::candidates;
 use crate::fleet_config::RouteKind;
-use crate::placement::Occupancy;
-use crate::refusal;
+use crate::next_replica::NextStep;
+use crate::next_replica::next_replica;
 use crate::replica_set::Replica;
 use crate::request_task::RequestTask;
 use crate::request_task::RequestTrace;
 use crate::serving_cx::ServingCx;
 use bytes::Bytes;
 use http::Response;
-use http::StatusCode;
 use http_body_util::BodyExt;
 use http_body_util::Limited;
-use std::time::Duration;
 use tokio::time::Instant;
 use tokio::time::timeout_at;
 
@@ -26,33 +23,15 @@
 const MAX_ANSWER_BYTES: usize = 8 << 20;
 /// Part of the objective after which an idempotent request is tried elsewhere.
 const SILENT_PART: f64 = 0.7;
-/// Time after which a caller comes back when its request did not run for another reason.
-const RETRY_AFTER: Duration = Duration::from_millis(200);
-
 /// Forwards a request and returns its answer.
 pub async fn forward(cx: &ServingCx, task: &RequestTask) -> Response<AnswerBody> {
     let mut trace = RequestTrace::new(cx, task);
     let mut attempts = Attempts::new();
     loop {
-        if attempts.last_error.is_some() && !attempts.may_send(cx, task) {
-            return give_up(&mut trace, &attempts);
-        }
-        let replica = match candidates::choose(
-            cx,
-            task,
-            &attempts.tried,
-            task.prospect(attempts.tried.len()),
-        ) {
-            Ok(replica) => replica,
-            Err(_) if attempts.runs > 0 => return give_up(&mut trace, &attempts),
-            Err((shortage, occupancy)) => {
-                let retry_after = shortage.retry_after();
-                trace.turned_away(503, shortage.name(), retry_after, occupancy);
-                return refusal::not_run(shortage.name(), retry_after);
-            }
+        let replica = match next_replica(cx, task, &mut trace, &mut attempts) {
+            NextStep::Send(replica) => replica,
+            NextStep::Answer(answer) => return answer,
         };
-        trace.attempt(&replica);
-        attempts.tried.push(replica.key.clone());
         match attempt_once(cx, task, &replica, &attempts).await {
             Ok(answer) => {
                 trace.begin();
@@ -128,19 +107,3 @@
     *answer.headers_mut() = cx.dialect.caller_headers(&parts.headers);
     Ok(answer)
 }
-
-/// Returns the final answer to a request whose attempts failed.
-fn give_up(trace: &mut RequestTrace, attempts: &Attempts) -> Response<AnswerBody> {
-    let error = attempts.last_error.as_ref();
-    let reason = error.map_or_else(String::new, ToString::to_string);
-    if attempts.runs == 0 {
-        trace.turned_away(503, &reason, RETRY_AFTER, Occupancy::default());
-        return refusal::not_run("no replica took the request", RETRY_AFTER);
-    }
-    let status = match error {
-        Some(AttemptError::Silent(_)) => StatusCode::GATEWAY_TIMEOUT,
-        _ => StatusCode::BAD_GATEWAY,
-    };
-    trace.lost(status.as_u16(), &reason);
-    refusal::plain(status, "the request was sent and has no usable answer")
-}
--- a/serving/src/serving_settings.rs
+++ b/serving/src/serving_settings.rs
@@ -39,8 +39,6 @@
     pub retry_window: Duration,
     /// Repeated sends besides, over all nodes.
     pub retry_slack: f64,
-    /// Time after which a group that lost a member counts itself as broken.
-    pub stall: Duration,
     /// Longest time for which callers keep an answer of the directory.
     pub max_answer_keep: Duration,
     /// Descriptors that the process may use.
@@ -92,7 +90,6 @@
         retry_ratio: bounds.retry_ratio,
         retry_window: Duration::from_secs_f64(bounds.retry_window_s),
         retry_slack: bounds.retry_slack,
-        stall: bounds.stall,
         max_answer_keep: Duration::from_secs_f64(bounds.max_answer_keep_s),
         max_descriptors: settings.max_descriptors as usize,
     })
--- a/serving/src/stream_forward.rs
+++ b/serving/src/stream_forward.rs
@@ -12,9 +12,9 @@
 use crate::candidates;
 use crate::fleet_config::RouteKind;
 use crate::load_table::Place;
-use crate::placement::Occupancy;
+use crate::next_replica::NextStep;
+use crate::next_replica::next_replica;
 use crate::placement::Prospect;
-use crate::refusal;
 use crate::replica_health;
 use crate::replica_health::SuspicionCause;
 use crate::replica_set::Replica;
@@ -43,9 +43,6 @@
 /// Longest time without any event on one stream before it goes on elsewhere, although its replica
 /// answers: the connection may be lost without a word. Callers leave after two seconds.
 const MAX_SILENCE: Duration = Duration::from_millis(1300);
-/// Time after which a caller comes back when its request did not run for another reason.
-const RETRY_AFTER: Duration = Duration::from_millis(300);
-
 /// A stream that a replica sends.
 struct Source {
     replica: Arc<Replica>,
@@ -67,25 +64,10 @@
     let mut trace = RequestTrace::new(cx, &task);
     let mut attempts = Attempts::new();
     loop {
-        if attempts.last_error.is_some() && !attempts.may_send(cx, &task) {
-            return give_up(&mut trace, &attempts);
-        }
-        let replica = match candidates::choose(
-            cx,
-            &task,
-            &attempts.tried,
-            task.prospect(attempts.tried.len()),
-        ) {
-            Ok(replica) => replica,
-            Err(_) if attempts.runs > 0 => return give_up(&mut trace, &attempts),
-            Err((shortage, occupancy)) => {
-                let retry_after = shortage.retry_after();
-                trace.turned_away(503, shortage.name(), retry_after, occupancy);
-                return refusal::not_run(shortage.name(), retry_after);
-            }
+        let replica = match next_replica(cx, &task, &mut trace, &mut attempts) {
+            NextStep::Send(replica) => replica,
+            NextStep::Answer(answer) => return answer,
         };
-        trace.attempt(&replica);
-        attempts.tried.push(replica.key.clone());
         let last_event_id = task.head.last_event_id;
         match begin(cx, &task, &replica, last_event_id).await {
             Ok((source, first)) => return pass_on(cx, task, trace, attempts, source, first),
@@ -398,19 +380,3 @@
         }
     }
 }
-
-/// Returns the final answer to a request whose attempts failed before the first event.
-fn give_up(trace: &mut RequestTrace, attempts: &Attempts) -> Response<AnswerBody> {
-    let error = attempts.last_error.as_ref();
-    let reason = error.map_or_else(String::new, ToString::to_string);
-    if attempts.runs == 0 {
-        trace.turned_away(503, &reason, RETRY_AFTER, Occupancy::default());
-        return refusal::not_run("no replica took the request", RETRY_AFTER);
-    }
-    let status = match error {
-        Some(AttemptError::Silent(_) | AttemptError::Down) => StatusCode::GATEWAY_TIMEOUT,
-        _ => StatusCode::BAD_GATEWAY,
-    };
-    trace.lost(status.as_u16(), &reason);
-    refusal::plain(status, "the request was sent and has no usable answer")
-}
--- a/serving/tests/test_placement.rs
+++ b/serving/tests/test_placement.rs
@@ -8,6 +8,7 @@
 use guavaladder_serving::placement::Shortage;
 use guavaladder_serving::placement::choose;
 use guavaladder_serving::placement::occupancy;
+use guavaladder_serving::placement::retry_after;
 use guavaladder_serving::replica_set::Replica;
 use std::sync::Arc;
 use std::time::Duration;
@@ -102,11 +103,13 @@
 
 #[test]
 fn refused_callers_do_not_return_together() {
-    let times: Vec<Duration> = (0..50).map(|_| Shortage::AllBusy.retry_after()).collect();
+    let left = Duration::from_secs(6);
+    let times: Vec<Duration> = (0..50).map(|_| retry_after(left)).collect();
     let least = times.iter().min().unwrap();
     let most = times.iter().max().unwrap();
     assert!(*most > *least + Duration::from_millis(50), "{least:?} to {most:?}");
-    assert!(*least > Duration::ZERO);
+    // Within the third that callers honour, and late enough for a repair.
+    assert!(*most <= left / 3 && *least >= left / 5, "{least:?} to {most:?}");
 }
 
 /// Replays a load beyond what the groups run at once, for long enough that a queue would be full all the
--- a/serving/tests/test_serving_settings.rs
+++ b/serving/tests/test_serving_settings.rs
@@ -12,7 +12,7 @@
         "listen": {
             "callers": "10.0.0.1:1", "readiness": "10.0.0.1:2", "directory": "10.0.0.1:3"
         },
-        "bounds": {"shutdown_s": 8, "retry_slack": 132, "stall_ms": 4000},
+        "bounds": {"shutdown_s": 8, "retry_slack": 132},
         "something_new": {"a": [1]}
     })
 }
