front: refuse a body that is announced as too large before it comes

Cause: a request with a Content-Length beyond the limit was held until its time was over, since only bytes that had come were counted. Test: body_beyond_the_limit_is_refused (failed before), and malformed, truncated, pipelined and half-closed input on both HTTP sides.

--- a/serving/src/front.rs
+++ b/serving/src/front.rs
@@ -24,6 +24,7 @@
 use http_body_util::BodyExt;
 use http_body_util::LengthLimitError;
 use http_body_util::Limited;
+use hyper::body::Body;
 use hyper::body::Incoming;
 use std::sync::Arc;
 use std::time::Duration;
@@ -125,6 +126,10 @@
         cx.metrics.request(route, "bad_body");
         refusal::plain(status, text)
     };
+    // A body that is announced as too large is refused before it comes.
+    if body.size_hint().lower() > max_bytes as u64 {
+        return Err(refuse(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large"));
+    }
     match timeout_at(ends, Limited::new(body, max_bytes).collect()).await {
         Ok(Ok(body)) => Ok(body.to_bytes()),
         Ok(Err(e)) if e.is::<LengthLimitError>() => {
--- a/serving/tests/runner.rs
+++ b/serving/tests/runner.rs
@@ -12,6 +12,7 @@
 mod test_pages;
 mod test_peer_codec;
 mod test_placement;
+mod test_raw_http;
 mod test_replica_set;
 mod test_retry_budget;
 mod test_route_match;
