--- a/serving/src/connection.rs
+++ b/serving/src/connection.rs
@@ -1,5 +1,6 @@
 //! Client connections over HTTP/1.1, each driven by a task of its own.
 
+use crate::network::Network;
 use bytes::Bytes;
 use http::Request;
 use http::Response;
@@ -14,6 +15,8 @@
 use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
+use tokio::io::AsyncRead;
+use tokio::io::AsyncWrite;
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
@@ -78,7 +81,21 @@
 
 impl Connection {
     /// Opens a connection.
-    pub async fn open(address: SocketAddr, bound: Duration) -> Result<Self, ConnectError> {
+    pub async fn open(
+        network: &Network,
+        address: SocketAddr,
+        bound: Duration,
+    ) -> Result<Self, ConnectError> {
+        match network {
+            Network::Tcp => Self::open_tcp(address, bound).await,
+            Network::Pipes(pipes) => {
+                let stream = pipes.connect(address).ok_or(ConnectError::Refused)?;
+                Self::handshake(address, stream).await
+            }
+        }
+    }
+
+    async fn open_tcp(address: SocketAddr, bound: Duration) -> Result<Self, ConnectError> {
         let stream = match timeout(bound, TcpStream::connect(address)).await {
             Ok(Ok(stream)) => stream,
             Ok(Err(e)) if e.kind() == io::ErrorKind::ConnectionRefused => {
@@ -90,6 +107,13 @@
         if let Err(e) = set_options(&stream) {
             log::debug!("socket options of a connection to {address} were not set: {e}");
         }
+        Self::handshake(address, stream).await
+    }
+
+    async fn handshake<S>(address: SocketAddr, stream: S) -> Result<Self, ConnectError>
+    where
+        S: AsyncRead + AsyncWrite + Send + Unpin + 'static,
+    {
         let mut builder = http1::Builder::new();
         builder.max_buf_size(MAX_HEAD_BYTES);
         let failed = |e: hyper::Error| ConnectError::Failed(e.to_string());
@@ -130,13 +154,14 @@
 
 /// Makes one call on a new connection and reads its whole answer.
 pub async fn call_once(
+    network: &Network,
     address: SocketAddr,
     req: Request<Full<Bytes>>,
     connect_bound: Duration,
     bound: Duration,
     max_bytes: usize,
 ) -> Result<Response<Bytes>, CallError> {
-    let mut connection = Connection::open(address, connect_bound).await?;
+    let mut connection = Connection::open(network, address, connect_bound).await?;
     call(&mut connection, req, bound, max_bytes).await
 }
 
--- a/serving/src/group_control.rs
+++ b/serving/src/group_control.rs
@@ -132,6 +132,8 @@
             self.own_words.clear();
             self.accepted.clear();
             self.dissolved.clear();
+            self.staging.clear();
+            self.assembling.clear();
             self.loads_under_way = 0;
         }
     }
@@ -221,7 +223,6 @@
         PlanInstance {
             id: instance.id.clone(),
             domain: instance.engine.domain.clone().unwrap_or_default(),
-            is_usable: !instance.is_draining && !is_suspect,
             is_suspect,
             is_draining: instance.is_draining,
             is_reserved: self.reserved.contains(&instance.id),
@@ -257,12 +258,7 @@
     }
 
     fn start(&mut self, engine: &Engine, step: PlanStep, instances: &[Instance]) {
-        let ids = match &step {
-            PlanStep::Dissolve { members, .. }
-            | PlanStep::Open { members, .. }
-            | PlanStep::Assemble { members, .. } => members.clone(),
-            PlanStep::Stage { instance, .. } => vec![instance.clone()],
-        };
+        let ids = step.instances().to_vec();
         if let PlanStep::Assemble { model, domain, members, loads, .. } = &step {
             self.loads_under_way += loads;
             let place = (domain.clone(), model.clone());
--- a/serving/src/group_plan.rs
+++ b/serving/src/group_plan.rs
@@ -31,8 +31,6 @@
     pub id: InstanceId,
     /// Fabric domain.
     pub domain: String,
-    /// Whether it may be a member of a new group: it is registered, answers and stays.
-    pub is_usable: bool,
     /// Whether it did not answer lately.
     pub is_suspect: bool,
     /// Whether it has announced that it leaves.
@@ -49,6 +47,13 @@
     pub membership: Option<(GroupName, GroupEpoch, usize, MembershipState)>,
 }
 
+impl PlanInstance {
+    /// Tells whether it may be a member of a new group: it answers and stays.
+    pub fn is_usable(&self) -> bool {
+        !self.is_draining && !self.is_suspect
+    }
+}
+
 /// Input of the planner.
 #[derive(Debug, Clone)]
 pub struct PlanInput<'a> {
@@ -121,6 +126,18 @@
     },
 }
 
+impl PlanStep {
+    /// Returns the instances that the step involves, the head of a new group first.
+    pub fn instances(&self) -> &[InstanceId] {
+        match self {
+            Self::Dissolve { members, .. }
+            | Self::Open { members, .. }
+            | Self::Assemble { members, .. } => members,
+            Self::Stage { instance, .. } => std::slice::from_ref(instance),
+        }
+    }
+}
+
 /// A group as its members tell.
 #[derive(Debug)]
 struct Group<'a> {
@@ -203,7 +220,7 @@
 
 impl<'a> Draft<'a> {
     fn new(input: &'a PlanInput<'a>) -> Self {
-        let is_taken = |instance: &&PlanInstance| !instance.is_usable || instance.is_reserved;
+        let is_taken = |instance: &&PlanInstance| !instance.is_usable() || instance.is_reserved;
         let taken = input.instances.iter().filter(is_taken).map(|i| i.id.clone()).collect();
         let mut draft = Self {
             input,
@@ -264,7 +281,7 @@
             }
             Some(MembershipState::Ready) if !is_reserved && size > 1 && is_complete => {
                 let is_ready = |member: &PlanInstance, state: MembershipState| {
-                    member.is_usable && state == MembershipState::Ready
+                    member.is_usable() && state == MembershipState::Ready
                 };
                 if group.all(is_ready) {
                     self.taken.extend(group.ids());
--- a/serving/src/group_steps.rs
+++ b/serving/src/group_steps.rs
@@ -14,6 +14,7 @@
 use crate::instance::OrderKind;
 use crate::order_client;
 use crate::order_client::AcceptedOrders;
+use crate::order_client::Given;
 use crate::order_client::OrderError;
 use crate::order_client::OrderTarget;
 use crate::order_client::REPORT_LAG;
@@ -108,12 +109,7 @@
     accepted: HashMap<InstanceId, AcceptedOrders>,
 ) -> StepOutcome {
     let mut run = StepRun { cx, engine, accepted, outcome: StepOutcome::default() };
-    run.outcome.reserved = match &step {
-        PlanStep::Dissolve { members, .. }
-        | PlanStep::Open { members, .. }
-        | PlanStep::Assemble { members, .. } => members.clone(),
-        PlanStep::Stage { instance, .. } => vec![instance.clone()],
-    };
+    run.outcome.reserved = step.instances().to_vec();
     let targets: Vec<OrderTarget> = instances.iter().map(|i| run.target(i)).collect();
     match step {
         PlanStep::Dissolve { group, epoch, head, is_graceful, reason, .. } => {
@@ -208,7 +204,7 @@
                 let leave = OrderKind::Leave { group: group.clone(), epoch };
                 let has_left =
                     |report: &InstanceReport| !order_client::is_in(report, &group, epoch);
-                let given = order_client::give(&cx, &mut target, &leave, has_left).await;
+                let given = order_client::give(&cx, &mut target, &leave, None, has_left).await;
                 (index, target, given)
             });
         }
@@ -218,11 +214,16 @@
             let member = members[index];
             match given {
                 // Reports lag, so what a member says right after it left may be older than that.
-                Ok(()) => {
+                Ok(Given::Accepted) => {
                     let status = EngineStatus { membership: None, ..member.engine.clone() };
                     self.outcome.own_words.push((member.id.clone(), status));
                     left += 1;
                 }
+                // It was gone from the group before, and may be in another one.
+                Ok(Given::Reported(report)) => {
+                    self.hear(&member.id, &report);
+                    left += 1;
+                }
                 Err(_) => self.outcome.silent.push(member.id.clone()),
             }
         }
@@ -237,7 +238,7 @@
             order_client::is_in(report, group, epoch)
                 && state(report) == Some(MembershipState::Open)
         };
-        if let Err(e) = order_client::give(self.cx, head, &close, |r| !is_open(r)).await {
+        if let Err(e) = order_client::give(self.cx, head, &close, None, |r| !is_open(r)).await {
             return log::info!("group {group} was not closed: {e}");
         }
         let started = Instant::now();
@@ -313,7 +314,7 @@
         while let Some(Ok((mut target, given))) = joins.join_next().await {
             self.remember(&target);
             match given {
-                Ok(()) => joined.push(target),
+                Ok(_) => joined.push(target),
                 Err(error) => {
                     if matches!(error, OrderError::Elsewhere(_))
                         && let Ok(report) = order_client::report(self.cx, &mut target).await
@@ -397,7 +398,7 @@
             order_client::is_in(report, group, epoch)
                 && state(report) == Some(MembershipState::Open)
         };
-        let opened = order_client::give(self.cx, &mut head, &order, is_open).await;
+        let opened = order_client::give(self.cx, &mut head, &order, None, is_open).await;
         self.remember(&head);
         opened.map_err(|error| StepError::Order { member: head.id.clone(), error })?;
         let started = Instant::now();
@@ -422,7 +423,9 @@
         let is_busy = order_client::report(self.cx, &mut target).await.is_ok_and(|r| r.is_busy);
         let given = match is_busy {
             true => Ok(()),
-            false => order_client::give(self.cx, &mut target, &order, is_staged).await,
+            false => {
+                order_client::give(self.cx, &mut target, &order, None, is_staged).await.map(|_| ())
+            }
         };
         self.remember(&target);
         let outcome = match &given {
@@ -464,24 +467,19 @@
     group: &str,
     epoch: GroupEpoch,
     believed: Option<Membership>,
-) -> Result<(), OrderError> {
+) -> Result<Given, OrderError> {
     if target.accepted.is_none() {
-        let place = order_client::report(cx, target).await?.engine.membership;
-        let key = |place: &Membership| (place.group.clone(), place.epoch);
-        let is_believed = place.as_ref().map(key) == believed.as_ref().map(key);
-        if let Some(place) = place {
-            if !is_believed {
-                let found = format!("it is in group {} of epoch {}", place.group, place.epoch);
-                return Err(OrderError::Elsewhere(found));
-            }
+        let report = order_client::report(cx, target).await?;
+        order_client::check_place(&report, believed.as_ref())?;
+        if let Some(place) = report.engine.membership {
             let leave = OrderKind::Leave { group: place.group.clone(), epoch: place.epoch };
             let has_left =
                 |report: &InstanceReport| !order_client::is_in(report, &place.group, place.epoch);
-            order_client::give(cx, target, &leave, has_left).await?;
+            order_client::give(cx, target, &leave, None, has_left).await?;
         }
     }
     let holds = |report: &InstanceReport| order_client::is_in(report, group, epoch);
-    order_client::give(cx, target, join, holds).await
+    order_client::give(cx, target, join, believed.as_ref(), holds).await
 }
 
 fn state(report: &InstanceReport) -> Option<MembershipState> {
--- a/serving/src/order_client.rs
+++ b/serving/src/order_client.rs
@@ -5,6 +5,7 @@
 use crate::instance::GroupEpoch;
 use crate::instance::InstanceId;
 use crate::instance::InstanceReport;
+use crate::instance::Membership;
 use crate::instance::Order;
 use crate::instance::OrderAnswer;
 use crate::instance::OrderKind;
@@ -77,18 +78,32 @@
     pub accepted: Option<AcceptedOrders>,
 }
 
+/// How it came that an order holds.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Given {
+    /// The instance accepted it from this node.
+    Accepted,
+    /// The instance's own report shows that it holds.
+    Reported(Box<InstanceReport>),
+}
+
 /// Gives an order until it holds, or fails. Orders without an answer are looked after by the
-/// instance's own report before they are given again.
+/// instance's own report before they are given again; a join is given again only to an instance that
+/// still is where it was believed to be.
 pub async fn give(
     cx: &ServingCx,
     target: &mut OrderTarget,
     kind: &OrderKind,
+    believed: Option<&Membership>,
     holds: impl Fn(&InstanceReport) -> bool,
-) -> Result<(), OrderError> {
+) -> Result<Given, OrderError> {
     let mut last = OrderError::Refused("not tried".to_string());
     // The sequence is asked for only where no order or report of this node has told it.
-    if target.accepted.is_none() && holds(&report(cx, target).await?) {
-        return Ok(());
+    if target.accepted.is_none() {
+        let report = report(cx, target).await?;
+        if holds(&report) {
+            return Ok(Given::Reported(Box::new(report)));
+        }
     }
     for _ in 0..MAX_ATTEMPTS {
         match give_once(cx, target, kind).await {
@@ -96,13 +111,13 @@
                 if let Some(accepted) = &mut target.accepted {
                     accepted.sequence += 1;
                 }
-                return Ok(());
+                return Ok(Given::Accepted);
             }
             Ok(OrderAnswer::Done) => {
                 if let (OrderKind::Leave { .. }, Some(accepted)) = (kind, &mut target.accepted) {
                     accepted.sequence += 1;
                 }
-                return Ok(());
+                return Ok(Given::Accepted);
             }
             Ok(OrderAnswer::Conflict) => {
                 last = OrderError::Refused("it does not fit its state".to_string());
@@ -125,12 +140,28 @@
         }
         let report = report(cx, target).await?;
         if holds(&report) {
-            return Ok(());
+            return Ok(Given::Reported(Box::new(report)));
+        }
+        if matches!(kind, OrderKind::Join { .. }) {
+            check_place(&report, believed)?;
         }
     }
     Err(last)
 }
 
+/// Checks that an instance is in no group, or in the one that it is believed to be in.
+pub fn check_place(
+    report: &InstanceReport,
+    believed: Option<&Membership>,
+) -> Result<(), OrderError> {
+    let Some(place) = &report.engine.membership else { return Ok(()) };
+    if believed.is_some_and(|b| b.group == place.group && b.epoch == place.epoch) {
+        return Ok(());
+    }
+    let found = format!("it is in group {} of epoch {}", place.group, place.epoch);
+    Err(OrderError::Elsewhere(found))
+}
+
 /// Asks an instance for its state and takes its sequence in.
 pub async fn report(
     cx: &ServingCx,
@@ -174,6 +205,7 @@
     let mut req = req.map_err(|e| OrderError::Refused(e.to_string()))?;
     *req.headers_mut() = cx.dialect.instance_headers(&target.id);
     let answer = connection::call_once(
+        &cx.network,
         target.address,
         req,
         CONNECT_TIMEOUT,
--- a/serving/src/peer_exchange.rs
+++ b/serving/src/peer_exchange.rs
@@ -31,8 +31,15 @@
 #[derive(Debug, Clone)]
 pub struct PeerExchange {
     cx: ServingCx,
+    state: PeerState,
     key: PeerKey,
     socket: Arc<UdpSocket>,
+}
+
+/// What a node tells the others of itself, and what it does with what it hears.
+#[derive(Debug, Clone)]
+pub struct PeerState {
+    cx: ServingCx,
     sequence: Arc<AtomicU64>,
     is_reading_config: Arc<AtomicBool>,
 }
@@ -40,13 +47,7 @@
 impl PeerExchange {
     /// Returns the exchange on a socket.
     pub fn new(cx: ServingCx, key: PeerKey, socket: UdpSocket) -> Self {
-        Self {
-            cx,
-            key,
-            socket: Arc::new(socket),
-            sequence: Arc::default(),
-            is_reading_config: Arc::default(),
-        }
+        Self { state: PeerState::new(cx.clone()), cx, key, socket: Arc::new(socket) }
     }
 
     /// Sends messages until the task is ended.
@@ -64,7 +65,7 @@
 
     /// Sends this node's state to each node.
     pub async fn send_to_all(&self) {
-        self.send(PeerMessage::Beat(self.beat())).await;
+        self.send(PeerMessage::Beat(self.state.beat())).await;
     }
 
     /// Hands changes of the instance list on until the task is ended.
@@ -94,7 +95,7 @@
         loop {
             match self.socket.recv_from(&mut buf).await {
                 Ok((len, from)) => match peer_codec::decode(&buf[..len], &self.key) {
-                    Ok(PeerMessage::Beat(beat)) => self.take(from.ip(), beat),
+                    Ok(PeerMessage::Beat(beat)) => self.state.take(from.ip(), beat),
                     Ok(PeerMessage::News(news)) => {
                         let hold_until = instance_follow::hold_until(&self.cx);
                         self.cx.fleet.take_news(news, hold_until, Instant::now());
@@ -110,8 +111,16 @@
             }
         }
     }
+}
+
+impl PeerState {
+    /// Returns the state of a node that has told nothing yet.
+    pub fn new(cx: ServingCx) -> Self {
+        Self { cx, sequence: Arc::default(), is_reading_config: Arc::default() }
+    }
 
-    fn beat(&self) -> NodeBeat {
+    /// Returns the next message to all others.
+    pub fn beat(&self) -> NodeBeat {
         let now = Instant::now();
         let cx = &self.cx;
         let uses = cx.loads.own_loads().into_iter();
@@ -135,7 +144,8 @@
         }
     }
 
-    fn take(&self, from: IpAddr, beat: NodeBeat) {
+    /// Takes in the message of another node.
+    pub fn take(&self, from: IpAddr, beat: NodeBeat) {
         let now = Instant::now();
         let cx = &self.cx;
         if !cx.nodes.heard(from, beat.clone(), now) {
@@ -169,11 +179,11 @@
         if self.is_reading_config.swap(true, Ordering::Relaxed) {
             return;
         }
-        let exchange = self.clone();
+        let state = self.clone();
         tokio::spawn(async move {
-            config_follow::read_again(&exchange.cx).await;
-            sleep(exchange.cx.beat_period()).await;
-            exchange.is_reading_config.store(false, Ordering::Relaxed);
+            config_follow::read_again(&state.cx).await;
+            sleep(state.cx.beat_period()).await;
+            state.is_reading_config.store(false, Ordering::Relaxed);
         });
     }
 }
--- a/serving/src/replica_health.rs
+++ b/serving/src/replica_health.rs
@@ -100,7 +100,8 @@
     let req = Request::get(cx.dialect.report_path()).body(Full::new(Bytes::new()));
     let mut req = req.map_err(|e| ReportError::Unusable(e.to_string()))?;
     *req.headers_mut() = cx.dialect.instance_headers(instance);
-    let answer = connection::call_once(address, req, bound, bound, MAX_REPORT_BYTES).await?;
+    let answer =
+        connection::call_once(&cx.network, address, req, bound, bound, MAX_REPORT_BYTES).await?;
     match answer.status() {
         StatusCode::OK => cx
             .dialect
--- a/serving/src/serving_cx.rs
+++ b/serving/src/serving_cx.rs
@@ -8,6 +8,7 @@
 use crate::lease_state::LeaseState;
 use crate::listeners::RunningRequests;
 use crate::load_table::LoadTable;
+use crate::network::Network;
 use crate::node_table::NodeTable;
 use crate::replica_health::Suspects;
 use crate::retry_budget::RetryBounds;
@@ -39,6 +40,8 @@
     pub settings: Arc<ServingSettings>,
     /// The platform's manner of speaking.
     pub dialect: Arc<dyn Dialect>,
+    /// Where outgoing connections go.
+    pub network: Network,
     /// Clock for leases and the calendar.
     pub clock: Clock,
     /// Incarnation of this run of the node, taken from the calendar at start.
@@ -77,7 +80,12 @@
 
 impl ServingCx {
     /// Builds the context.
-    pub fn new(settings: ServingSettings, dialect: Arc<dyn Dialect>, clock: Clock) -> Self {
+    pub fn new(
+        settings: ServingSettings,
+        dialect: Arc<dyn Dialect>,
+        clock: Clock,
+        network: Network,
+    ) -> Self {
         let log = DecisionLog::new(&settings.node, EventLog::new(clock.clone()));
         let metrics = ServingMetrics::new();
         let bounds = RetryBounds {
@@ -87,7 +95,13 @@
         };
         Self {
             incarnation: clock.unix().as_millis() as u64,
-            store: Store::new(dialect.clone(), settings.store, log.clone(), metrics.clone()),
+            store: Store::new(
+                dialect.clone(),
+                network.clone(),
+                settings.store,
+                log.clone(),
+                metrics.clone(),
+            ),
             config: ConfigInForce::new(),
             fleet: FleetView::new(log.clone()),
             loads: LoadTable::new(),
@@ -97,11 +111,12 @@
             downs: DownReports::new(),
             suspects: Suspects::new(),
             lease: LeaseState::new(clock.clone()),
-            pool: UpstreamPool::new(metrics.clone()),
+            pool: UpstreamPool::new(network.clone(), metrics.clone()),
             running: RunningRequests::new(),
             phase: Arc::new(watch::channel(NodePhase::Starting).0),
             settings: Arc::new(settings),
             dialect,
+            network,
             clock,
             log,
             metrics,
--- a/serving/src/serving_node.rs
+++ b/serving/src/serving_node.rs
@@ -8,6 +8,7 @@
 use crate::listeners;
 use crate::listeners::BindError;
 use crate::listeners::ListenerRole;
+use crate::network::Network;
 use crate::node_registry;
 use crate::peer_exchange::PeerExchange;
 use crate::replica_health;
@@ -64,7 +65,7 @@
         settings: ServingSettings,
         dialect: Arc<dyn Dialect>,
     ) -> Result<Self, StartError> {
-        let cx = ServingCx::new(settings, dialect, Clock::new());
+        let cx = ServingCx::new(settings, dialect, Clock::new(), Network::Tcp);
         let settings = cx.settings.clone();
         let peers = UdpSocket::bind(settings.peers).await.map_err(StartError::Peers)?;
         let callers = listeners::bind(settings.callers)?;
--- a/serving/src/store.rs
+++ b/serving/src/store.rs
@@ -12,6 +12,7 @@
 use crate::dialect::ObjectRead;
 use crate::dialect::StoredObject;
 use crate::dialect::WatchBatch;
+use crate::network::Network;
 use crate::serving_metrics::ServingMetrics;
 use bytes::Bytes;
 use guavaladder_lib::generated::events::Event;
@@ -27,6 +28,7 @@
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::time::Duration;
+use tokio::sync::watch;
 use tokio::time::Instant;
 
 /// Longest wait for a connection to the store.
@@ -78,11 +80,25 @@
     /// When the store answered again after it was away.
     pub regained_at: Option<Instant>,
     failures: u32,
+    /// When the last failed call ended.
+    last_failed: Option<Instant>,
+    has_unanswered: bool,
+}
+
+/// What a useful answer says after failures.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Return {
+    /// For how long the store counted as away, if it did.
+    away_for: Option<Duration>,
+    /// Whether calls had no answer meanwhile.
+    was_silent: bool,
 }
 
 impl StoreHealth {
-    fn fail(&mut self, now: Instant) -> bool {
+    fn fail(&mut self, is_unanswered: bool, now: Instant) -> bool {
         self.failures += 1;
+        self.last_failed = Some(now);
+        self.has_unanswered |= is_unanswered;
         let is_lost = self.failures == AWAY_AFTER;
         if is_lost {
             self.away_since = Some(now);
@@ -90,11 +106,18 @@
         is_lost
     }
 
-    fn succeed(&mut self, now: Instant) -> Option<Duration> {
+    /// Takes in a useful answer. That of a call which began before the last failed one ended, as a
+    /// watch may, does not say that the store is back.
+    fn succeed(&mut self, began: Instant, now: Instant) -> Option<Return> {
+        if self.failures == 0 || self.last_failed.is_some_and(|failed| began < failed) {
+            return None;
+        }
+        let away_for = self.away_since.take().map(|since| now - since);
+        if away_for.is_some() {
+            self.regained_at = Some(now);
+        }
         self.failures = 0;
-        let away_since = self.away_since.take()?;
-        self.regained_at = Some(now);
-        Some(now - away_since)
+        Some(Return { away_for, was_silent: std::mem::take(&mut self.has_unanswered) })
     }
 }
 
@@ -107,28 +130,34 @@
 #[derive(Debug)]
 struct Inner {
     dialect: Arc<dyn Dialect>,
+    network: Network,
     address: SocketAddr,
     log: DecisionLog,
     metrics: ServingMetrics,
     idle: Mutex<Vec<Connection>>,
     health: Mutex<StoreHealth>,
+    /// Number of times that the store answered again after a call had no answer.
+    returns: watch::Sender<u64>,
 }
 
 impl Store {
     /// Returns a client of the store at an address.
     pub fn new(
         dialect: Arc<dyn Dialect>,
+        network: Network,
         address: SocketAddr,
         log: DecisionLog,
         metrics: ServingMetrics,
     ) -> Self {
         let inner = Inner {
             dialect,
+            network,
             address,
             log,
             metrics,
             idle: Mutex::default(),
             health: Mutex::default(),
+            returns: watch::channel(0).0,
         };
         Self { inner: Arc::new(inner) }
     }
@@ -184,6 +213,9 @@
     }
 
     /// Waits for changes after a revision; the batch is empty when there were none.
+    ///
+    /// The outcome is unknown when the store, having left another call unanswered, answers again
+    /// meanwhile: it may have lost this call as well, which would be seen only after its whole wait.
     pub async fn watch(
         &self,
         kind: ObjectKind,
@@ -192,7 +224,14 @@
     ) -> Result<WatchBatch, StoreError> {
         let path = self.inner.dialect.read_path(kind, &ObjectRead::Watch { after, wait });
         let bound = wait + WATCH_SLACK;
-        let answer = self.call("watch", kind, Method::GET, path, vec![], bound).await?;
+        let mut returns = self.inner.returns.subscribe();
+        let answer = tokio::select! {
+            answer = self.call("watch", kind, Method::GET, path, vec![], bound) => answer?,
+            _ = returns.changed() => {
+                let reason = "the store answers again after it left calls unanswered";
+                return Err(StoreError::Unknown(reason.to_string()));
+            }
+        };
         match answer.status() {
             StatusCode::OK => Ok(self.inner.dialect.decode_watch(answer.body())?),
             StatusCode::GONE => Err(StoreError::HistoryGone),
@@ -278,8 +317,9 @@
             .body(Full::new(Bytes::from(body)))
             .map_err(|e| StoreError::NotDone(format!("the call cannot be worded: {e}")))?;
         self.inner.metrics.store_call(what, kind);
+        let began = Instant::now();
         let result = self.call_on_connection(req, bound, is_read).await;
-        self.note(what, &result);
+        self.note(what, began, &result);
         let answer = result.map_err(|e| match e {
             CallError::NotSent(e) => StoreError::NotDone(e.to_string()),
             CallError::Unanswered(e) => StoreError::Unknown(e),
@@ -302,7 +342,9 @@
         let idle = is_read.then(|| self.take_idle()).flatten();
         let mut connection = match idle {
             Some(connection) => connection,
-            None => Connection::open(self.inner.address, CONNECT_TIMEOUT).await?,
+            None => {
+                Connection::open(&self.inner.network, self.inner.address, CONNECT_TIMEOUT).await?
+            }
         };
         let answer = connection::call(&mut connection, req, bound, MAX_ANSWER_BYTES).await?;
         let closes = answer.headers().get(header::CONNECTION).is_some_and(|v| v == "close");
@@ -322,7 +364,12 @@
     }
 
     /// Takes in whether a call was answered usefully, for the store's state.
-    fn note(&self, what: &'static str, result: &Result<Response<Bytes>, CallError>) {
+    fn note(
+        &self,
+        what: &'static str,
+        began: Instant,
+        result: &Result<Response<Bytes>, CallError>,
+    ) {
         let now = Instant::now();
         let reason = match result {
             Ok(answer) if answer.status().is_server_error() => answer.status().to_string(),
@@ -330,8 +377,11 @@
                 answer.status().to_string()
             }
             Ok(_) => {
-                let away_for = self.lock_health().succeed(now);
-                if let Some(away_for) = away_for {
+                let returned = self.lock_health().succeed(began, now);
+                if returned.is_some_and(|returned| returned.was_silent) {
+                    self.inner.returns.send_modify(|returns| *returns += 1);
+                }
+                if let Some(away_for) = returned.and_then(|returned| returned.away_for) {
                     let dependency = "store".to_string();
                     self.inner.log.record(Event::DependencyRegained { dependency, away_for });
                 }
@@ -340,7 +390,8 @@
             Err(e) => e.to_string(),
         };
         self.inner.metrics.store_failure(what);
-        let is_lost = self.lock_health().fail(now);
+        let is_unanswered = matches!(result, Err(CallError::Unanswered(_)));
+        let is_lost = self.lock_health().fail(is_unanswered, now);
         if is_lost {
             let dependency = "store".to_string();
             let reason = format!("{what}: {reason}");
--- a/serving/src/upstream_pool.rs
+++ b/serving/src/upstream_pool.rs
@@ -5,6 +5,7 @@
 
 use crate::connection::ConnectError;
 use crate::connection::Connection;
+use crate::network::Network;
 use crate::replica_set::Replica;
 use crate::serving_metrics::ServingMetrics;
 use std::collections::HashMap;
@@ -32,6 +33,7 @@
 /// Shared pool of idle connections.
 #[derive(Debug, Clone)]
 pub struct UpstreamPool {
+    network: Network,
     metrics: ServingMetrics,
     idle: Arc<Mutex<Idle>>,
 }
@@ -44,9 +46,9 @@
 
 impl UpstreamPool {
     /// Returns an empty pool.
-    pub fn new(metrics: ServingMetrics) -> Self {
+    pub fn new(network: Network, metrics: ServingMetrics) -> Self {
         let idle = Idle { connections: HashMap::new(), swept: Instant::now() };
-        Self { metrics, idle: Arc::new(Mutex::new(idle)) }
+        Self { network, metrics, idle: Arc::new(Mutex::new(idle)) }
     }
 
     /// Returns an idle connection to a replica, or opens one; `is_fresh` asks for a new one.
@@ -56,7 +58,7 @@
             return Ok(connection);
         }
         self.metrics.connection_opened(&replica.service);
-        Connection::open(replica.address, CONNECT_TIMEOUT).await
+        Connection::open(&self.network, replica.address, CONNECT_TIMEOUT).await
     }
 
     /// Keeps a connection whose last answer was read to its end.
--- a/serving/tests/test_group_plan.rs
+++ b/serving/tests/test_group_plan.rs
@@ -13,7 +13,6 @@
     PlanInstance {
         id,
         domain: domain.to_string(),
-        is_usable: true,
         is_suspect: false,
         is_draining: false,
         is_reserved: false,
@@ -211,7 +210,6 @@
 fn leaving_member_lets_its_group_finish() {
     let mut instances = open_group("g", "d0", "large", 4);
     instances[3].is_draining = true;
-    instances[3].is_usable = false;
     let found = steps(&instances, &[], 0);
     assert!(matches!(&found[..], [PlanStep::Dissolve { is_graceful: true, .. }]), "{found:?}");
 }
@@ -259,7 +257,6 @@
 fn members_of_a_silent_head_leave_by_themselves() {
     let mut instances = open_group("g", "d0", "large", 4);
     instances[0].is_suspect = true;
-    instances[0].is_usable = false;
     let found = steps(&instances, &["g"], 0);
     assert!(
         matches!(&found[..], [PlanStep::Dissolve { head: None, members, .. }] if members.len() == 3)
--- /dev/null
+++ b/serving/tests/test_store.rs
@@ -0,0 +1,62 @@
+//! Tests of the store's client against the stand-in, on paused time.
+
+use crate::util::log;
+use guavaladder_platform::dialect::PlatformDialect;
+use guavaladder_platform_testutils::FakeStore;
+use guavaladder_platform_testutils::StoreMode;
+use guavaladder_serving::dialect::ObjectKind;
+use guavaladder_serving::network::Network;
+use guavaladder_serving::network::PipeNetwork;
+use guavaladder_serving::serving_metrics::ServingMetrics;
+use guavaladder_serving::store::Store;
+use guavaladder_serving::store::StoreError;
+use serde_json::json;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::sleep;
+use tokio::time::timeout;
+
+/// Wait of the watches.
+const WAIT: Duration = Duration::from_secs(15);
+
+async fn store_and_client() -> (FakeStore, Store) {
+    let network = Network::Pipes(PipeNetwork::new());
+    let store = FakeStore::start_on(&network).await;
+    let dialect = Arc::new(PlatformDialect::new());
+    let client = Store::new(dialect, network, store.address, log(), ServingMetrics::new());
+    (store, client)
+}
+
+/// A store that takes calls and loses them keeps the connections alive, so that only calls made later
+/// tell that an earlier one is lost.
+#[tokio::test(start_paused = true)]
+async fn watch_that_began_while_the_store_was_silent_ends_when_it_answers() {
+    let (store, client) = store_and_client().await;
+    store.set_mode(StoreMode::Silent);
+    let watching = client.clone();
+    let watch = tokio::spawn(async move { watching.watch(ObjectKind::Config, 100, WAIT).await });
+    assert!(client.get(ObjectKind::Config, "main").await.is_err());
+    store.set_mode(StoreMode::Up);
+    assert_eq!(client.get(ObjectKind::Config, "main").await, Ok(None));
+    let ended = timeout(Duration::from_millis(10), watch).await.expect("the watch ends");
+    assert!(matches!(ended.expect("a task"), Err(StoreError::Unknown(_))));
+}
+
+#[tokio::test(start_paused = true)]
+async fn answer_to_an_earlier_watch_does_not_mean_that_the_store_is_back() {
+    let (store, client) = store_and_client().await;
+    let watching = client.clone();
+    let watch = tokio::spawn(async move { watching.watch(ObjectKind::Config, 100, WAIT).await });
+    sleep(Duration::from_millis(100)).await;
+    store.set_mode(StoreMode::Silent);
+    for _ in 0..2 {
+        assert!(client.get(ObjectKind::Config, "main").await.is_err());
+    }
+    assert!(client.health().away_since.is_some());
+    store.put("config", "main", json!({}));
+    assert!(watch.await.expect("a task").is_ok());
+    assert!(client.health().away_since.is_some());
+    store.set_mode(StoreMode::Up);
+    assert!(client.get(ObjectKind::Config, "main").await.is_ok());
+    assert_eq!(client.health().away_since, None);
+}
