groups: members of a head that may be open leave first; wrong weights are replaced

Cause: a head carried its order to open out and fell silent before it told so. The step failed, the planner saw a ready group with a silent head, and its members, who had taken orders of this holder, joined another group without leaving. Ruled out: late orders (none in the log). A member now leaves first unless its head is known to have left. - A model without its group for good. Cause: free instances of a domain all held the other model's weights, and weights of any model counted as of use. They are replaced now where there are more than wanted and a group is missing, in a domain where nothing else changes. - CONFIG. The store took the watches of all nodes within 0.3 s and lost them, and no other call fell into it. The holder of the lease watches for 1.5 s at a time now; the others hear of its version.

--- a/serving/src/config_follow.rs
+++ b/serving/src/config_follow.rs
@@ -11,8 +11,13 @@
 
 /// Name of the object that holds the newest configuration.
 const NAME: &str = "main";
-/// Longest wait of one watch. The kernel's own probes notice a connection that went silent.
-const WATCH_WAIT: Duration = Duration::from_secs(15);
+/// Longest wait of one watch, the longest that the platform allows. The kernel's own probes notice a
+/// connection that went silent, and other nodes tell of a newer configuration.
+const WATCH_WAIT: Duration = Duration::from_secs(30);
+/// The same on the node that holds the lease on the groups: a store that loses the calls of all nodes
+/// for a moment leaves them waiting for answers that never come, and the others learn from this one
+/// within the bound on a configuration being in force, 3 s by the platform's settings.
+const HOLDER_WATCH_WAIT: Duration = Duration::from_millis(1500);
 /// Pause before the configuration is asked for again while there is none.
 const ABSENT_PAUSE: Duration = Duration::from_millis(300);
 
@@ -49,7 +54,13 @@
 /// Watches the configuration; returns when its history is gone.
 async fn follow(cx: &ServingCx, mut revision: u64) {
     loop {
-        match cx.store.watch(ObjectKind::Config, revision, WATCH_WAIT).await {
+        let is_holder = cx.lease.term().is_some();
+        let wait = if is_holder { HOLDER_WATCH_WAIT } else { WATCH_WAIT };
+        let watched = tokio::select! {
+            watched = cx.store.watch(ObjectKind::Config, revision, wait) => watched,
+            () = becomes_holder(cx), if !is_holder => continue,
+        };
+        match watched {
             Ok(batch) => {
                 for change in &batch.changes {
                     match change {
@@ -74,6 +85,13 @@
     }
 }
 
+/// Waits until this node holds the lease on the groups.
+async fn becomes_holder(cx: &ServingCx) {
+    while cx.lease.term().is_none() {
+        sleep(HOLDER_WATCH_WAIT).await;
+    }
+}
+
 /// Puts a stored configuration into force if it is newer.
 fn take(cx: &ServingCx, object: &StoredObject, source: &str) {
     let config = match cx.dialect.decode_config(object) {
--- a/serving/src/group_control.rs
+++ b/serving/src/group_control.rs
@@ -9,6 +9,7 @@
 use crate::group_plan::PlanInstance;
 use crate::group_plan::PlanStep;
 use crate::group_steps;
+use crate::group_steps::KnownState;
 use crate::group_steps::StepOutcome;
 use crate::instance::EngineStatus;
 use crate::instance::GroupEpoch;
@@ -284,8 +285,12 @@
         let (cx, engine) = (self.cx.clone(), engine.clone());
         let known = involved.iter().filter_map(|i| self.accepted.get_key_value(&i.id));
         let accepted = known.map(|(id, accepted)| (id.clone(), *accepted)).collect();
+        let memberships = involved.iter().filter_map(|i| i.engine.membership.as_ref());
+        let places = memberships.map(|m| (m.group.clone(), m.epoch));
+        let dissolved = places.filter(|place| self.dissolved.contains(place)).collect();
+        let known = KnownState { accepted, dissolved };
         self.steps.spawn(async move {
-            group_steps::carry_out(&cx, &engine, step, involved, accepted).await
+            group_steps::carry_out(&cx, &engine, step, involved, known).await
         });
     }
 }
--- a/serving/src/group_plan.rs
+++ b/serving/src/group_plan.rs
@@ -6,6 +6,8 @@
 //!   with staged weights, so that a group is whole again without a load.
 //! - Instances arrive empty while others vanish. They are staged for the model of which their domain
 //!   has least beyond what it needs.
+//! - Members are lost and replaced for hours, until a domain's free instances hold weights of the
+//!   wrong model. They are staged anew for a group that is missing.
 //! - The models' shares of the work differ. Groups are formed for the model that has least for its
 //!   share first.
 
@@ -442,42 +444,61 @@
         }
     }
 
-    /// Returns the model that an instance should be staged for, unless what it has is of use.
+    /// Returns the model that an instance should be staged for, and how many instances of its domain
+    /// that model lacks; `None` where the weights that the instance has are of use.
     fn lacking_model(&self, instance: &PlanInstance) -> Option<(i64, &'a Model)> {
         let in_domain = || {
             let is_there = |i: &&PlanInstance| i.domain == instance.domain && !i.is_draining;
             self.input.instances.iter().filter(is_there)
         };
         let all = in_domain().count();
-        // Those that this plan stages count as well.
-        let planned = |i: &PlanInstance, model: &Model| {
-            self.steps.iter().any(|step| match step {
-                PlanStep::Stage { instance, model: staged } => {
-                    *instance == i.id && *staged == model.name
-                }
-                _ => false,
-            })
-        };
-        let has = |i: &PlanInstance, model: &Model| {
-            has_weights(i, &model.name)
-                || i.staging.as_ref() == Some(&model.name)
-                || planned(i, model)
-        };
-        let with = |model: &Model| in_domain().filter(|i| has(i, model)).count();
-        let possible: Vec<&Model> =
-            self.input.engine.models.iter().filter(|model| model.size <= all).collect();
-        if possible.iter().any(|model| has_weights(instance, &model.name)) {
-            return None;
-        }
+        let with = |model: &Model| in_domain().filter(|i| self.will_have(i, &model.name)).count();
+        let possible = self.input.engine.models.iter().filter(|model| model.size <= all);
+        let (held, others): (Vec<&Model>, Vec<&Model>) =
+            possible.partition(|model| has_weights(instance, &model.name));
         // Whole groups as they are wanted, each model with instances to spare.
-        let lack = |model: &&Model| {
+        let lack = |model: &Model| {
             let key = (instance.domain.clone(), model.name.clone());
             let groups = self.wanted.get(&key).copied().unwrap_or(0);
             let wanted = groups * model.size + SPARES_PER_DOMAIN;
             wanted as i64 - with(model) as i64
         };
-        let lacks = possible.iter().map(|model| (lack(model), *model));
-        lacks.max_by_key(|(lack, model)| (*lack, model.size))
+        let is_empty = held.is_empty();
+        // Weights are replaced only where there are more than wanted, for a group that is missing.
+        if !is_empty && (held.iter().any(|model| lack(model) >= 0) || !self.is_calm(instance)) {
+            return None;
+        }
+        let is_due = |model: &&Model| is_empty || self.lacks(model, &instance.domain) > 0;
+        let lacks = others.into_iter().filter(is_due).map(|model| (lack(model), model));
+        let most = lacks.max_by_key(|(lack, model)| (*lack, model.size));
+        most.filter(|(lack, _)| is_empty || *lack > 0)
+    }
+
+    /// Tells whether an instance has a model's weights once what is planned has been done.
+    fn will_have(&self, instance: &PlanInstance, model: &str) -> bool {
+        let planned = self.steps.iter().find_map(|step| match step {
+            PlanStep::Stage { instance: id, model } if *id == instance.id => Some(model),
+            _ => None,
+        });
+        match planned.or(instance.staging.as_ref()) {
+            Some(staging) => staging == model || instance.last_model.as_deref() == Some(model),
+            None => has_weights(instance, model),
+        }
+    }
+
+    /// Tells whether nothing changes in an instance's domain but weights that are staged: while a
+    /// group is repaired, the domain looks smaller than it is.
+    fn is_calm(&self, instance: &PlanInstance) -> bool {
+        let is_settled = |i: &PlanInstance| {
+            let is_changing = i.is_reserved && i.staging.is_none();
+            !is_changing && i.is_usable()
+        };
+        let mut in_domain = self.input.instances.iter().filter(|i| i.domain == instance.domain);
+        let is_planned = |id: &InstanceId| {
+            let others = self.steps.iter().filter(|s| !matches!(s, PlanStep::Stage { .. }));
+            others.into_iter().any(|step| step.instances().contains(id))
+        };
+        self.input.is_absence_trusted && in_domain.all(|i| is_settled(i) && !is_planned(&i.id))
     }
 }
 
--- a/serving/src/group_steps.rs
+++ b/serving/src/group_steps.rs
@@ -20,6 +20,7 @@
 use crate::order_client::REPORT_LAG;
 use crate::serving_cx::ServingCx;
 use guavaladder_lib::generated::events::Event;
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::time::Duration;
 use tokio::task::JoinSet;
@@ -60,6 +61,15 @@
     pub dissolved: Option<(GroupName, GroupEpoch)>,
 }
 
+/// What this holder of the lease knows of a step's instances by its own orders.
+#[derive(Debug, Default)]
+pub struct KnownState {
+    /// Orders that they have accepted.
+    pub accepted: HashMap<InstanceId, AcceptedOrders>,
+    /// Groups among theirs whose head has left, so that their members are free.
+    pub dissolved: BTreeSet<(GroupName, GroupEpoch)>,
+}
+
 /// A group to be assembled.
 #[derive(Debug)]
 struct Assembly {
@@ -106,9 +116,9 @@
     engine: &Engine,
     step: PlanStep,
     instances: Vec<Instance>,
-    accepted: HashMap<InstanceId, AcceptedOrders>,
+    known: KnownState,
 ) -> StepOutcome {
-    let mut run = StepRun { cx, engine, accepted, outcome: StepOutcome::default() };
+    let mut run = StepRun { cx, engine, known, outcome: StepOutcome::default() };
     run.outcome.reserved = step.instances().to_vec();
     let targets: Vec<OrderTarget> = instances.iter().map(|i| run.target(i)).collect();
     match step {
@@ -138,13 +148,13 @@
 struct StepRun<'a> {
     cx: &'a ServingCx,
     engine: &'a Engine,
-    accepted: HashMap<InstanceId, AcceptedOrders>,
+    known: KnownState,
     outcome: StepOutcome,
 }
 
 impl StepRun<'_> {
     fn target(&self, instance: &Instance) -> OrderTarget {
-        let accepted = self.accepted.get(&instance.id).copied();
+        let accepted = self.known.accepted.get(&instance.id).copied();
         let accepted = accepted.filter(|known| known.born_ms == instance.engine.born_ms);
         OrderTarget { id: instance.id.clone(), address: instance.address, accepted }
     }
@@ -152,7 +162,7 @@
     /// Remembers the orders that an instance has accepted.
     fn remember(&mut self, target: &OrderTarget) {
         if let Some(accepted) = target.accepted {
-            self.accepted.insert(target.id.clone(), accepted);
+            self.known.accepted.insert(target.id.clone(), accepted);
             self.outcome.accepted.push((target.id.clone(), accepted));
         }
     }
@@ -304,7 +314,10 @@
         for member in &assembly.members {
             let (cx, join, group) = (self.cx.clone(), join.clone(), group.to_string());
             let (mut target, believed) = (self.target(member), member.engine.membership.clone());
+            let place = believed.as_ref().map(|place| (place.group.clone(), place.epoch));
+            let is_free = place.is_none_or(|place| self.known.dissolved.contains(&place));
             joins.spawn(async move {
+                let believed = Believed { place: believed, is_free };
                 let given = join_member(&cx, &mut target, &join, &group, epoch, believed).await;
                 (target, given)
             });
@@ -458,28 +471,41 @@
     }
 }
 
-/// Orders an instance to join a group, once its own report shows the place that it is believed to
-/// have. It leaves that first: the head may be open for all that is known here.
+/// Where an instance is believed to be.
+struct Believed {
+    place: Option<Membership>,
+    /// Whether it is in no group, or in one whose head has left.
+    is_free: bool,
+}
+
+/// Orders an instance to join a group. Unless it is known to be free it leaves its place first: the
+/// head may be open, also when the order to open had no answer. Where this holder of the lease has
+/// given it no order yet, its own report has to show the place that it is believed to have.
 async fn join_member(
     cx: &ServingCx,
     target: &mut OrderTarget,
     join: &OrderKind,
     group: &str,
     epoch: GroupEpoch,
-    believed: Option<Membership>,
+    believed: Believed,
 ) -> Result<Given, OrderError> {
+    let mut place = believed.place.clone().filter(|_| !believed.is_free);
     if target.accepted.is_none() {
         let report = order_client::report(cx, target).await?;
-        order_client::check_place(&report, believed.as_ref())?;
-        if let Some(place) = report.engine.membership {
-            let leave = OrderKind::Leave { group: place.group.clone(), epoch: place.epoch };
-            let has_left =
-                |report: &InstanceReport| !order_client::is_in(report, &place.group, place.epoch);
-            order_client::give(cx, target, &leave, None, has_left).await?;
+        order_client::check_place(&report, believed.place.as_ref())?;
+        place = report.engine.membership;
+    }
+    if let Some(place) = place {
+        let leave = OrderKind::Leave { group: place.group.clone(), epoch: place.epoch };
+        let has_left =
+            |report: &InstanceReport| !order_client::is_in(report, &place.group, place.epoch);
+        let given = order_client::give(cx, target, &leave, None, has_left).await?;
+        if let Given::Reported(report) = given {
+            order_client::check_place(&report, None)?;
         }
     }
     let holds = |report: &InstanceReport| order_client::is_in(report, group, epoch);
-    order_client::give(cx, target, join, believed.as_ref(), holds).await
+    order_client::give(cx, target, join, believed.place.as_ref(), holds).await
 }
 
 fn state(report: &InstanceReport) -> Option<MembershipState> {
--- a/serving/src/instance_news.rs
+++ b/serving/src/instance_news.rs
@@ -14,8 +14,9 @@
 
 /// Nodes up to which every one watches the list: the loss of a watcher then costs more than its calls.
 const ALL_WATCH_UP_TO: usize = 12;
-/// Nodes that watch the list in a larger fleet.
-const WATCHERS: usize = 6;
+/// Nodes that watch the list in a larger fleet, besides the one that plans groups. Each costs a call
+/// to the store for every change, and a message to every node.
+const WATCHERS: usize = 2;
 /// Subject of the election of watchers.
 const SUBJECT: &str = "instance list";
 /// Time without a word of any watcher after which a node watches by itself.
--- a/serving/src/node_registry.rs
+++ b/serving/src/node_registry.rs
@@ -40,17 +40,19 @@
 }
 
 async fn read_or_create_key(cx: &ServingCx) -> Result<Option<PeerKey>, StoreError> {
-    if let Some(object) = cx.store.get(ObjectKind::FleetKey, KEY_NAME).await? {
-        return Ok(decode_key(&object));
-    }
     let key: PeerKey = rand::random();
     let text: String = key.iter().map(|byte| format!("{byte:02x}")).collect();
     let content = json!({"key": text});
     let object = StoredObject { name: KEY_NAME.to_string(), content, ..Default::default() };
+    // All nodes of a new fleet start together and find none, so reading first would cost each of them
+    // a call more.
     match cx.store.create(ObjectKind::FleetKey, &object).await {
         Ok(object) => Ok(decode_key(&object)),
-        // Another node was faster, or the answer was lost; the next read tells.
-        Err(StoreError::Conflict(_) | StoreError::Unknown(_)) => Ok(None),
+        Err(StoreError::Conflict(Some(existing))) => Ok(decode_key(&existing)),
+        Err(StoreError::Conflict(None)) => {
+            let existing = cx.store.get(ObjectKind::FleetKey, KEY_NAME).await?;
+            Ok(existing.as_ref().and_then(decode_key))
+        }
         Err(e) => Err(e),
     }
 }
--- a/serving/tests/test_group_plan.rs
+++ b/serving/tests/test_group_plan.rs
@@ -302,3 +302,26 @@
     // Not beyond what the weight store bears at once.
     assert_eq!(steps(&instances, &[], 6), vec![]);
 }
+
+/// Losses have left a domain with free instances that all hold weights of the model whose group is
+/// whole, while the other model's group is missing.
+#[test]
+fn surplus_instances_are_staged_for_a_missing_group() {
+    let mut instances = open_group("g", "d0", "large", 4);
+    instances.extend((0..3).map(|i| staged(&format!("s-{i}"), "d0", "large")));
+    instances.push(staged("s-3", "d0", "small"));
+    let found = steps(&instances, &[], 0);
+    let staging =
+        |step: &PlanStep| matches!(step, PlanStep::Stage { model, .. } if model == "small");
+    // One of the three stays as the large group's spare; the small group has a spare of its own.
+    assert_eq!(found.iter().filter(|step| staging(step)).count(), 2, "{found:?}");
+    assert_eq!(found.len(), 2, "{found:?}");
+}
+
+#[test]
+fn surplus_instances_stay_where_no_group_is_missing() {
+    let mut instances = open_group("g", "d0", "large", 4);
+    instances.extend(open_group("h", "d0", "small", 2));
+    instances.extend((0..2).map(|i| staged(&format!("s-{i}"), "d0", "large")));
+    assert_eq!(steps(&instances, &[], 0), vec![]);
+}
