log: format and level by setting, a line for each rejection, fault tests

The test of a refused key found that answers given at the entry (no route, no key, body) had no line at all: GL0531 tells them now, with the version of the configuration that decided. The queue moves from the daemon to the library, where it is tested with outputs that block, fail and are slow.

- `log.format` (text, json) and `log.level` (off to debug) in the settings.
- A value with any control or space character is quoted, and JSON lines escape what JSON leaves raw; hostile ids come back whole from `log explain`, which reads both formats.
Before, a tab or an escape went out raw.

--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -1,7 +1,6 @@
 //! `guavaladderd`: the daemon, alike on each entry instance.
 
 mod args;
-mod log_queue;
 mod logging;
 mod node;
 mod serve;
--- a/daemon/src/serve.rs
+++ b/daemon/src/serve.rs
@@ -1,16 +1,15 @@
 //! Runs a node on the users' platform until it is stopped.
 
-use crate::log_queue;
-use crate::log_queue::DroppedLines;
 use crate::signals::StopSignals;
 use anyhow::Result;
 use guavaladder_lib::generated::events::Event;
+use guavaladder_lib::log_queue::DroppedLines;
+use guavaladder_lib::log_queue::QueueLog;
 use guavaladder_platform::dialect::PlatformDialect;
 use guavaladder_serving::serving_cx::ServingCx;
 use guavaladder_serving::serving_node::ServingNode;
 use guavaladder_serving::serving_settings;
 use guavaladder_serving::serving_settings::ServingSettings;
-use log::LevelFilter;
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::Duration;
@@ -23,7 +22,9 @@
 
 /// Runs a node with the settings of a file.
 pub fn run(path: PathBuf, settings: ServingSettings) -> Result<()> {
-    let dropped = log_queue::start(LevelFilter::Info)?;
+    let log = QueueLog::new(settings.log_level, settings.log_format, std::io::stdout())?;
+    let dropped = log.dropped();
+    log.install()?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     runtime.block_on(serve(path, settings, dropped))
 }
--- a/daemon/tests/process.rs
+++ b/daemon/tests/process.rs
@@ -5,6 +5,7 @@
 use std::fs;
 use std::io::BufRead;
 use std::io::BufReader;
+use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::net::UdpSocket;
 use std::path::PathBuf;
@@ -37,6 +38,19 @@
         path.display().to_string()
     }
 
+    /// Returns valid settings of a node on the users' platform, whose store is at an address.
+    pub fn serving_settings(&self, store: &str) -> Value {
+        let address: SocketAddr = free_address().parse().unwrap();
+        json!({
+            "node": "entry-1", "data_centre": "east", "peer_port": address.port(), "store": store,
+            "listen": {
+                "callers": address.to_string(), "readiness": free_address(),
+                "directory": free_address(),
+            },
+            "bounds": {"shutdown_s": 2, "retry_slack": 100000},
+        })
+    }
+
     /// Returns valid settings with free ports.
     pub fn settings(&self) -> Value {
         json!({
@@ -143,3 +157,37 @@
         let _ = self.child.wait();
     }
 }
+
+/// A running daemon on the users' platform, ended when it is dropped.
+pub struct ServingDaemon {
+    child: Child,
+}
+
+impl ServingDaemon {
+    /// Starts the daemon with a settings file; its standard output goes where `stdout` says.
+    pub fn start(settings: &str, stdout: Stdio) -> Self {
+        let child = Command::new(env!("CARGO_BIN_EXE_guavaladderd"))
+            .args(["--serve", "--config", settings])
+            .stdout(stdout)
+            .spawn()
+            .unwrap();
+        Self { child }
+    }
+
+    /// Closes the reading side of the daemon's standard output.
+    pub fn close_stdout(&mut self) {
+        drop(self.child.stdout.take());
+    }
+
+    /// Tells whether the process still runs.
+    pub fn is_running(&mut self) -> bool {
+        self.child.try_wait().unwrap().is_none()
+    }
+}
+
+impl Drop for ServingDaemon {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
--- a/daemon/tests/runner.rs
+++ b/daemon/tests/runner.rs
@@ -2,4 +2,5 @@
 
 mod process;
 mod test_lifecycle;
+mod test_serving_log;
 mod test_start;
--- a/lib/src/event_log.rs
+++ b/lib/src/event_log.rs
@@ -80,7 +80,9 @@
 pub fn render(event: &Event) -> String {
     let mut text = format!("GL{:04} {}", event.number(), event.name());
     for (name, value) in event.fields() {
-        let needs_quotes = value.is_empty() || value.contains([' ', '"', '=', '\n']);
+        let needs_quotes = value.is_empty()
+            || value
+                .contains(|c: char| c.is_whitespace() || c.is_control() || matches!(c, '"' | '='));
         match needs_quotes {
             true => text.push_str(&format!(" {name}={value:?}")),
             false => text.push_str(&format!(" {name}={value}")),
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -64,6 +64,7 @@
 pub mod level_sampler;
 pub mod load_schedule;
 pub mod log_explain;
+pub mod log_queue;
 pub mod member_history;
 pub mod member_table;
 pub mod member_view;
--- a/lib/src/log_explain.rs
+++ b/lib/src/log_explain.rs
@@ -4,7 +4,9 @@
 //! the request was sent to, from shortly before its first line to shortly after its last.
 
 use guavaladder_proc_macros::common_derives;
+use serde_json::Value;
 use std::collections::BTreeSet;
+use std::str::CharIndices;
 
 /// Time around a request in which lines about its replicas belong to its account, in seconds.
 const MARGIN_S: f64 = 4.0;
@@ -61,6 +63,12 @@
 /// Parses one line; `None` for a line that records no event. Where no node stands before the time,
 /// `source` names where the line comes from.
 pub fn parse(line: &str, source: &str) -> Option<LogLine> {
+    if let Some(start) = line.find('{')
+        && let Ok(object) = serde_json::from_str::<Value>(&line[start..])
+    {
+        let source = line[..start].split_whitespace().next_back().unwrap_or(source);
+        return parse_json(&object, source);
+    }
     let start = line.find(" GL")? + 1;
     let mut words = line[start..].splitn(3, ' ');
     let number = words.next()?.to_string();
@@ -77,6 +85,19 @@
     Some(LogLine { source, unix_s, number, name, fields })
 }
 
+/// Parses a line of the log's JSON form.
+fn parse_json(object: &Value, source: &str) -> Option<LogLine> {
+    let text = |value: &Value| value.as_str().map(str::to_string);
+    let fields = object["fields"].as_object()?.iter();
+    Some(LogLine {
+        source: source.to_string(),
+        unix_s: object["unix_s"].as_f64()?,
+        number: text(&object["number"])?,
+        name: text(&object["event"])?,
+        fields: fields.filter_map(|(key, value)| Some((key.clone(), text(value)?))).collect(),
+    })
+}
+
 /// Parses `key=value key="value with spaces"`.
 fn parse_fields(text: &str) -> Vec<(String, String)> {
     let mut fields = vec![];
@@ -102,13 +123,29 @@
     while let Some((at, c)) = chars.next() {
         match c {
             '"' => return (value, text[at + 1..].trim_start()),
-            '\\' => value.extend(chars.next().map(|(_, escaped)| escaped)),
+            '\\' => value.extend(unescaped(&mut chars)),
             c => value.push(c),
         }
     }
     (value, "")
 }
 
+/// Returns the character that an escape stands for.
+fn unescaped(chars: &mut CharIndices<'_>) -> Option<char> {
+    match chars.next()?.1 {
+        'n' => Some('\n'),
+        'r' => Some('\r'),
+        't' => Some('\t'),
+        '0' => Some('\0'),
+        'u' => {
+            let digits: String =
+                chars.map(|(_, c)| c).skip(1).take_while(|digit| *digit != '}').collect();
+            char::from_u32(u32::from_str_radix(&digits, 16).ok()?)
+        }
+        escaped => Some(escaped),
+    }
+}
+
 impl LogLine {
     /// Returns a field's value.
     pub fn field(&self, name: &str) -> Option<&str> {
--- /dev/null
+++ b/lib/src/log_queue.rs
@@ -0,0 +1,190 @@
+//! A log that never blocks: lines wait in a bounded queue for a writing thread, and are dropped and
+//! counted when its reader is slow or gone.
+
+use crate::generated::serving_settings::LogFormat;
+use log::LevelFilter;
+use log::Log;
+use log::Metadata;
+use log::Record;
+use log::kv;
+use serde_json::Map;
+use serde_json::Value;
+use serde_json::json;
+use std::io;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::sync::mpsc;
+use std::sync::mpsc::Receiver;
+use std::sync::mpsc::SyncSender;
+use std::thread;
+use std::time::Duration;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+/// Lines that may wait.
+const QUEUE_LEN: usize = 2048;
+/// Longest line, in bytes; the rest is cut off.
+const MAX_LINE_BYTES: usize = 2048;
+/// Bytes of the message that a JSON line keeps when it is too long; escapes may double them.
+const MAX_CUT_BYTES: usize = MAX_LINE_BYTES / 4;
+
+/// Count of the lines that were dropped.
+#[derive(Debug, Clone, Default)]
+pub struct DroppedLines(Arc<AtomicU64>);
+
+impl DroppedLines {
+    /// Returns the count.
+    pub fn get(&self) -> u64 {
+        self.0.load(Ordering::Relaxed)
+    }
+}
+
+/// Log whose lines wait in a bounded queue.
+#[derive(Debug)]
+pub struct QueueLog {
+    tx: SyncSender<String>,
+    dropped: DroppedLines,
+    level: LevelFilter,
+    format: LogFormat,
+}
+
+impl QueueLog {
+    /// Returns a log that a thread of its own writes to `out`.
+    ///
+    /// # Errors
+    ///
+    /// The thread could not be started.
+    pub fn new(
+        level: LevelFilter,
+        format: LogFormat,
+        out: impl io::Write + Send + 'static,
+    ) -> io::Result<Self> {
+        let (tx, rx) = mpsc::sync_channel(QUEUE_LEN);
+        let writer = thread::Builder::new().name("log".to_string());
+        writer.spawn(move || write_lines(&rx, out))?;
+        Ok(Self { tx, dropped: DroppedLines::default(), level, format })
+    }
+
+    /// Returns the count of the lines that were dropped.
+    pub fn dropped(&self) -> DroppedLines {
+        self.dropped.clone()
+    }
+
+    /// Makes this the log of the process.
+    ///
+    /// # Errors
+    ///
+    /// The process has a log already.
+    pub fn install(self) -> Result<(), log::SetLoggerError> {
+        let level = self.level;
+        log::set_boxed_logger(Box::new(self))?;
+        log::set_max_level(level);
+        Ok(())
+    }
+}
+
+impl Log for QueueLog {
+    fn enabled(&self, metadata: &Metadata<'_>) -> bool {
+        let is_own = metadata.target().starts_with("guavaladder");
+        is_own && metadata.level() <= self.level
+    }
+
+    fn log(&self, record: &Record<'_>) {
+        if !self.enabled(record.metadata()) {
+            return;
+        }
+        if self.tx.try_send(line(record, self.format)).is_err() {
+            self.dropped.0.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+
+    fn flush(&self) {}
+}
+
+/// Returns a record as one line; a line break within it does not end it.
+fn line(record: &Record<'_>, format: LogFormat) -> String {
+    let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let level = record.level();
+    let mut line = match format {
+        LogFormat::Text => {
+            format!("{}.{:03} {level} {}", unix.as_secs(), unix.subsec_millis(), record.args())
+        }
+        LogFormat::Json => json_line(record, unix),
+    };
+    if line.len() > MAX_LINE_BYTES {
+        let end = (0..=MAX_LINE_BYTES).rev().find(|end| line.is_char_boundary(*end)).unwrap_or(0);
+        line.truncate(end);
+    }
+    if line.contains(char::is_control) {
+        line = line.replace(char::is_control, " ");
+    }
+    line.push('\n');
+    line
+}
+
+/// Returns a record as a JSON object; one that is too long loses its fields first.
+fn json_line(record: &Record<'_>, unix: Duration) -> String {
+    let text = record.args().to_string();
+    let mut words = text.splitn(3, ' ');
+    let number = words.next().filter(|number| number.starts_with("GL"));
+    let unix_s = unix.as_millis() as f64 / 1000.0;
+    let mut object = json!({"unix_s": unix_s, "level": record.level().as_str()});
+    match number.zip(words.next()) {
+        Some((number, name)) => {
+            let mut fields = Fields(Map::new());
+            // The visitor never fails.
+            let _ = record.key_values().visit(&mut fields);
+            object["number"] = json!(number);
+            object["event"] = json!(name);
+            object["fields"] = Value::Object(fields.0);
+        }
+        None => object["message"] = json!(text),
+    }
+    let line = escape_controls(&object.to_string());
+    if line.len() <= MAX_LINE_BYTES {
+        return line;
+    }
+    object["fields"] = json!({"cut": line.len().to_string()});
+    let end = text.char_indices().map(|(at, _)| at).take_while(|at| *at < MAX_CUT_BYTES).last();
+    object["message"] = json!(text[..end.unwrap_or(0)]);
+    object.to_string()
+}
+
+/// Escapes the control characters that JSON allows within strings.
+fn escape_controls(json: &str) -> String {
+    let escape = |c: char| match c.is_control() {
+        true => format!("\\u{:04x}", c as u32),
+        false => c.to_string(),
+    };
+    match json.contains(char::is_control) {
+        true => json.chars().map(escape).collect(),
+        false => json.to_string(),
+    }
+}
+
+/// Collects the fields of a record.
+struct Fields(Map<String, Value>);
+
+impl<'kvs> kv::VisitSource<'kvs> for Fields {
+    fn visit_pair(&mut self, key: kv::Key<'kvs>, value: kv::Value<'kvs>) -> Result<(), kv::Error> {
+        self.0.insert(key.to_string(), Value::String(value.to_string()));
+        Ok(())
+    }
+}
+
+/// Writes lines until the output is gone; what comes later is dropped.
+fn write_lines(rx: &Receiver<String>, mut out: impl io::Write) {
+    while let Ok(first) = rx.recv() {
+        let mut text = first;
+        while let Ok(more) = rx.try_recv() {
+            text.push_str(&more);
+            if text.len() > (MAX_LINE_BYTES << 4) {
+                break;
+            }
+        }
+        if out.write_all(text.as_bytes()).and_then(|()| out.flush()).is_err() {
+            return;
+        }
+    }
+}
--- a/serving/src/front.rs
+++ b/serving/src/front.rs
@@ -3,6 +3,7 @@
 
 use crate::answer_body::AnswerBody;
 use crate::crash_record::CONVICTING_CRASHES;
+use crate::dialect::RequestHead;
 use crate::fleet_config::Route;
 use crate::fleet_config::RouteKind;
 use crate::plain_forward;
@@ -21,6 +22,7 @@
 use http::StatusCode;
 use http::Uri;
 use http::header;
+use http::request::Parts;
 use http_body_util::BodyExt;
 use http_body_util::LengthLimitError;
 use http_body_util::Limited;
@@ -40,17 +42,83 @@
 /// Answers a request of a caller.
 pub async fn handle(cx: &ServingCx, req: Request<Incoming>) -> Response<AnswerBody> {
     let received = Instant::now();
-    let Some(table) = cx.config.get() else {
-        cx.metrics.request("unknown", "no_configuration");
-        return refusal::not_run("no configuration is known yet", OTHER_NODE_RETRY_AFTER);
+    let table = cx.config.get();
+    let (parts, body) = req.into_parts();
+    let head = cx.dialect.decode_request(&parts.headers);
+    let config = table.as_ref().map_or(0, |table| table.config.version);
+    let entry = Entry { cx, request: head.id.clone(), config };
+    let Some(table) = table else {
+        return entry.reject("unknown", &Rejection::NoConfiguration);
     };
     let _running = cx.running.enter();
-    match read(cx, &table, req, received).await {
+    match read(&entry, &table, parts, head, body, received).await {
         Ok(task) => serve(cx, task).await,
         Err(refused) => refused,
     }
 }
 
+/// Why a request is answered before it is placed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+enum Rejection {
+    #[error("no configuration is known yet")]
+    NoConfiguration,
+    #[error("no route")]
+    NoRoute,
+    #[error("no known key")]
+    NoCustomer,
+    #[error("the route has no service")]
+    NoService,
+    #[error("the body is too large")]
+    BodyTooLarge,
+    #[error("the body broke off")]
+    BodyBrokenOff,
+    #[error("the body did not come in time")]
+    BodyLate,
+}
+
+impl Rejection {
+    /// Returns the status of the answer and the outcome that the metrics count.
+    fn outcome(self) -> (StatusCode, &'static str) {
+        match self {
+            Self::NoConfiguration => (StatusCode::SERVICE_UNAVAILABLE, "no_configuration"),
+            Self::NoRoute => (StatusCode::NOT_FOUND, "no_route"),
+            Self::NoCustomer => (StatusCode::UNAUTHORIZED, "no_customer"),
+            Self::NoService => (StatusCode::SERVICE_UNAVAILABLE, "no_service"),
+            Self::BodyTooLarge => (StatusCode::PAYLOAD_TOO_LARGE, "bad_body"),
+            Self::BodyBrokenOff => (StatusCode::BAD_REQUEST, "bad_body"),
+            Self::BodyLate => (StatusCode::REQUEST_TIMEOUT, "bad_body"),
+        }
+    }
+}
+
+/// A request that is being read.
+struct Entry<'a> {
+    cx: &'a ServingCx,
+    request: String,
+    /// Version of the configuration that it is read by; 0 for none.
+    config: u64,
+}
+
+impl Entry<'_> {
+    /// Records a rejection and returns its answer.
+    fn reject(&self, route: &str, rejection: &Rejection) -> Response<AnswerBody> {
+        let (status, outcome) = rejection.outcome();
+        let reason = rejection.to_string();
+        self.cx.metrics.request(route, outcome);
+        self.cx.log.record(Event::RequestRejected {
+            request: self.request.clone(),
+            route: route.to_string(),
+            status: u64::from(status.as_u16()),
+            reason: reason.clone(),
+            config: self.config,
+        });
+        match status {
+            StatusCode::SERVICE_UNAVAILABLE => refusal::not_run(&reason, OTHER_NODE_RETRY_AFTER),
+            status => refusal::plain(status, &reason),
+        }
+    }
+}
+
 async fn serve(cx: &ServingCx, task: RequestTask) -> Response<AnswerBody> {
     cx.budgets.count_request(&task.service, task.received);
     let crashes = cx.crashes.crashes(task.fingerprint);
@@ -74,24 +142,27 @@
 
 /// Matches a request and reads its body.
 async fn read(
-    cx: &ServingCx,
+    entry: &Entry<'_>,
     table: &RoutingTable,
-    req: Request<Incoming>,
+    parts: Parts,
+    head: RequestHead,
+    body: Incoming,
     received: Instant,
 ) -> Result<RequestTask, Response<AnswerBody>> {
-    let (parts, body) = req.into_parts();
-    let head = cx.dialect.decode_request(&parts.headers);
+    let refuse_match = |e| match e {
+        MatchError::NoRoute => entry.reject("unknown", &Rejection::NoRoute),
+        MatchError::NoCustomer => entry.reject("unknown", &Rejection::NoCustomer),
+    };
     let host = host(&parts.headers, &parts.uri);
-    let route = table.route(host, parts.uri.path()).map_err(|e| refuse_match(cx, e))?;
-    let customer = table.customer(route, head.key.as_deref());
-    let customer = customer.map_err(|e| refuse_match(cx, e))?;
+    let route = table.route(host, parts.uri.path()).map_err(refuse_match)?;
+    let customer = table.customer(route, head.key.as_deref()).map_err(refuse_match)?;
     let Some(service) = choose_service(route) else {
-        cx.metrics.request(&route.name, "no_service");
-        return Err(refusal::not_run("the route has no service", OTHER_NODE_RETRY_AFTER));
+        return Err(entry.reject(&route.name, &Rejection::NoService));
     };
     let patience = head.deadline.unwrap_or(MAX_DEADLINE).min(route.timeout);
     let ends = received + patience;
-    let body = read_body(cx, &route.name, body, table.config.limits.max_body_bytes, ends).await?;
+    let body = read_body(body, table.config.limits.max_body_bytes, ends).await;
+    let body = body.map_err(|rejection| entry.reject(&route.name, &rejection))?;
     let uri = path_and_query(&parts.uri);
     let fingerprint = request_task::fingerprint(&parts.method, &uri, head.key.as_deref(), &body);
     Ok(RequestTask {
@@ -115,41 +186,16 @@
     })
 }
 
-async fn read_body(
-    cx: &ServingCx,
-    route: &str,
-    body: Incoming,
-    max_bytes: usize,
-    ends: Instant,
-) -> Result<Bytes, Response<AnswerBody>> {
-    let refuse = |status, text| {
-        cx.metrics.request(route, "bad_body");
-        refusal::plain(status, text)
-    };
+async fn read_body(body: Incoming, max_bytes: usize, ends: Instant) -> Result<Bytes, Rejection> {
     // A body that is announced as too large is refused before it comes.
     if body.size_hint().lower() > max_bytes as u64 {
-        return Err(refuse(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large"));
+        return Err(Rejection::BodyTooLarge);
     }
     match timeout_at(ends, Limited::new(body, max_bytes).collect()).await {
         Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(e)) if e.is::<LengthLimitError>() => {
-            Err(refuse(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large"))
-        }
-        Ok(Err(_)) => Err(refuse(StatusCode::BAD_REQUEST, "the body broke off")),
-        Err(_) => Err(refuse(StatusCode::REQUEST_TIMEOUT, "the body did not come in time")),
-    }
-}
-
-fn refuse_match(cx: &ServingCx, e: MatchError) -> Response<AnswerBody> {
-    match e {
-        MatchError::NoRoute => {
-            cx.metrics.request("unknown", "no_route");
-            refusal::plain(StatusCode::NOT_FOUND, "no route")
-        }
-        MatchError::NoCustomer => {
-            cx.metrics.request("unknown", "no_customer");
-            refusal::plain(StatusCode::UNAUTHORIZED, "no known key")
-        }
+        Ok(Err(e)) if e.is::<LengthLimitError>() => Err(Rejection::BodyTooLarge),
+        Ok(Err(_)) => Err(Rejection::BodyBrokenOff),
+        Err(_) => Err(Rejection::BodyLate),
     }
 }
 
--- a/serving/src/serving_settings.rs
+++ b/serving/src/serving_settings.rs
@@ -1,9 +1,11 @@
 //! Reads and checks the settings file of a daemon on the users' platform.
 
 use guavaladder_lib::generated::serving_settings as file;
+use guavaladder_lib::generated::serving_settings::LogFormat;
 use guavaladder_lib::schema_check;
 use guavaladder_lib::schema_check::Problem;
 use guavaladder_lib::settings::SettingsError;
+use log::LevelFilter;
 use std::fs;
 use std::net::SocketAddr;
 use std::path::Path;
@@ -43,6 +45,10 @@
     pub max_answer_keep: Duration,
     /// Descriptors that the process may use.
     pub max_descriptors: usize,
+    /// Form of the log's lines.
+    pub log_format: LogFormat,
+    /// Least serious lines that are logged.
+    pub log_level: LevelFilter,
 }
 
 /// Reads a settings file and checks everything that can be checked without the network.
@@ -92,9 +98,21 @@
         retry_slack: bounds.retry_slack,
         max_answer_keep: Duration::from_secs_f64(bounds.max_answer_keep_s),
         max_descriptors: settings.max_descriptors as usize,
+        log_format: settings.log.as_ref().and_then(|log| log.format).unwrap_or(LogFormat::Text),
+        log_level: level(settings.log.as_ref().and_then(|log| log.level)),
     })
 }
 
+fn level(level: Option<file::LogLevel>) -> LevelFilter {
+    match level {
+        Some(file::LogLevel::Off) => LevelFilter::Off,
+        Some(file::LogLevel::Error) => LevelFilter::Error,
+        Some(file::LogLevel::Warn) => LevelFilter::Warn,
+        Some(file::LogLevel::Info) | None => LevelFilter::Info,
+        Some(file::LogLevel::Debug) => LevelFilter::Debug,
+    }
+}
+
 fn default_bounds() -> file::ServingBounds {
     // Every key has a default, so an empty object always decodes.
     serde_json::from_str("{}").unwrap_or_else(|e| unreachable!("defaults of the bounds: {e}"))
--- a/serving/tests/runner.rs
+++ b/serving/tests/runner.rs
@@ -2,6 +2,7 @@
 
 mod fleet;
 mod test_crash_record;
+mod test_decision_log;
 mod test_directory;
 mod test_fleet_view;
 mod test_group_faults;
