groups: go on with members that are cut off from the store

Requests are served well until their entries lapse at 14.6 s; then 17 of 36 groups are dissolved within 1.5 s, the large model has 4 of 12 left, and it takes until 24 s to have 8. Ruled out: lost members (no stream was silent before the entries lapsed), the store (the holder reaches it).

A member whose entry is removed is kept in mind now. A head whose entry is gone gets no new requests, as before, and finishes what runs. A member that does not answer means that the group is dissolved at once, as before.

--- a/serving/src/fleet_view.rs
+++ b/serving/src/fleet_view.rs
@@ -1,6 +1,8 @@
 //! The node's view of the registered instances, and the replicas that follow from it.
 //!
-//! An entry that disappears means that its instance is gone. The exception is the time right after
+//! An entry that disappears means that its instance gets no more requests and no new place. As a member
+//! of a group it is kept in mind for a while, since its group may go on: the holder of the lease asks
+//! it, and dissolves the group if need be. Missing entries are kept as they are in the time right after
 //! the store was away: entries lapse while nobody can renew them, and the instances that live
 //! register again about two seconds after the store's return. Until then such entries are kept.
 
@@ -32,6 +34,10 @@
 /// platform's page on its instance list.
 pub const LAPSED_ENTRY_GRACE: Duration = Duration::from_millis(2300);
 
+/// Longest time for which a member of a group is kept in mind after its entry lapsed; instances that are
+/// cut off from the store for longer are given up.
+const LAPSED_MEMBER_TIME: Duration = Duration::from_secs(15);
+
 /// Change of one entry.
 #[common_derives]
 pub enum EntryChange {
@@ -59,6 +65,8 @@
     changed_at: HashMap<InstanceId, Instant>,
     /// Missing entries that are kept, with the time until which they are.
     held: HashMap<InstanceId, Instant>,
+    /// Members of groups whose entries were removed, with the time.
+    lapsed: HashMap<InstanceId, (Instant, Instance)>,
     config: Option<Arc<FleetConfig>>,
     replicas: Arc<ReplicaSet>,
     /// When the list was read as a whole: the first time and the last.
@@ -86,6 +94,7 @@
             let mut before = std::mem::take(&mut inner.instances);
             for instance in instances {
                 inner.held.remove(&instance.id);
+                inner.lapsed.remove(&instance.id);
                 inner.note_change(before.remove(&instance.id).as_ref(), &instance);
                 inner.instances.insert(instance.id.clone(), instance);
             }
@@ -108,6 +117,7 @@
                 match change {
                     EntryChange::Put(instance) => {
                         inner.held.remove(&instance.id);
+                        inner.lapsed.remove(&instance.id);
                         let before = inner.instances.remove(&instance.id);
                         inner.note_change(before.as_ref(), &instance);
                         inner.instances.insert(instance.id.clone(), *instance);
@@ -124,10 +134,16 @@
 
     /// Drops the missing entries whose time has passed.
     pub fn expire_held(&self, now: Instant) {
-        if !self.lock().held.values().any(|until| *until <= now) {
+        let is_over = |(since, _): &(Instant, Instance)| now - *since >= LAPSED_MEMBER_TIME;
+        let is_due = {
+            let inner = self.lock();
+            inner.held.values().any(|until| *until <= now) || inner.lapsed.values().any(is_over)
+        };
+        if !is_due {
             return;
         }
         self.update(|inner, log| {
+            inner.lapsed.retain(|_, lapsed| !is_over(lapsed));
             let expired: Vec<InstanceId> = inner
                 .held
                 .iter()
@@ -159,6 +175,11 @@
         self.lock().instances.clone()
     }
 
+    /// Returns the members of groups whose entries were removed lately, with the time of it.
+    pub fn lapsed(&self) -> Vec<(Instant, Instance)> {
+        self.lock().lapsed.values().cloned().collect()
+    }
+
     /// Returns when what the instances say of their places and weights last changed.
     pub fn changes(&self) -> HashMap<InstanceId, Instant> {
         self.lock().changed_at.clone()
@@ -252,7 +273,8 @@
         let mut inner = self.lock();
         change(&mut inner, &self.log);
         if let Some(config) = inner.config.clone() {
-            let replicas = ReplicaSet::derive(inner.instances.values(), &config);
+            let lapsed = inner.lapsed.values().map(|(_, instance)| instance);
+            let replicas = ReplicaSet::derive(inner.instances.values(), lapsed, &config);
             note_differences(&self.log, &inner.replicas, &replicas);
             inner.replicas = Arc::new(replicas);
         }
@@ -285,7 +307,10 @@
         inner.held.remove(&id);
         inner.changed_at.remove(&id);
         let reason = "its entry was removed".to_string();
-        log.record(Event::InstanceGone { instance: id, reason });
+        log.record(Event::InstanceGone { instance: id.clone(), reason });
+        if instance.engine.membership.is_some() && !instance.is_draining {
+            inner.lapsed.insert(id, (Instant::now(), instance));
+        }
         return;
     };
     let until = *inner.held.entry(id.clone()).or_insert(until);
--- a/serving/src/group_control.rs
+++ b/serving/src/group_control.rs
@@ -18,6 +18,8 @@
 use crate::instance::InstanceId;
 use crate::instance::Membership;
 use crate::instance::MembershipState;
+use crate::lapsed_members::LapsedMembers;
+use crate::order_client;
 use crate::order_client::AcceptedOrders;
 use crate::replica_set::group_key;
 use crate::serving_cx::ServingCx;
@@ -67,6 +69,9 @@
     /// Groups that are being assembled or opened, as domain and model, by the head.
     assembling: HashMap<InstanceId, (String, String)>,
     loads_under_way: usize,
+    /// Members whose entries were removed, and the questions to them.
+    lapsed: LapsedMembers,
+    questions: JoinSet<(InstanceId, bool)>,
     steps: JoinSet<StepOutcome>,
 }
 
@@ -86,6 +91,8 @@
             last_newcomer: Instant::now(),
             assembling: HashMap::new(),
             loads_under_way: 0,
+            lapsed: LapsedMembers::new(),
+            questions: JoinSet::new(),
             steps: JoinSet::new(),
         }
     }
@@ -96,6 +103,9 @@
         loop {
             tokio::select! {
                 Some(Ok(outcome)) = self.steps.join_next() => self.finish(outcome),
+                Some(Ok((id, is_in_place))) = self.questions.join_next() => {
+                    self.lapsed.answered(&id, is_in_place);
+                }
                 _ = changes.changed() => {}
                 () = self.cx.downs.news_for_control() => {}
                 () = sleep(PLAN_PERIOD) => {}
@@ -165,7 +175,10 @@
         let now = Instant::now();
         self.own_words.retain(|_, (at, _)| now - *at < OWN_WORDS_PERIOD);
         self.suspects.retain(|_, until| *until > now);
-        let instances = self.cx.fleet.instances();
+        let mut instances = self.cx.fleet.instances();
+        for member in self.lapsed_members(now) {
+            instances.entry(member.id.clone()).or_insert(member);
+        }
         let changes = self.cx.fleet.changes();
         let newcomers = instances.keys().filter(|id| !self.known.contains(*id)).cloned();
         let newcomers: Vec<InstanceId> = newcomers.collect();
@@ -181,6 +194,24 @@
         }
     }
 
+    /// Returns the members whose entries were removed and that are in their place, as far as known, and
+    /// asks them from time to time.
+    fn lapsed_members(&mut self, now: Instant) -> Vec<Instance> {
+        let lapsed = self.cx.fleet.lapsed();
+        for index in self.lapsed.review(&lapsed, now) {
+            let (cx, instance) = (self.cx.clone(), lapsed[index].1.clone());
+            self.questions.spawn(async move {
+                let is_in_place = order_client::is_in_place(&cx, &instance).await;
+                (instance.id, is_in_place)
+            });
+        }
+        let is_there = |instance: &Instance| {
+            let is_suspect = self.suspects.contains_key(&instance.id);
+            !is_suspect && self.lapsed.lapse(&instance.id).is_some()
+        };
+        lapsed.into_iter().map(|(_, instance)| instance).filter(is_there).collect()
+    }
+
     fn plan_service(
         &mut self,
         engine: &Engine,
@@ -226,6 +257,7 @@
             domain: instance.engine.domain.clone().unwrap_or_default(),
             is_suspect,
             is_draining: instance.is_draining,
+            lapse: self.lapsed.lapse(&instance.id),
             is_reserved: self.reserved.contains(&instance.id),
             staging: self.staging.get(&instance.id).cloned(),
             staged: instance.engine.staged.clone(),
--- a/serving/src/group_plan.rs
+++ b/serving/src/group_plan.rs
@@ -17,6 +17,7 @@
 use crate::instance::GroupName;
 use crate::instance::InstanceId;
 use crate::instance::MembershipState;
+use crate::lapsed_members::Lapse;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
@@ -37,6 +38,8 @@
     pub is_suspect: bool,
     /// Whether it has announced that it leaves.
     pub is_draining: bool,
+    /// What the removal of its entry means; `None` while it is registered.
+    pub lapse: Option<Lapse>,
     /// Whether a step that involves it is under way.
     pub is_reserved: bool,
     /// Model that is being staged on its host.
@@ -50,9 +53,14 @@
 }
 
 impl PlanInstance {
-    /// Tells whether it may be a member of a new group: it answers and stays.
+    /// Tells whether it may be a member of a new group: it is registered, answers and stays.
     pub fn is_usable(&self) -> bool {
-        !self.is_draining && !self.is_suspect
+        !self.is_draining && !self.is_suspect && self.lapse.is_none()
+    }
+
+    /// Tells whether it leaves, announced or not.
+    fn is_leaving(&self) -> bool {
+        self.is_draining || self.lapse == Some(Lapse::Leaving)
     }
 }
 
@@ -276,9 +284,12 @@
                 if let Some(reason) = reason {
                     return self.dissolve(group, false, reason);
                 }
-                if group.members.values().any(|member| member.is_draining) {
+                if group.members.values().any(|member| member.is_leaving()) {
                     return self.dissolve(group, true, "a member leaves");
                 }
+                if group.head().is_some_and(|head| head.lapse.is_some()) {
+                    return self.dissolve(group, true, "its head is not registered");
+                }
                 self.count(model, group);
             }
             Some(MembershipState::Ready) if !is_reserved && size > 1 && is_complete => {
@@ -448,7 +459,7 @@
     /// that model lacks; `None` where the weights that the instance has are of use.
     fn lacking_model(&self, instance: &PlanInstance) -> Option<(i64, &'a Model)> {
         let in_domain = || {
-            let is_there = |i: &&PlanInstance| i.domain == instance.domain && !i.is_draining;
+            let is_there = |i: &&PlanInstance| i.domain == instance.domain && !i.is_leaving();
             self.input.instances.iter().filter(is_there)
         };
         let all = in_domain().count();
@@ -512,7 +523,7 @@
 /// and the allocation counts that gives the least served model most for its share.
 fn allocate(engine: &Engine, instances: &[PlanInstance]) -> GroupCounts {
     let mut room: BTreeMap<&str, usize> = BTreeMap::new();
-    for instance in instances.iter().filter(|i| !i.is_draining && !i.is_suspect) {
+    for instance in instances.iter().filter(|i| !i.is_leaving() && !i.is_suspect) {
         *room.entry(&instance.domain).or_default() += 1;
     }
     let Some(largest) = engine.models.iter().max_by_key(|model| model.size) else {
--- a/serving/src/lib.rs
+++ b/serving/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod instance_follow;
 pub mod instance_news;
 pub mod key_hash;
+pub mod lapsed_members;
 pub mod lease_keeper;
 pub mod lease_state;
 pub mod listeners;
--- a/serving/src/order_client.rs
+++ b/serving/src/order_client.rs
@@ -3,6 +3,7 @@
 use crate::connection;
 use crate::connection::CallError;
 use crate::instance::GroupEpoch;
+use crate::instance::Instance;
 use crate::instance::InstanceId;
 use crate::instance::InstanceReport;
 use crate::instance::Membership;
@@ -252,6 +253,24 @@
     cx.log.record(Event::OrderFailed { instance, order, term, outcome });
 }
 
+/// Asks an instance whether it still is in the group that it was believed to be in.
+pub async fn is_in_place(cx: &ServingCx, instance: &Instance) -> bool {
+    let Some(place) = &instance.engine.membership else { return false };
+    let (id, address) = (&instance.id, instance.address);
+    let asked = replica_health::ask_report(cx, id, address, "lapsed", REPORT_TIMEOUT).await;
+    let is_in_place = asked.as_ref().is_ok_and(|report| is_in(report, &place.group, place.epoch));
+    cx.log.record(Event::LapsedMemberAsked {
+        instance: id.clone(),
+        group: place.group.clone(),
+        outcome: match &asked {
+            Ok(_) if is_in_place => "in its place".to_string(),
+            Ok(_) => "elsewhere".to_string(),
+            Err(e) => e.to_string(),
+        },
+    });
+    is_in_place
+}
+
 /// Tells whether a report shows a place in a group of an epoch.
 pub fn is_in(report: &InstanceReport, group: &str, epoch: GroupEpoch) -> bool {
     let membership = report.engine.membership.as_ref();
--- a/serving/src/replica_set.rs
+++ b/serving/src/replica_set.rs
@@ -48,14 +48,20 @@
 }
 
 impl ReplicaSet {
-    /// Derives the replicas from the registered instances.
-    pub fn derive<'a>(instances: impl Iterator<Item = &'a Instance>, config: &FleetConfig) -> Self {
-        let mut groups: BTreeMap<(&str, u64), Vec<(&Instance, &Membership)>> = BTreeMap::new();
+    /// Derives the replicas from the registered instances. A group whose head is registered stays one
+    /// also with members whose entries have lapsed.
+    pub fn derive<'a>(
+        registered: impl Iterator<Item = &'a Instance>,
+        lapsed: impl Iterator<Item = &'a Instance>,
+        config: &FleetConfig,
+    ) -> Self {
+        let mut groups: BTreeMap<(&str, u64), Vec<Member<'_>>> = BTreeMap::new();
         let mut by_service: HashMap<String, Vec<Arc<Replica>>> = HashMap::new();
-        for instance in instances {
+        let registered = registered.map(|instance| (instance, true));
+        for (instance, is_registered) in registered.chain(lapsed.map(|i| (i, false))) {
             let Some(service) = config.services.get(&instance.service) else { continue };
             if service.engine.is_none() {
-                if !instance.is_draining {
+                if is_registered && !instance.is_draining {
                     let replicas = by_service.entry(instance.service.clone()).or_default();
                     replicas.push(Arc::new(plain_replica(instance)));
                 }
@@ -63,7 +69,7 @@
             }
             if let Some(membership) = &instance.engine.membership {
                 let members = groups.entry((&membership.group, membership.epoch)).or_default();
-                members.push((instance, membership));
+                members.push(Member { instance, membership, is_registered });
             }
         }
         for ((name, epoch), members) in groups {
@@ -113,25 +119,33 @@
     format!("{name}#{epoch}")
 }
 
+/// An instance with its place in a group.
+#[derive(Clone, Copy)]
+struct Member<'a> {
+    instance: &'a Instance,
+    membership: &'a Membership,
+    is_registered: bool,
+}
+
 /// Returns the replica of a group that is whole and open.
 fn group_replica(
     name: &str,
     epoch: u64,
-    mut members: Vec<(&Instance, &Membership)>,
+    mut members: Vec<Member<'_>>,
     config: &FleetConfig,
 ) -> Option<Replica> {
-    members.sort_by_key(|(_, membership)| membership.rank);
-    let (head, membership) = *members.first()?;
+    members.sort_by_key(|member| member.membership.rank);
+    let Member { instance: head, membership, is_registered } = *members.first()?;
     let engine = config.engine(&head.service)?;
     let model = engine.model(head.engine.model.as_deref()?)?;
     let has_every_rank = members.len() == model.size
-        && members.iter().enumerate().all(|(rank, (_, membership))| membership.rank == rank);
-    let is_usable = |(instance, membership): &(&Instance, &Membership)| {
+        && members.iter().enumerate().all(|(rank, member)| member.membership.rank == rank);
+    let is_usable = |Member { instance, membership, .. }: &Member<'_>| {
         let is_ready = matches!(membership.state, MembershipState::Ready | MembershipState::Open);
         is_ready && !instance.is_draining && instance.service == head.service
     };
     let is_open = membership.state == MembershipState::Open;
-    if !is_open || !has_every_rank || !members.iter().all(is_usable) {
+    if !is_registered || !is_open || !has_every_rank || !members.iter().all(is_usable) {
         return None;
     }
     let key = group_key(name, epoch);
@@ -144,6 +158,6 @@
         data_centre: head.data_centre.clone(),
         slots: engine.slots,
         model: Some(model.name.clone()),
-        members: members.iter().map(|(member, _)| (member.id.clone(), member.address)).collect(),
+        members: members.iter().map(|m| (m.instance.id.clone(), m.instance.address)).collect(),
     })
 }
--- a/serving/tests/test_group_faults.rs
+++ b/serving/tests/test_group_faults.rs
@@ -81,6 +81,9 @@
     DelayOrders(usize, u64, u64),
     /// An instance announces that it leaves.
     Drain(usize),
+    /// So many instances are cut off from the store, one of each so many; their entries lapse, and are
+    /// back after some milliseconds.
+    CutOff(usize, u64),
     /// The store treats all calls in this manner for some milliseconds.
     Store(StoreMode, u64),
     /// The store is away for some milliseconds, and all entries lapse meanwhile.
@@ -117,6 +120,7 @@
         3 => (instance(), 100..4000u64, 200..4000u64)
             .prop_map(|(i, late, ms)| Step::DelayOrders(i, late, ms)),
         1 => instance().prop_map(Step::Drain),
+        1 => (1..8usize, 500..6000u64).prop_map(|(each, ms)| Step::CutOff(each, ms)),
         2 => (store_mode(), 200..5000u64).prop_map(|(mode, ms)| Step::Store(mode, ms)),
         1 => (1000..6000u64).prop_map(Step::Lapse),
         3 => (0..NODES, store_mode(), 200..6000u64)
@@ -246,6 +250,20 @@
                     world.delay_orders(&id(instance), Duration::ZERO);
                 });
             }
+            Step::CutOff(each, ms) => {
+                let cut = (0..2 * PER_DOMAIN).filter(move |instance| instance % each == 0);
+                for instance in cut.clone() {
+                    world.cut_off(&id(instance), true);
+                    world.lapse(&id(instance));
+                }
+                self.ends.spawn(async move {
+                    sleep(Duration::from_millis(ms)).await;
+                    for instance in cut {
+                        world.cut_off(&id(instance), false);
+                        world.register(&id(instance));
+                    }
+                });
+            }
             Step::Drain(instance) => {
                 world.drain(&id(instance));
                 self.ends.spawn(async move {
@@ -574,3 +592,21 @@
 fn lost_watches_of_all_nodes_leave_no_configuration_behind() {
     replay(&[Step::Wait(500), Step::Configure, Step::Store(StoreMode::Silent, 100)]);
 }
+
+/// Members of three of the four groups are cut off from the store, and none of the heads is.
+#[test]
+fn groups_whose_members_are_cut_off_from_the_store_go_on() {
+    let mut system = GroupMachine::init_test(&0);
+    let before = system.run.world.whole_groups();
+    system = GroupMachine::apply(system, &0, Step::CutOff(5, 5000));
+    system = GroupMachine::apply(system, &0, Step::Wait(4000));
+    let heads: Vec<&String> = before.iter().map(|(_, members)| &members[0]).collect();
+    let is_kept = |(_, members): &&(String, Vec<String>)| {
+        !["i-00", "i-05", "i-10", "i-15"].contains(&members[0].as_str())
+    };
+    let kept = before.iter().filter(is_kept).count();
+    let after = system.run.world.whole_groups();
+    let still = after.iter().filter(|group| before.contains(group)).count();
+    assert!(still >= kept && kept >= 2, "{heads:?}, then {after:?}");
+    GroupMachine::teardown(system, 0);
+}
--- a/serving/tests/test_group_plan.rs
+++ b/serving/tests/test_group_plan.rs
@@ -6,6 +6,7 @@
 use guavaladder_serving::group_plan::PlanStep;
 use guavaladder_serving::group_plan::plan;
 use guavaladder_serving::instance::MembershipState;
+use guavaladder_serving::lapsed_members::Lapse;
 use rstest::rstest;
 use std::collections::BTreeSet;
 
@@ -15,6 +16,7 @@
         domain: domain.to_string(),
         is_suspect: false,
         is_draining: false,
+        lapse: None,
         is_reserved: false,
         staging: None,
         staged: vec![],
@@ -325,3 +327,24 @@
     instances.extend((0..2).map(|i| staged(&format!("s-{i}"), "d0", "large")));
     assert_eq!(steps(&instances, &[], 0), vec![]);
 }
+
+#[rstest]
+#[case::member_cut_off(2, Lapse::CutOff, None)]
+#[case::member_just_lapsed(2, Lapse::Recent, None)]
+#[case::member_leaves(2, Lapse::Leaving, Some("a member leaves"))]
+#[case::head_cut_off(0, Lapse::CutOff, Some("its head is not registered"))]
+fn group_with_a_lapsed_entry(
+    #[case] rank: usize,
+    #[case] lapse: Lapse,
+    #[case] dissolved: Option<&str>,
+) {
+    let mut instances = open_group("g", "d0", "large", 4);
+    instances[rank].lapse = Some(lapse);
+    let found = steps(&instances, &[], 0);
+    let why = found.iter().find_map(|step| match step {
+        PlanStep::Dissolve { reason, is_graceful: true, .. } => Some(reason.as_str()),
+        _ => None,
+    });
+    assert_eq!(why, dissolved);
+    assert_eq!(found.len(), usize::from(dissolved.is_some()), "{found:?}");
+}
--- a/serving/tests/test_load_table.rs
+++ b/serving/tests/test_load_table.rs
@@ -12,7 +12,7 @@
 
 fn replica() -> Arc<Replica> {
     let instances = [instance("x", "orders")];
-    ReplicaSet::derive(instances.iter(), &config(1)).of_service("orders")[0].clone()
+    ReplicaSet::derive(instances.iter(), [].iter(), &config(1)).of_service("orders")[0].clone()
 }
 
 #[test]
--- a/serving/tests/test_replica_set.rs
+++ b/serving/tests/test_replica_set.rs
@@ -14,7 +14,7 @@
 use rstest::rstest;
 
 fn replicas(instances: &[Instance], service: &str) -> usize {
-    ReplicaSet::derive(instances.iter(), &config(1)).of_service(service).len()
+    ReplicaSet::derive(instances.iter(), [].iter(), &config(1)).of_service(service).len()
 }
 
 fn group() -> Vec<Instance> {
@@ -23,7 +23,7 @@
 
 #[test]
 fn group_that_is_whole_and_open_is_a_replica() {
-    let set = ReplicaSet::derive(group().iter(), &config(1));
+    let set = ReplicaSet::derive(group().iter(), [].iter(), &config(1));
     let replica = &set.of_service(SERVICE)[0];
     assert_eq!(replica.key, "g#7");
     assert_eq!(replica.instance, "a");
@@ -63,3 +63,14 @@
     assert_eq!(replicas(&instances, "orders"), 1);
     assert_eq!(replicas(&instances, "nobody"), 0);
 }
+
+/// Members that are cut off from the store go on serving with a head that is registered.
+#[rstest]
+#[case::member(1, 1)]
+#[case::head(0, 0)]
+fn group_with_a_lapsed_entry(#[case] rank: usize, #[case] count: usize) {
+    let mut registered = group();
+    let lapsed = [registered.remove(rank)];
+    let set = ReplicaSet::derive(registered.iter(), lapsed.iter(), &config(1));
+    assert_eq!(set.of_service(SERVICE).len(), count);
+}
