--- a/serving/src/store.rs
+++ b/serving/src/store.rs
@@ -320,6 +320,8 @@
         let began = Instant::now();
         let result = self.call_on_connection(req, bound, is_read).await;
         self.note(what, began, &result);
+        let status = result.as_ref().map_or(0, |answer| answer.status().as_u16());
+        log::debug!("store call {what} of {kind:?}: status {status} after {:?}", began.elapsed());
         let answer = result.map_err(|e| match e {
             CallError::NotSent(e) => StoreError::NotDone(e.to_string()),
             CallError::Unanswered(e) => StoreError::Unknown(e),
