groups: stage while instances are replaced; empty ones complete the neediest group

A list with a new instance in the last 1.5 s counted as incomplete, so that nothing was staged from 12 s to 39 s but for two moments; and the empty instances, two in a domain, were taken for small groups with loads of 12 s and more, while the large model had one group, then none until 44 s, with three of four members waiting in several domains. Ruled out: the store (away from 16.5 s to 18.2 s and from 31 s to 36.8 s only), members lost.

The list counts as complete now while at most a quarter of the instances are new. A group is completed by empty instances beside members that kept their weights, the model in need first. Both as plain functions with tests that replay the load.

--- a/serving/src/group_control.rs
+++ b/serving/src/group_control.rs
@@ -19,6 +19,7 @@
 use crate::instance::Membership;
 use crate::instance::MembershipState;
 use crate::lapsed_members::LapsedMembers;
+use crate::newcomers::Newcomers;
 use crate::order_client;
 use crate::order_client::AcceptedOrders;
 use crate::replica_set::group_key;
@@ -39,9 +40,6 @@
 const OWN_WORDS_PERIOD: Duration = Duration::from_secs(6);
 /// Dissolved groups that are remembered.
 const MAX_DISSOLVED: usize = 512;
-/// Time without a new instance after which the list counts as complete: instances register at
-/// intervals of about a second.
-const SETTLED_AFTER: Duration = Duration::from_millis(1500);
 /// Time in which an instance's entry follows a change of its state.
 const ENTRY_LAG: Duration = Duration::from_millis(500);
 
@@ -63,9 +61,7 @@
     dissolved: BTreeSet<(GroupName, GroupEpoch)>,
     /// Instances that did not answer, with the time until which they get no place.
     suspects: HashMap<InstanceId, Instant>,
-    /// Instances that were ever registered, and when the last new one was.
-    known: HashSet<InstanceId>,
-    last_newcomer: Instant,
+    newcomers: Newcomers,
     /// Groups that are being assembled or opened, as domain and model, by the head.
     assembling: HashMap<InstanceId, (String, String)>,
     loads_under_way: usize,
@@ -87,8 +83,7 @@
             accepted: HashMap::new(),
             dissolved: BTreeSet::new(),
             suspects: HashMap::new(),
-            known: HashSet::new(),
-            last_newcomer: Instant::now(),
+            newcomers: Newcomers::new(),
             assembling: HashMap::new(),
             loads_under_way: 0,
             lapsed: LapsedMembers::new(),
@@ -180,12 +175,7 @@
             instances.entry(member.id.clone()).or_insert(member);
         }
         let changes = self.cx.fleet.changes();
-        let newcomers = instances.keys().filter(|id| !self.known.contains(*id)).cloned();
-        let newcomers: Vec<InstanceId> = newcomers.collect();
-        if !newcomers.is_empty() {
-            self.last_newcomer = now;
-            self.known.extend(newcomers);
-        }
+        self.newcomers.note(instances.keys(), now);
         for (service, engine) in &table.config.services {
             let Some(engine) = &engine.engine else { continue };
             let of_service: Vec<Instance> =
@@ -242,7 +232,7 @@
                 .cx
                 .fleet
                 .is_absence_trusted(self.cx.store.health().regained_at, now),
-            is_settled: now - self.last_newcomer >= SETTLED_AFTER,
+            is_settled: self.newcomers.is_settled(),
         };
         for step in group_plan::plan(&input) {
             self.start(engine, step, &instances);
--- a/serving/src/group_plan.rs
+++ b/serving/src/group_plan.rs
@@ -8,6 +8,8 @@
 //!   has least beyond what it needs.
 //! - Members are lost and replaced for hours, until a domain's free instances hold weights of the
 //!   wrong model. They are staged anew for a group that is missing.
+//! - Half of the instances are replaced one by one by empty ones. An empty one completes the group of
+//!   the model that has least, beside members that kept their weights.
 //! - The models' shares of the work differ. Groups are formed for the model that has least for its
 //!   share first.
 
@@ -385,7 +387,7 @@
     }
 
     /// Returns the next group to assemble: of instances with the weights where there are enough in
-    /// one domain, else of instances without any.
+    /// one domain, else with some that have none.
     fn next_assembly(&self) -> Option<(&'a Model, String, Vec<&'a PlanInstance>)> {
         let models = self.models_by_need();
         for model in &models {
@@ -396,18 +398,31 @@
                 return Some((model, domain, members));
             }
         }
-        let empty = |i: &PlanInstance| i.staged.is_empty() && i.last_model.is_none();
-        for model in &models {
-            let fits = |i: &PlanInstance| {
-                let is_due = self.lacks(model, &i.domain) > 0;
-                empty(i) && is_due && self.has_room_beside_larger(model, &i.domain)
-            };
-            if let Some((domain, mut members)) = self.largest_pool(fits, model.size) {
-                members.truncate(model.size);
-                return Some((model, domain, members));
-            }
+        models.iter().find_map(|model| {
+            let (domain, members) = self.pool_with_empty(model)?;
+            Some((*model, domain, members))
+        })
+    }
+
+    /// Returns the members of a group that some instances without any weights complete, in the domain
+    /// that has most of its weights already.
+    fn pool_with_empty(&self, model: &Model) -> Option<(String, Vec<&'a PlanInstance>)> {
+        let is_empty = |i: &PlanInstance| i.staged.is_empty() && i.last_model.is_none();
+        let has = |i: &PlanInstance| has_weights(i, &model.name);
+        let mut pools: BTreeMap<&str, Vec<&PlanInstance>> = BTreeMap::new();
+        for instance in self.free().filter(|i| has(i) || is_empty(i)) {
+            pools.entry(&instance.domain).or_default().push(instance);
         }
-        None
+        pools.retain(|domain, pool| {
+            let is_due = self.lacks(model, domain) > 0;
+            pool.len() >= model.size && is_due && self.has_room_beside_larger(model, domain)
+        });
+        let with = |pool: &Vec<&PlanInstance>| pool.iter().filter(|i| has(i)).count();
+        let (domain, mut members) =
+            pools.into_iter().max_by_key(|(_, pool)| (with(pool).min(model.size), pool.len()))?;
+        members.sort_by_key(|i| (!has(i), i.last_model.as_ref() != Some(&model.name), &i.id));
+        members.truncate(model.size);
+        Some((domain.to_string(), members))
     }
 
     /// Tells whether a group of a model leaves room in a domain for the largest model: while the
--- a/serving/src/lib.rs
+++ b/serving/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod listeners;
 pub mod load_table;
 pub mod network;
+pub mod newcomers;
 pub mod next_replica;
 pub mod node_registry;
 pub mod node_table;
--- a/serving/tests/runner.rs
+++ b/serving/tests/runner.rs
@@ -11,6 +11,7 @@
 mod test_lapsed_members;
 mod test_lease_state;
 mod test_load_table;
+mod test_newcomers;
 mod test_node_table;
 mod test_pages;
 mod test_peer_codec;
--- a/serving/tests/test_group_plan.rs
+++ b/serving/tests/test_group_plan.rs
@@ -348,3 +348,14 @@
     assert_eq!(why, dissolved);
     assert_eq!(found.len(), usize::from(dissolved.is_some()), "{found:?}");
 }
+
+/// A member of the large group left and an empty instance came in its place; another empty one is
+/// there, and the small model has its group elsewhere.
+#[test]
+fn empty_instance_completes_the_group_of_the_model_in_need() {
+    let mut instances = open_group("h", "d1", "small", 2);
+    instances.extend((0..3).map(|i| staged(&format!("s-{i}"), "d0", "large")));
+    instances.extend((0..2).map(|i| bare(format!("e-{i}"), "d0")));
+    let found = steps(&instances, &[], 0);
+    assert_eq!(assemblies(&found), [("large".to_string(), "d0".to_string(), 1)], "{found:?}");
+}
