groups: stage empty instances for a missing group in place of joining them

Cause: empty instances that joined as members held the others, who have the weights, for the whole load, while a freed member could have made the group whole at once.

--- a/serving/src/group_plan.rs
+++ b/serving/src/group_plan.rs
@@ -8,8 +8,8 @@
 //!   has least beyond what it needs.
 //! - Members are lost and replaced for hours, until a domain's free instances hold weights of the
 //!   wrong model. They are staged anew for a group that is missing.
-//! - Half of the instances are replaced one by one by empty ones. An empty one completes the group of
-//!   the model that has least, beside members that kept their weights.
+//! - Half of the instances are replaced one by one by empty ones. An empty one is staged for
+//!   the group of the model that has least, of which other members kept their weights.
 //! - The models' shares of the work differ. Groups are formed for the model that has least for its
 //!   share first.
 
@@ -363,66 +363,92 @@
         models
     }
 
-    /// Assembles groups while there are instances for them.
+    /// Assembles groups while there are instances for them: of instances with the weights first. What
+    /// is left of a group is completed by staging, so that its members stay free for another one
+    /// meanwhile. Only instances without any weights load them as members.
     fn assemble(&mut self) {
-        while let Some((model, domain, members)) = self.next_assembly() {
-            let needs_load = |m: &&&PlanInstance| !has_weights(m, &model.name);
-            let loads = members.iter().filter(needs_load).count();
+        while let Some((model, domain, members)) = self.next_with_weights() {
+            self.start_assembly(model, domain, members);
+        }
+        self.complete_groups();
+        while let Some((model, domain, members)) = self.next_empty() {
             let at_once = self.input.engine.loads_at_once as usize * LOADS_BEYOND;
-            if loads > 0 && self.loads > 0 && self.loads + loads > at_once.max(model.size) {
+            if self.loads > 0 && self.loads + members.len() > at_once.max(model.size) {
                 self.is_waiting_for_loads = true;
                 return;
             }
-            self.loads += loads;
-            self.taken.extend(members.iter().map(|member| member.id.clone()));
-            self.count_in(&model.name, domain.clone());
-            self.steps.push(PlanStep::Assemble {
-                model: model.name.clone(),
-                domain,
-                members: members.iter().map(|member| member.id.clone()).collect(),
-                loads,
-                reason: format!("{} serve", self.serving[&model.name] - 1),
-            });
+            self.start_assembly(model, domain, members);
         }
     }
 
-    /// Returns the next group to assemble: of instances with the weights where there are enough in
-    /// one domain, else with some that have none.
-    fn next_assembly(&self) -> Option<(&'a Model, String, Vec<&'a PlanInstance>)> {
-        let models = self.models_by_need();
-        for model in &models {
-            let members = self.largest_pool(|i| has_weights(i, &model.name), model.size);
-            if let Some((domain, mut members)) = members {
-                members.sort_by_key(|i| (i.last_model.as_ref() != Some(&model.name), &i.id));
-                members.truncate(model.size);
-                return Some((model, domain, members));
-            }
-        }
-        models.iter().find_map(|model| {
-            let (domain, members) = self.pool_with_empty(model)?;
-            Some((*model, domain, members))
+    fn start_assembly(&mut self, model: &Model, domain: String, members: Vec<&PlanInstance>) {
+        let loads = members.iter().filter(|member| !has_weights(member, &model.name)).count();
+        self.loads += loads;
+        self.taken.extend(members.iter().map(|member| member.id.clone()));
+        self.count_in(&model.name, domain.clone());
+        self.steps.push(PlanStep::Assemble {
+            model: model.name.clone(),
+            domain,
+            members: members.iter().map(|member| member.id.clone()).collect(),
+            loads,
+            reason: format!("{} serve", self.serving[&model.name] - 1),
+        });
+    }
+
+    /// Returns the next group of instances with the weights.
+    fn next_with_weights(&self) -> Option<(&'a Model, String, Vec<&'a PlanInstance>)> {
+        self.models_by_need().into_iter().find_map(|model| {
+            let pool = self.largest_pool(|i| has_weights(i, &model.name), model.size);
+            let (domain, mut members) = pool?;
+            members.sort_by_key(|i| (i.last_model.as_ref() != Some(&model.name), &i.id));
+            members.truncate(model.size);
+            Some((model, domain, members))
         })
     }
 
-    /// Returns the members of a group that some instances without any weights complete, in the domain
-    /// that has most of its weights already.
-    fn pool_with_empty(&self, model: &Model) -> Option<(String, Vec<&'a PlanInstance>)> {
-        let is_empty = |i: &PlanInstance| i.staged.is_empty() && i.last_model.is_none();
-        let has = |i: &PlanInstance| has_weights(i, &model.name);
-        let mut pools: BTreeMap<&str, Vec<&PlanInstance>> = BTreeMap::new();
-        for instance in self.free().filter(|i| has(i) || is_empty(i)) {
-            pools.entry(&instance.domain).or_default().push(instance);
+    /// Returns the next group of instances without any weights.
+    fn next_empty(&self) -> Option<(&'a Model, String, Vec<&'a PlanInstance>)> {
+        self.models_by_need().into_iter().find_map(|model| {
+            let fits = |i: &PlanInstance| {
+                let is_due = self.lacks(model, &i.domain) > 0;
+                is_empty(i) && is_due && self.has_room_beside_larger(model, &i.domain)
+            };
+            let (domain, mut members) = self.largest_pool(fits, model.size)?;
+            members.truncate(model.size);
+            Some((model, domain, members))
+        })
+    }
+
+    /// Stages empty instances for groups that are missing and of which a domain has some members with
+    /// the weights, the model in need first.
+    fn complete_groups(&mut self) {
+        let at_once = self.input.engine.loads_at_once as usize;
+        let domains: BTreeSet<&str> =
+            self.input.instances.iter().map(|instance| instance.domain.as_str()).collect();
+        for model in self.models_by_need() {
+            for domain in &domains {
+                if self.lacks(model, domain) == 0 {
+                    continue;
+                }
+                let free = || self.free().filter(|i| i.domain == *domain);
+                let with = free().filter(|i| has_weights(i, &model.name)).count();
+                let in_domain = self.input.instances.iter().filter(|i| i.domain == *domain);
+                let coming = in_domain.filter(|i| i.staging.as_ref() == Some(&model.name)).count();
+                let empty: Vec<&PlanInstance> = free().filter(|i| is_empty(i)).collect();
+                let missing = model.size.saturating_sub(with + coming);
+                if with == 0 || empty.len() < missing {
+                    continue;
+                }
+                for instance in empty.into_iter().take(missing) {
+                    self.taken.insert(instance.id.clone());
+                    if self.loads < at_once {
+                        self.loads += 1;
+                        let (instance, model) = (instance.id.clone(), model.name.clone());
+                        self.steps.push(PlanStep::Stage { instance, model });
+                    }
+                }
+            }
         }
-        pools.retain(|domain, pool| {
-            let is_due = self.lacks(model, domain) > 0;
-            pool.len() >= model.size && is_due && self.has_room_beside_larger(model, domain)
-        });
-        let with = |pool: &Vec<&PlanInstance>| pool.iter().filter(|i| has(i)).count();
-        let (domain, mut members) =
-            pools.into_iter().max_by_key(|(_, pool)| (with(pool).min(model.size), pool.len()))?;
-        members.sort_by_key(|i| (!has(i), i.last_model.as_ref() != Some(&model.name), &i.id));
-        members.truncate(model.size);
-        Some((domain.to_string(), members))
     }
 
     /// Tells whether a group of a model leaves room in a domain for the largest model: while the
@@ -601,6 +627,11 @@
     engine.models.iter().map(|model| served(model, groups)).fold(f64::MAX, f64::min)
 }
 
+/// Tells whether an instance has no weights at all.
+fn is_empty(instance: &PlanInstance) -> bool {
+    instance.staged.is_empty() && instance.last_model.is_none()
+}
+
 /// Tells whether an instance can join a group of a model without a load.
 fn has_weights(instance: &PlanInstance, model: &str) -> bool {
     instance.staged.iter().any(|staged| staged == model)
