--- a/serving/tests/runner.rs
+++ b/serving/tests/runner.rs
@@ -1,6 +1,7 @@
 //! Tests of the serving crate, one module a topic.
 
 mod fleet;
+mod test_attempts;
 mod test_crash_record;
 mod test_decision_log;
 mod test_directory;
--- a/serving/tests/test_group_faults.rs
+++ b/serving/tests/test_group_faults.rs
@@ -610,3 +610,16 @@
     assert!(still >= kept && kept >= 2, "{heads:?}, then {after:?}");
     GroupMachine::teardown(system, 0);
 }
+
+/// All nodes end at once: what the instances say is the only state, and their groups go on.
+#[test]
+fn groups_outlive_the_end_of_all_nodes() {
+    let mut system = GroupMachine::init_test(&0);
+    let before = system.run.world.whole_groups();
+    for node in 0..NODES {
+        system = GroupMachine::apply(system, &0, Step::RestartNode(node, 1000));
+    }
+    system = GroupMachine::apply(system, &0, Step::Wait(8000));
+    assert_eq!(system.run.world.whole_groups(), before);
+    GroupMachine::teardown(system, 0);
+}
--- a/serving/tests/test_serving_path.rs
+++ b/serving/tests/test_serving_path.rs
@@ -233,3 +233,36 @@
     fleet.wait_for_replicas(0, "orders", 2).await;
     assert_eq!(Call::new(Method::GET, "/look/x").status(fleet.callers(0)).await, 200);
 }
+
+/// Nobody can be let in, and nobody turned away for good, by a node that knows no configuration.
+#[tokio::test]
+async fn node_without_a_configuration_sends_callers_to_another_one() {
+    let mut fleet = Fleet::new(0).await;
+    fleet.store.remove("config", "main");
+    fleet.add_node().await;
+    let to = fleet.callers(0);
+    for key in [Some("key-1"), Some("unknown"), None] {
+        let answer = Call::new(Method::GET, "/look/x").with_key(key).send(to).await;
+        let answer = answer.expect("an answer");
+        assert_eq!(answer.status(), 503);
+        assert!(answer.headers().contains_key("retry-after"));
+    }
+    fleet.store.put("config", "main", config(7));
+    fleet.wait_for_replicas(0, "orders", 2).await;
+    assert_eq!(Call::new(Method::GET, "/look/x").status(to).await, 200);
+    assert_eq!(Call::new(Method::GET, "/look/x").with_key(None).status(to).await, 401);
+}
+
+/// A caller that leaves frees its place at the replica within half a second, by the platform's rules.
+#[tokio::test]
+async fn caller_that_leaves_frees_the_replica() {
+    let mut fleet = Fleet::with_events(5, 1000).await;
+    fleet.add_node().await;
+    fleet.wait_for_replicas(0, "drafting", 2).await;
+    let to = fleet.callers(0);
+    let caller = tokio::spawn(async move { Call::new(Method::POST, "/draft/x").send(to).await });
+    eventually(|| fleet.world.running_streams() == 1).await;
+    caller.abort();
+    sleep(Duration::from_millis(500)).await;
+    assert_eq!(fleet.world.running_streams(), 0);
+}
