--- a/serving/src/config_follow.rs
+++ b/serving/src/config_follow.rs
@@ -3,6 +3,7 @@
 use crate::dialect::ObjectChange;
 use crate::dialect::ObjectKind;
 use crate::dialect::StoredObject;
+use crate::serving_cx::HOLDER_WATCH_WAIT;
 use crate::serving_cx::ServingCx;
 use crate::store::StoreError;
 use guavaladder_lib::generated::events::Event;
@@ -15,10 +16,6 @@
 /// gone. The kernel's own probes notice a connection that went silent, and other nodes tell of a newer
 /// configuration.
 const WATCH_WAIT: Duration = Duration::from_secs(15);
-/// The same on the node that holds the lease on the groups: a store that loses the calls of all nodes
-/// for a moment leaves them waiting for answers that never come, and the others learn from this one
-/// within the bound on a configuration being in force, 3 s by the platform's settings.
-const HOLDER_WATCH_WAIT: Duration = Duration::from_millis(1500);
 /// Pause before the configuration is asked for again while there is none.
 const ABSENT_PAUSE: Duration = Duration::from_millis(300);
 
@@ -56,7 +53,7 @@
 async fn follow(cx: &ServingCx, mut revision: u64) {
     loop {
         let is_holder = cx.lease.term().is_some();
-        let wait = if is_holder { HOLDER_WATCH_WAIT } else { WATCH_WAIT };
+        let wait = cx.watch_wait(WATCH_WAIT);
         let watched = tokio::select! {
             watched = cx.store.watch(ObjectKind::Config, revision, wait) => watched,
             () = becomes_holder(cx), if !is_holder => continue,
--- a/serving/src/fleet_config.rs
+++ b/serving/src/fleet_config.rs
@@ -163,6 +163,12 @@
         self.models.iter().find(|model| model.name == name)
     }
 
+    /// Returns the time between two events of a stream in a group of a model that runs `running` requests;
+    /// `None` for a plain instance and for an unknown model.
+    pub fn pass_time_of(&self, model: Option<&str>, running: u32) -> Option<Duration> {
+        Some(self.pass_time(self.model(model?)?, running))
+    }
+
     /// Returns the time between two events of a stream in a group that runs `running` requests.
     pub fn pass_time(&self, model: &Model, running: u32) -> Duration {
         let step = self.step + self.step_per_request * running;
--- a/serving/src/group_control.rs
+++ b/serving/src/group_control.rs
@@ -18,6 +18,7 @@
 use crate::instance::InstanceId;
 use crate::instance::Membership;
 use crate::instance::MembershipState;
+use crate::key_hash::key_hash;
 use crate::lapsed_members::LapsedMembers;
 use crate::newcomers::Newcomers;
 use crate::order_client;
@@ -134,6 +135,11 @@
         self.cx.fleet.is_listed_since(since)
     }
 
+    /// Returns the term that this node acts on, or did last.
+    fn current_term(&self) -> Option<u64> {
+        self.term.map(|(term, _)| term)
+    }
+
     /// Forgets what only the holder of the lease needs.
     fn forget(&mut self) {
         if self.steps.is_empty() {
@@ -164,7 +170,7 @@
         for id in outcome.silent {
             self.suspects.insert(id, now + SUSPECT_PERIOD);
         }
-        if term != self.term.map(|(term, _)| term) {
+        if term != self.current_term() {
             return;
         }
         for (id, status) in outcome.own_words {
@@ -280,15 +286,14 @@
     ) -> BTreeSet<(GroupName, GroupEpoch)> {
         let found = self.cx.loads.down_members(now);
         let mut down = BTreeSet::new();
+        if found.is_empty() {
+            return down;
+        }
         for instance in instances {
-            let Some(Membership { group: name, epoch, .. }) = &instance.engine.membership else {
-                continue;
-            };
-            let key = group_key(name, *epoch);
-            let Some(member) = found.get(&crate::key_hash::key_hash(key.as_bytes())) else {
-                continue;
-            };
-            down.insert((name.clone(), *epoch));
+            let Some(membership) = &instance.engine.membership else { continue };
+            let key = group_key(&membership.group, membership.epoch);
+            let Some(member) = found.get(&key_hash(key.as_bytes())) else { continue };
+            down.insert(membership.place());
             if !member.is_empty() {
                 self.suspects.entry(member.clone()).or_insert(now + SUSPECT_PERIOD);
             }
@@ -297,37 +302,40 @@
     }
 
     fn start(&mut self, engine: &Engine, step: PlanStep, instances: &[Instance]) {
-        let ids = step.instances().to_vec();
-        if let PlanStep::Assemble { model, domain, members, loads, .. } = &step {
-            self.loads_under_way += loads;
-            let place = (domain.clone(), model.clone());
-            self.assembling.extend(members.first().map(|head| (head.clone(), place)));
-        }
-        if let PlanStep::Open { members, .. } = &step {
-            let head = instances.iter().find(|instance| Some(&instance.id) == members.first());
-            let place = head.map(|head| {
-                let EngineStatus { domain, model, .. } = head.engine.clone();
-                (head.id.clone(), (domain.unwrap_or_default(), model.unwrap_or_default()))
-            });
-            self.assembling.extend(place);
-        }
-        if let PlanStep::Stage { instance, model } = &step {
-            self.loads_under_way += 1;
-            self.staging.insert(instance.clone(), model.clone());
-        }
-        self.reserved.extend(ids.iter().cloned());
+        let ids = step.instances();
         let involved: Vec<Instance> = ids
             .iter()
             .filter_map(|id| instances.iter().find(|instance| instance.id == *id).cloned())
             .collect();
+        match &step {
+            PlanStep::Dissolve { .. } => {}
+            PlanStep::Open { .. } => {
+                self.assembling.extend(involved.first().map(|head| {
+                    let domain = head.engine.domain.clone().unwrap_or_default();
+                    (head.id.clone(), (domain, head.engine.model.clone().unwrap_or_default()))
+                }));
+            }
+            PlanStep::Assemble { model, domain, loads, .. } => {
+                self.loads_under_way += loads;
+                let place = (domain.clone(), model.clone());
+                self.assembling.extend(ids.first().map(|head| (head.clone(), place)));
+            }
+            PlanStep::Stage { instance, model } => {
+                self.loads_under_way += 1;
+                self.staging.insert(instance.clone(), model.clone());
+            }
+        }
+        self.reserved.extend(ids.iter().cloned());
         let (cx, engine) = (self.cx.clone(), engine.clone());
         let known = involved.iter().filter_map(|i| self.accepted.get_key_value(&i.id));
         let accepted = known.map(|(id, accepted)| (id.clone(), *accepted)).collect();
         let memberships = involved.iter().filter_map(|i| i.engine.membership.as_ref());
-        let places = memberships.map(|m| (m.group.clone(), m.epoch));
-        let dissolved = places.filter(|place| self.dissolved.contains(place)).collect();
+        let dissolved = memberships
+            .map(Membership::place)
+            .filter(|place| self.dissolved.contains(place))
+            .collect();
         let known = KnownState { accepted, dissolved };
-        let term = self.term.map(|(term, _)| term);
+        let term = self.current_term();
         self.steps.spawn(async move {
             (term, group_steps::carry_out(&cx, &engine, step, involved, known).await)
         });
--- a/serving/src/group_plan.rs
+++ b/serving/src/group_plan.rs
@@ -324,10 +324,11 @@
 
     /// Returns how many groups of a model a domain lacks.
     fn lacks(&self, model: &Model, domain: &str) -> usize {
-        let key = (domain.to_string(), model.name.clone());
-        let count =
-            |counts: &BTreeMap<(String, String), usize>| counts.get(&key).copied().unwrap_or(0);
-        count(&self.wanted).saturating_sub(count(&self.in_domain))
+        count_of(&self.wanted, model, domain).saturating_sub(count_of(
+            &self.in_domain,
+            model,
+            domain,
+        ))
     }
 
     fn dissolve(&mut self, group: &Group<'_>, is_graceful: bool, reason: &str) {
@@ -354,13 +355,8 @@
 
     /// Returns the models, the one that has least for its share first.
     fn models_by_need(&self) -> Vec<&'a Model> {
-        let mut models: Vec<&Model> = self.input.engine.models.iter().collect();
-        let need = |model: &Model| {
-            let groups = self.serving.get(&model.name).copied().unwrap_or(0);
-            (groups * model.size) as f64 / model.share.max(0.001)
-        };
-        models.sort_by(|a, b| need(a).total_cmp(&need(b)).then(b.size.cmp(&a.size)));
-        models
+        let groups = |model: &Model| self.serving.get(&model.name).copied().unwrap_or(0);
+        by_need(self.input.engine.models.iter(), groups)
     }
 
     /// Assembles groups while there are instances for them: of instances with the weights first. What
@@ -440,11 +436,11 @@
                     continue;
                 }
                 for instance in empty.into_iter().take(missing) {
-                    self.taken.insert(instance.id.clone());
                     if self.loads < at_once {
-                        self.loads += 1;
-                        let (instance, model) = (instance.id.clone(), model.name.clone());
-                        self.steps.push(PlanStep::Stage { instance, model });
+                        self.start_staging(instance, model);
+                    } else {
+                        // It is kept for this group until there is room for its load.
+                        self.taken.insert(instance.id.clone());
                     }
                 }
             }
@@ -489,13 +485,17 @@
             let lacking = self.free().filter_map(|i| Some((i, self.lacking_model(i)?)));
             let first = lacking.max_by_key(|(_, (lack, model))| (*lack > 0, model.size, *lack));
             let Some((instance, (_, model))) = first else { return };
-            self.loads += 1;
-            self.taken.insert(instance.id.clone());
-            let (instance, model) = (instance.id.clone(), model.name.clone());
-            self.steps.push(PlanStep::Stage { instance, model });
+            self.start_staging(instance, model);
         }
     }
 
+    fn start_staging(&mut self, instance: &PlanInstance, model: &Model) {
+        self.loads += 1;
+        self.taken.insert(instance.id.clone());
+        let (instance, model) = (instance.id.clone(), model.name.clone());
+        self.steps.push(PlanStep::Stage { instance, model });
+    }
+
     /// Returns the model that an instance should be staged for, and how many instances of its domain
     /// that model lacks; `None` where the weights that the instance has are of use.
     fn lacking_model(&self, instance: &PlanInstance) -> Option<(i64, &'a Model)> {
@@ -510,8 +510,7 @@
             possible.partition(|model| has_weights(instance, &model.name));
         // Whole groups as they are wanted, each model with instances to spare.
         let lack = |model: &Model| {
-            let key = (instance.domain.clone(), model.name.clone());
-            let groups = self.wanted.get(&key).copied().unwrap_or(0);
+            let groups = count_of(&self.wanted, model, &instance.domain);
             let wanted = groups * model.size + SPARES_PER_DOMAIN;
             wanted as i64 - with(model) as i64
         };
@@ -594,10 +593,8 @@
         place(largest, &mut room, &mut groups);
     }
     loop {
-        let mut others: Vec<&Model> =
-            engine.models.iter().filter(|model| model.name != largest.name).collect();
-        let need = |model: &Model| served(model, &groups);
-        others.sort_by(|a, b| need(a).total_cmp(&need(b)).then(b.size.cmp(&a.size)));
+        let others = engine.models.iter().filter(|model| model.name != largest.name);
+        let others = by_need(others, |model| count_all(&groups, model));
         if !others.into_iter().any(|model| place(model, &mut room, &mut groups)) {
             return groups;
         }
@@ -616,15 +613,35 @@
     true
 }
 
+/// Returns the groups of a model in a domain.
+fn count_of(groups: &GroupCounts, model: &Model, domain: &str) -> usize {
+    groups.get(&(domain.to_string(), model.name.clone())).copied().unwrap_or(0)
+}
+
+/// Returns the groups of a model in all domains.
+fn count_all(groups: &GroupCounts, model: &Model) -> usize {
+    groups.iter().filter(|((_, name), _)| *name == model.name).map(|(_, count)| count).sum()
+}
+
 /// Returns the members of a model's groups for its share of the work.
-fn served(model: &Model, groups: &GroupCounts) -> f64 {
-    let of_model = groups.iter().filter(|((_, name), _)| *name == model.name);
-    let count: usize = of_model.map(|(_, count)| count).sum();
-    (count * model.size) as f64 / model.share.max(0.001)
+fn served(model: &Model, groups: usize) -> f64 {
+    (groups * model.size) as f64 / model.share.max(0.001)
+}
+
+/// Returns the models, the one that has least for its share first, larger ones before smaller ones.
+fn by_need<'m>(
+    models: impl Iterator<Item = &'m Model>,
+    groups: impl Fn(&Model) -> usize,
+) -> Vec<&'m Model> {
+    let mut models: Vec<&Model> = models.collect();
+    let need = |model: &Model| served(model, groups(model));
+    models.sort_by(|a, b| need(a).total_cmp(&need(b)).then(b.size.cmp(&a.size)));
+    models
 }
 
 fn least_served(engine: &Engine, groups: &GroupCounts) -> f64 {
-    engine.models.iter().map(|model| served(model, groups)).fold(f64::MAX, f64::min)
+    let served = |model: &Model| served(model, count_all(groups, model));
+    engine.models.iter().map(served).fold(f64::MAX, f64::min)
 }
 
 /// Tells whether an instance has no weights at all.
--- a/serving/src/instance.rs
+++ b/serving/src/instance.rs
@@ -39,6 +39,13 @@
     pub state: MembershipState,
 }
 
+impl Membership {
+    /// Returns the group and the epoch.
+    pub fn place(&self) -> (GroupName, GroupEpoch) {
+        (self.group.clone(), self.epoch)
+    }
+}
+
 /// What an instance tells about its place and its weights.
 #[common_derives(Eq, Default)]
 pub struct EngineStatus {
--- a/serving/src/instance_follow.rs
+++ b/serving/src/instance_follow.rs
@@ -12,6 +12,7 @@
 use crate::store::StoreError;
 use guavaladder_lib::generated::events::Event;
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::time::Duration;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
@@ -19,9 +20,6 @@
 
 /// Longest wait of one watch. The kernel's own probes notice a connection that went silent.
 const WATCH_WAIT: Duration = Duration::from_secs(8);
-/// The same on the node that holds the lease on the groups, whose orders rest on the list: a store that
-/// loses its call for a moment would leave it with an old one.
-const HOLDER_WATCH_WAIT: Duration = Duration::from_millis(1500);
 /// Shortest time from one watch to the next, so that changes that come together cost one call.
 const WATCH_PERIOD: Duration = Duration::from_millis(300);
 /// Period in which a node that does not watch looks whether it has to.
@@ -71,7 +69,8 @@
     loop {
         ticks.tick().await;
         cx.fleet.expire_held(Instant::now());
-        cx.loads.retain(|hash| cx.fleet.replicas().all().any(|replica| replica.hash == hash));
+        let known: HashSet<u64> = cx.fleet.replicas().all().map(|replica| replica.hash).collect();
+        cx.loads.retain(|hash| known.contains(&hash));
     }
 }
 
@@ -113,8 +112,7 @@
     async fn watch(&mut self, mut revision: u64) {
         loop {
             let started = Instant::now();
-            let is_holder = self.cx.lease.term().is_some();
-            let wait = if is_holder { HOLDER_WATCH_WAIT } else { WATCH_WAIT };
+            let wait = self.cx.watch_wait(WATCH_WAIT);
             let watched = tokio::select! {
                 watched = self.cx.store.watch(ObjectKind::Instances, revision, wait) => watched,
                 () = self.cx.fleet.list_wanted() => return,
--- a/serving/src/load_table.rs
+++ b/serving/src/load_table.rs
@@ -46,6 +46,27 @@
     pub failure_rate: f64,
 }
 
+impl ReplicaState {
+    /// Returns the state of a replica of which nothing is known.
+    pub fn unknown() -> Self {
+        Self {
+            own: 0,
+            remote: 0,
+            unanswered: 0,
+            last_sign: None,
+            slowness: 1.0,
+            is_down: false,
+            is_ejected: false,
+            failure_rate: 0.0,
+        }
+    }
+
+    /// Returns the requests of all nodes there.
+    pub fn requests(&self) -> u32 {
+        self.own + self.remote
+    }
+}
+
 #[derive(Debug)]
 struct Entry {
     own: u32,
@@ -75,6 +96,10 @@
             missing_member: String::new(),
         }
     }
+
+    fn is_down(&self, now: Instant) -> bool {
+        self.down.borrow().is_some_and(|until| until > now)
+    }
 }
 
 /// Shared table of the replicas' loads, by the hash of their keys.
@@ -122,16 +147,7 @@
         let inner = self.lock();
         let remote = inner.remote_sums.get(&replica.hash).copied().unwrap_or(0);
         let Some(entry) = inner.entries.get(&replica.hash) else {
-            return ReplicaState {
-                own: 0,
-                remote,
-                unanswered: 0,
-                last_sign: None,
-                slowness: 1.0,
-                is_down: false,
-                is_ejected: false,
-                failure_rate: 0.0,
-            };
+            return ReplicaState { remote, ..ReplicaState::unknown() };
         };
         ReplicaState {
             own: entry.own,
@@ -139,7 +155,7 @@
             unanswered: entry.unanswered,
             last_sign: entry.last_sign,
             slowness: entry.slowness,
-            is_down: entry.down.borrow().is_some_and(|until| until > now),
+            is_down: entry.is_down(now),
             is_ejected: entry.ejected_until.is_some_and(|until| until > now),
             failure_rate: entry.failure_rate,
         }
@@ -194,7 +210,7 @@
     pub fn mark_down(&self, hash: u64, member: &str, now: Instant) -> bool {
         let mut inner = self.lock();
         let entry = inner.entries.entry(hash).or_insert_with(Entry::new);
-        let was_down = entry.down.borrow().is_some_and(|until| until > now);
+        let was_down = entry.is_down(now);
         if !was_down {
             entry.down.send_replace(Some(now + DOWN_PERIOD));
             entry.missing_member = member.to_string();
@@ -205,8 +221,7 @@
     /// Returns the replicas that are marked as down with the members that were missing.
     pub fn down_members(&self, now: Instant) -> HashMap<u64, String> {
         let inner = self.lock();
-        let is_down = |entry: &Entry| entry.down.borrow().is_some_and(|until| until > now);
-        let down = inner.entries.iter().filter(|(_, entry)| is_down(entry));
+        let down = inner.entries.iter().filter(|(_, entry)| entry.is_down(now));
         down.map(|(hash, entry)| (*hash, entry.missing_member.clone())).collect()
     }
 
@@ -240,10 +255,9 @@
     /// Forgets idle replicas that are no longer in the set.
     pub fn retain(&self, is_known: impl Fn(u64) -> bool) {
         let now = Instant::now();
-        self.lock().entries.retain(|hash, entry| {
-            let is_down = entry.down.borrow().is_some_and(|until| until > now);
-            entry.own > 0 || is_down || is_known(*hash)
-        });
+        self.lock()
+            .entries
+            .retain(|hash, entry| entry.own > 0 || entry.is_down(now) || is_known(*hash));
     }
 
     fn lock(&self) -> MutexGuard<'_, Inner> {
--- a/serving/src/peer_exchange.rs
+++ b/serving/src/peer_exchange.rs
@@ -30,7 +30,6 @@
 /// Handle to the exchange.
 #[derive(Debug, Clone)]
 pub struct PeerExchange {
-    cx: ServingCx,
     state: PeerState,
     key: PeerKey,
     socket: Arc<UdpSocket>,
@@ -47,7 +46,7 @@
 impl PeerExchange {
     /// Returns the exchange on a socket.
     pub fn new(cx: ServingCx, key: PeerKey, socket: UdpSocket) -> Self {
-        Self { state: PeerState::new(cx.clone()), cx, key, socket: Arc::new(socket) }
+        Self { state: PeerState::new(cx), key, socket: Arc::new(socket) }
     }
 
     /// Sends messages until the task is ended.
@@ -55,10 +54,10 @@
         loop {
             self.send_to_all().await;
             let now = Instant::now();
-            self.cx.nodes.review(now, self.cx.beat_period());
+            self.state.cx.nodes.review(now, self.state.cx.beat_period());
             tokio::select! {
-                () = sleep(self.cx.beat_period()) => {}
-                () = self.cx.downs.news() => {}
+                () = sleep(self.state.cx.beat_period()) => {}
+                () = self.state.cx.downs.news() => {}
             }
         }
     }
@@ -81,8 +80,8 @@
             Ok(message) => return log::warn!("a message of {} bytes is not sent", message.len()),
             Err(e) => return log::warn!("a message is not sent: {e}"),
         };
-        for address in self.cx.nodes.addresses() {
-            let to = SocketAddr::new(address, self.cx.settings.peers.port());
+        for address in self.state.cx.nodes.addresses() {
+            let to = SocketAddr::new(address, self.state.cx.settings.peers.port());
             if let Err(e) = self.socket.send_to(&message, to).await {
                 log::debug!("a message to {to} was not sent: {e}");
             }
@@ -97,8 +96,8 @@
                 Ok((len, from)) => match peer_codec::decode(&buf[..len], &self.key) {
                     Ok(PeerMessage::Beat(beat)) => self.state.take(from.ip(), beat),
                     Ok(PeerMessage::News(news)) => {
-                        let hold_until = instance_follow::hold_until(&self.cx);
-                        self.cx.fleet.take_news(news, hold_until, Instant::now());
+                        let hold_until = instance_follow::hold_until(&self.state.cx);
+                        self.state.cx.fleet.take_news(news, hold_until, Instant::now());
                     }
                     Err(e) => log::debug!("a message from {from} was refused: {e}"),
                 },
@@ -106,7 +105,7 @@
                 Err(e) if e.kind() == io::ErrorKind::ConnectionRefused => {}
                 Err(e) => {
                     log::debug!("receiving failed: {e}");
-                    sleep(self.cx.beat_period()).await;
+                    sleep(self.state.cx.beat_period()).await;
                 }
             }
         }
--- a/serving/src/placement.rs
+++ b/serving/src/placement.rs
@@ -116,7 +116,7 @@
 pub fn occupancy(candidates: &[Candidate]) -> Occupancy {
     let mut sum = Occupancy::default();
     for candidate in candidates.iter().filter(|c| !c.state.is_down) {
-        sum.running += requests_at(&candidate.state);
+        sum.running += candidate.state.requests();
         sum.places += candidate.replica.slots;
         sum.replicas += 1;
     }
@@ -146,8 +146,8 @@
 ) -> Option<&'a Candidate> {
     let has_room = |c: &&&Candidate| match input.prospect {
         Prospect::Begun => true,
-        Prospect::OnTime => requests_at(&c.state) < limit(c),
-        Prospect::Late => f64::from(requests_at(&c.state)) < f64::from(limit(c)) * LATE_PART,
+        Prospect::OnTime => c.state.requests() < limit(c),
+        Prospect::Late => f64::from(c.state.requests()) < f64::from(limit(c)) * LATE_PART,
     };
     let mut with_room: Vec<&&Candidate> = candidates.iter().filter(has_room).collect();
     let share = with_room.len() as f64 * COMPARED_FACTOR / input.nodes.max(1) as f64;
@@ -160,10 +160,6 @@
     costs.min_by(|(a, _), (b, _)| a.total_cmp(b)).map(|(_, candidate)| candidate)
 }
 
-fn requests_at(state: &ReplicaState) -> u32 {
-    state.own + state.remote
-}
-
 /// Returns the requests that a replica may have, those that wait included.
 fn limit(candidate: &Candidate) -> u32 {
     let slots = f64::from(candidate.replica.slots);
@@ -177,10 +173,9 @@
 /// Returns a measure of the time in which a replica makes progress with one request more.
 fn expected_cost(candidate: &Candidate, input: &PlacementInput<'_>) -> f64 {
     let replica = &candidate.replica;
-    let running = requests_at(&candidate.state) + 1;
-    let model = input.engine.zip(replica.model.as_deref());
+    let running = candidate.state.requests() + 1;
     let pass =
-        model.and_then(|(engine, name)| Some(engine.pass_time(engine.model(name)?, running)));
+        input.engine.and_then(|engine| engine.pass_time_of(replica.model.as_deref(), running));
     let load = f64::from(running) / f64::from(replica.slots);
     let time = match pass {
         Some(pass) => pass.as_secs_f64() * (1.0 + load),
--- a/serving/src/replica_health.rs
+++ b/serving/src/replica_health.rs
@@ -309,18 +309,15 @@
     let Some(table) = cx.config.get() else { return };
     let replicas = cx.fleet.replicas();
     for replica in replicas.all() {
-        let engine = table.config.engine(&replica.service);
-        let Some((engine, model)) =
-            engine.zip(replica.model.as_deref()).and_then(|(e, m)| Some((e, e.model(m)?)))
-        else {
+        let Some(engine) = table.config.engine(&replica.service) else { continue };
+        let state = cx.loads.state(replica, now);
+        let Some(pass) = engine.pass_time_of(replica.model.as_deref(), state.requests()) else {
             continue;
         };
-        let state = cx.loads.state(replica, now);
         let Some(last_sign) = state.last_sign.filter(|_| state.own > 0 && !state.is_down) else {
             continue;
         };
         let silent_for = now - last_sign;
-        let pass = engine.pass_time(model, state.own + state.remote);
         let bound = match state.own > state.unanswered {
             true => (pass * SILENT_PASSES).mul_f64(state.slowness.max(1.0)).max(MIN_SILENCE),
             false => UNANSWERED_SILENCE,
--- a/serving/src/request_task.rs
+++ b/serving/src/request_task.rs
@@ -134,7 +134,7 @@
     pub fn attempt(&mut self, replica: &Replica) {
         let state = self.cx.loads.state(replica, Instant::now());
         self.attempts += 1;
-        self.ahead = u64::from(state.own + state.remote);
+        self.ahead = u64::from(state.requests());
         self.replica = replica.key.clone();
     }
 
--- a/serving/src/serving_cx.rs
+++ b/serving/src/serving_cx.rs
@@ -33,6 +33,12 @@
 /// Part of the period for each node, so that a node's cost grows slower than the fleet.
 const BEAT_PERIOD_PER_NODE: Duration = Duration::from_millis(3);
 
+/// Longest wait of a watch on the store by the node that holds the lease on the groups. A store that
+/// loses the calls of all nodes for a moment leaves them waiting for answers that never come; the
+/// others learn of a newer configuration from this node, within the bound on its being in force, 3 s by
+/// the platform's settings, and its own orders rest on the instance list.
+pub const HOLDER_WATCH_WAIT: Duration = Duration::from_millis(1500);
+
 /// What all parts of a node share.
 #[derive(Debug, Clone)]
 pub struct ServingCx {
@@ -134,6 +140,14 @@
         (BEAT_PERIOD_PER_NODE * nodes).clamp(MIN_BEAT_PERIOD, MAX_BEAT_PERIOD)
     }
 
+    /// Returns the longest wait of a watch on the store that may otherwise wait for `longest`.
+    pub fn watch_wait(&self, longest: Duration) -> Duration {
+        match self.lease.term() {
+            Some(_) => HOLDER_WATCH_WAIT,
+            None => longest,
+        }
+    }
+
     /// Returns how many nodes share a budget.
     pub fn sharing_nodes(&self) -> usize {
         self.nodes.count(Instant::now(), self.beat_period())
--- a/serving/src/stream_forward.rs
+++ b/serving/src/stream_forward.rs
@@ -187,10 +187,9 @@
 
 fn expected_pause(cx: &ServingCx, replica: &Replica) -> Duration {
     let Some(table) = cx.config.get() else { return Duration::ZERO };
-    let engine = table.config.engine(&replica.service);
-    let model = engine.zip(replica.model.as_deref()).and_then(|(e, m)| Some((e, e.model(m)?)));
-    let running = cx.loads.state(replica, Instant::now());
-    model.map_or(Duration::ZERO, |(e, m)| e.pass_time(m, running.own + running.remote))
+    let Some(engine) = table.config.engine(&replica.service) else { return Duration::ZERO };
+    let running = cx.loads.state(replica, Instant::now()).requests();
+    engine.pass_time_of(replica.model.as_deref(), running).unwrap_or_default()
 }
 
 /// Starts the task that passes events on and returns the answer that it fills.
