--- a/serving/tests/fleet.rs
+++ b/serving/tests/fleet.rs
@@ -1,7 +1,9 @@
 //! A small fleet for tests: nodes of this crate on loopback addresses of their own, before the
 //! stand-ins for the platform.
 
+use bytes::Bytes;
 use guavaladder_platform::dialect::PlatformDialect;
+use guavaladder_platform_testutils::Call;
 use guavaladder_platform_testutils::FakeStore;
 use guavaladder_platform_testutils::InstanceSpec;
 use guavaladder_platform_testutils::World;
@@ -9,12 +11,15 @@
 use guavaladder_platform_testutils::spawn_instance;
 use guavaladder_serving::serving_node::ServingNode;
 use guavaladder_serving::serving_settings;
+use http::Method;
+use http::Response;
 use serde_json::json;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU8;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
+use tokio::task::JoinHandle;
 use tokio::time::Instant;
 use tokio::time::sleep;
 
@@ -53,6 +58,12 @@
         Self { store, world, nodes: vec![] }
     }
 
+    /// Starts one node and waits until it knows so many replicas of a service.
+    pub async fn add_first_node(&mut self, service: &str, replicas: usize) {
+        self.add_node().await;
+        self.wait_for_replicas(0, service, replicas).await;
+    }
+
     /// Starts one more node.
     pub async fn add_node(&mut self) {
         let host = next_host();
@@ -82,6 +93,12 @@
     }
 }
 
+/// Sends requests for streams at the same time; each task ends with the answer.
+pub fn start_streams(to: SocketAddr, count: usize) -> Vec<JoinHandle<Option<Response<Bytes>>>> {
+    let start = |_| tokio::spawn(async move { Call::new(Method::POST, "/draft/x").send(to).await });
+    (0..count).map(start).collect()
+}
+
 /// Returns a loopback address of its own for a node, so that its ports are free: those of outgoing
 /// connections belong to other addresses.
 fn next_host() -> [u8; 4] {
--- a/serving/tests/test_group_plan.rs
+++ b/serving/tests/test_group_plan.rs
@@ -1,6 +1,7 @@
 //! Tests of the planner of groups.
 
 use crate::util::engine;
+use guavaladder_serving::fleet_config::Engine;
 use guavaladder_serving::group_plan::PlanInput;
 use guavaladder_serving::group_plan::PlanInstance;
 use guavaladder_serving::group_plan::PlanStep;
@@ -53,20 +54,31 @@
     dissolved: &[&str],
     loads: usize,
 ) -> Vec<PlanStep> {
-    let engine = engine();
     let keys = |names: &[&str]| -> BTreeSet<(String, u64)> {
         names.iter().map(|name| (name.to_string(), 5)).collect()
     };
+    let (down, dissolved) = (keys(down), keys(dissolved));
     plan(&PlanInput {
-        engine: &engine,
+        down: &down,
+        dissolved: &dissolved,
+        loads_under_way: loads,
+        ..calm(&engine(), instances)
+    })
+}
+
+/// Returns the input of a moment in which nothing is known but the instances.
+fn calm<'a>(engine: &'a Engine, instances: &'a [PlanInstance]) -> PlanInput<'a> {
+    static NONE: BTreeSet<(String, u64)> = BTreeSet::new();
+    PlanInput {
+        engine,
         instances,
-        down: &keys(down),
-        dissolved: &keys(dissolved),
+        down: &NONE,
+        dissolved: &NONE,
         assembling: &[],
-        loads_under_way: loads,
+        loads_under_way: 0,
         is_settled: true,
         is_absence_trusted: true,
-    })
+    }
 }
 
 fn assemblies(steps: &[PlanStep]) -> Vec<(String, String, usize)> {
@@ -97,22 +109,12 @@
         order.sort_by_key(|i| (*i as u64 + 1).wrapping_mul(seed * 2 + 2_654_435_761) % 1009);
         let mut fleet: Vec<PlanInstance> = vec![];
         let engine = engine();
-        let none = BTreeSet::new();
         let mut groups = 0;
         for step in 0..80 {
             for i in order.iter().skip(fleet.len()).take(2) {
                 fleet.push(bare(format!("i{i:02}"), &format!("d{}", i / 8)));
             }
-            let input = PlanInput {
-                engine: &engine,
-                instances: &fleet,
-                down: &none,
-                dissolved: &none,
-                assembling: &[],
-                loads_under_way: 0,
-                is_settled: step > 40,
-                is_absence_trusted: true,
-            };
+            let input = PlanInput { is_settled: step > 40, ..calm(&engine, &fleet) };
             let steps = plan(&input);
             for step in steps {
                 let PlanStep::Assemble { model, members, .. } = step else { continue };
@@ -141,20 +143,11 @@
 #[test]
 fn group_on_its_way_is_not_assembled_again() {
     let engine = engine();
-    let none = BTreeSet::new();
     let mut fleet: Vec<PlanInstance> = (0..8).map(|i| bare(format!("i{i}"), "d0")).collect();
     fleet[..6].iter_mut().for_each(|instance| instance.is_reserved = true);
     let place = |model: &str| ("d0".to_string(), model.to_string());
-    let input = PlanInput {
-        engine: &engine,
-        instances: &fleet,
-        down: &none,
-        dissolved: &none,
-        assembling: &[place("large"), place("small")],
-        loads_under_way: 0,
-        is_settled: true,
-        is_absence_trusted: true,
-    };
+    let assembling = [place("large"), place("small")];
+    let input = PlanInput { assembling: &assembling, ..calm(&engine, &fleet) };
     assert_eq!(assemblies(&plan(&input)), vec![]);
 }
 
@@ -162,19 +155,9 @@
 fn unsettled_domain_keeps_room_for_the_larger_model() {
     let instances: Vec<PlanInstance> = (0..3).map(|i| bare(format!("i{i}"), "d0")).collect();
     let engine = engine();
-    let none = BTreeSet::new();
-    let input = PlanInput {
-        engine: &engine,
-        instances: &instances,
-        down: &none,
-        dissolved: &none,
-        assembling: &[],
-        loads_under_way: 0,
-        is_settled: false,
-        is_absence_trusted: true,
-    };
+    let settled = calm(&engine, &instances);
+    let input = PlanInput { is_settled: false, ..settled.clone() };
     assert_eq!(assemblies(&plan(&input)), vec![]);
-    let settled = PlanInput { is_settled: true, is_absence_trusted: true, ..input };
     assert_eq!(assemblies(&plan(&settled)), vec![("small".to_string(), "d0".to_string(), 2)]);
 }
 
@@ -236,21 +219,11 @@
 #[test]
 fn missing_entries_dissolve_no_group_while_they_may_come_back() {
     let engine = engine();
-    let none = BTreeSet::new();
     for missing in [0, 2] {
         let mut instances = open_group("g", "d0", "large", 4);
         instances.remove(missing);
         instances.push(staged("spare", "d0", "large"));
-        let input = PlanInput {
-            engine: &engine,
-            instances: &instances,
-            down: &none,
-            dissolved: &none,
-            assembling: &[],
-            loads_under_way: 0,
-            is_settled: true,
-            is_absence_trusted: false,
-        };
+        let input = PlanInput { is_absence_trusted: false, ..calm(&engine, &instances) };
         assert_eq!(plan(&input), vec![]);
     }
 }
--- a/serving/tests/test_placement.rs
+++ b/serving/tests/test_placement.rs
@@ -25,16 +25,7 @@
         model: Some("large".to_string()),
         members: vec![],
     };
-    let state = ReplicaState {
-        own: 0,
-        remote: running,
-        unanswered: 0,
-        last_sign: None,
-        slowness: 1.0,
-        is_down: false,
-        is_ejected: false,
-        failure_rate: 0.0,
-    };
+    let state = ReplicaState { remote: running, ..ReplicaState::unknown() };
     Candidate { replica: Arc::new(replica), state }
 }
 
--- a/serving/tests/test_raw_http.rs
+++ b/serving/tests/test_raw_http.rs
@@ -32,8 +32,7 @@
 
 async fn fleet() -> (Fleet, SocketAddr) {
     let mut fleet = Fleet::new(0).await;
-    fleet.add_node().await;
-    fleet.wait_for_replicas(0, "orders", 2).await;
+    fleet.add_first_node("orders", 2).await;
     let to = fleet.callers(0);
     (fleet, to)
 }
@@ -142,8 +141,7 @@
         fleet.world.lapse(id);
         spawn_scripted(&fleet.world, id, script).await;
     }
-    fleet.add_node().await;
-    fleet.wait_for_replicas(0, "orders", 2).await;
+    fleet.add_first_node("orders", 2).await;
     let head = "POST /book/x HTTP/1.1\r\nHost: a.example\r\nApi-Key: key-1\r\nX-Request-Id: r\r\n";
     let bytes = format!("{head}X-Deadline-Ms: 1000\r\nContent-Length: 2\r\n\r\nhi");
     let answer = exchange(fleet.callers(0), bytes.as_bytes(), false).await;
--- a/serving/tests/test_serving_path.rs
+++ b/serving/tests/test_serving_path.rs
@@ -3,6 +3,7 @@
 use crate::fleet::Fleet;
 use crate::fleet::eventually;
 use crate::fleet::spec;
+use crate::fleet::start_streams;
 use guavaladder_platform_testutils::Call;
 use guavaladder_platform_testutils::InstanceMode;
 use guavaladder_platform_testutils::StoreMode;
@@ -40,12 +41,9 @@
 #[tokio::test]
 async fn lost_member_streams_go_on_and_the_group_is_repaired() {
     let mut fleet = Fleet::new(5).await;
-    fleet.add_node().await;
-    fleet.wait_for_replicas(0, "drafting", 2).await;
+    fleet.add_first_node("drafting", 2).await;
     let to = fleet.callers(0);
-    let streams: Vec<_> = (0..6)
-        .map(|_| tokio::spawn(async move { Call::new(Method::POST, "/draft/x").send(to).await }))
-        .collect();
+    let streams = start_streams(to, 6);
     sleep(Duration::from_millis(100)).await;
     let lost = fleet.world.open_groups()[0][1].clone();
     fleet.world.set_mode(&lost, InstanceMode::Dark);
@@ -66,8 +64,7 @@
 #[tokio::test]
 async fn silent_head_is_left_before_its_members_join_elsewhere() {
     let mut fleet = Fleet::new(5).await;
-    fleet.add_node().await;
-    fleet.wait_for_replicas(0, "drafting", 2).await;
+    fleet.add_first_node("drafting", 2).await;
     let head = fleet.world.open_groups()[0][0].clone();
     fleet.world.set_mode(&head, InstanceMode::Dark);
     fleet.world.lapse(&head);
@@ -86,12 +83,9 @@
 #[tokio::test]
 async fn leaving_member_is_replaced_after_its_group_finished() {
     let mut fleet = Fleet::with_events(5, 40).await;
-    fleet.add_node().await;
-    fleet.wait_for_replicas(0, "drafting", 2).await;
+    fleet.add_first_node("drafting", 2).await;
     let to = fleet.callers(0);
-    let streams: Vec<_> = (0..6)
-        .map(|_| tokio::spawn(async move { Call::new(Method::POST, "/draft/x").send(to).await }))
-        .collect();
+    let streams = start_streams(to, 6);
     sleep(Duration::from_millis(150)).await;
     let group = fleet.world.open_groups()[0].clone();
     fleet.world.drain(&group[1]);
@@ -124,8 +118,7 @@
     #[case] expected: u16,
 ) {
     let mut fleet = Fleet::new(0).await;
-    fleet.add_node().await;
-    fleet.wait_for_replicas(0, "orders", 2).await;
+    fleet.add_first_node("orders", 2).await;
     for id in ["p-00", "p-01"] {
         fleet.world.set_mode(id, mode);
     }
@@ -141,8 +134,7 @@
 #[tokio::test]
 async fn refused_request_is_served_by_another_instance() {
     let mut fleet = Fleet::new(0).await;
-    fleet.add_node().await;
-    fleet.wait_for_replicas(0, "orders", 2).await;
+    fleet.add_first_node("orders", 2).await;
     fleet.world.set_mode("p-00", InstanceMode::Refuses);
     for _ in 0..10 {
         let call = Call::new(Method::POST, "/book/x");
@@ -158,8 +150,7 @@
 #[tokio::test]
 async fn store_away_serving_goes_on_and_changes_follow_its_return(#[case] mode: StoreMode) {
     let mut fleet = Fleet::new(2).await;
-    fleet.add_node().await;
-    fleet.wait_for_replicas(0, "drafting", 1).await;
+    fleet.add_first_node("drafting", 1).await;
     fleet.store.set_mode(mode);
     fleet.store.compact();
     sleep(Duration::from_millis(500)).await;
@@ -229,8 +220,7 @@
     ] {
         fleet.store.put("servers", name, entry);
     }
-    fleet.add_node().await;
-    fleet.wait_for_replicas(0, "orders", 2).await;
+    fleet.add_first_node("orders", 2).await;
     assert_eq!(Call::new(Method::GET, "/look/x").status(fleet.callers(0)).await, 200);
 }
 
@@ -257,8 +247,7 @@
 #[tokio::test]
 async fn caller_that_leaves_frees_the_replica() {
     let mut fleet = Fleet::with_events(5, 1000).await;
-    fleet.add_node().await;
-    fleet.wait_for_replicas(0, "drafting", 2).await;
+    fleet.add_first_node("drafting", 2).await;
     let to = fleet.callers(0);
     let caller = tokio::spawn(async move { Call::new(Method::POST, "/draft/x").send(to).await });
     eventually(|| fleet.world.running_streams() == 1).await;
