serving: events that tell how crashes under a request are recorded, learned and acted on

The log could not distinguish a crash that no node recorded from one that some nodes did not learn of, or from a request sent on in spite of its record: failed attempts had no fingerprint, and records were not logged.

GL0525 and GL0527 carry the fingerprint. GL0533 is written when a node records a crash, GL0534 when marks of another node reach the threshold of refusal, GL0535 when a request with a crash on its record is sent to a replica. The metric crash_marks_total counts the first two.

--- a/serving/src/crash_record.rs
+++ b/serving/src/crash_record.rs
@@ -24,6 +24,11 @@
 /// Maximum number of marks that are kept.
 const MAX_MARKS: usize = 4096;
 
+/// Returns a fingerprint as it appears in events.
+pub fn format_fingerprint(fingerprint: u64) -> String {
+    format!("{fingerprint:016x}")
+}
+
 /// Crash marks recorded by this node or received from other nodes.
 #[derive(Debug, Default)]
 pub struct CrashRecord {
@@ -43,19 +48,28 @@
         Self::default()
     }
 
-    /// Records that a request of this node was running on a replica that crashed.
-    pub fn record_crash(&self, mark: CrashMark, now: Instant) {
+    /// Records that a request of this node was running on a replica that crashed, and returns the
+    /// number of crashes known for the request.
+    pub fn record_crash(&self, mark: CrashMark, now: Instant) -> usize {
         let mut inner = self.lock();
         inner.local_marks.push_back((now, mark));
         inner.add(mark, now);
+        inner.crashes.get(&mark.fingerprint).map_or(0, HashSet::len)
     }
 
-    /// Merges the marks received from another node.
-    pub fn merge(&self, marks: &[CrashMark], now: Instant) {
+    /// Merges the marks received from another node. Returns the fingerprints that reached the
+    /// refusal threshold by them.
+    pub fn merge(&self, marks: &[CrashMark], now: Instant) -> Vec<u64> {
         let mut inner = self.lock();
+        let mut refused = vec![];
         for mark in marks {
-            inner.add(*mark, now);
+            let is_new = inner.add(*mark, now);
+            let crashes = inner.crashes.get(&mark.fingerprint).map_or(0, HashSet::len);
+            if is_new && crashes == CRASH_REFUSAL_THRESHOLD {
+                refused.push(mark.fingerprint);
+            }
         }
+        refused
     }
 
     /// Returns the number of crashed replicas on which a request was running.
@@ -76,19 +90,21 @@
 }
 
 impl Inner {
-    fn add(&mut self, mark: CrashMark, now: Instant) {
+    /// Adds a mark and removes those that are too old or too many; returns whether it is new.
+    fn add(&mut self, mark: CrashMark, now: Instant) -> bool {
         let is_new = self.crashes.entry(mark.fingerprint).or_default().insert(mark.replica);
         if is_new {
             self.marks.push_back((now, mark));
         }
         let is_expired = |(at, _): &(Instant, CrashMark)| now - *at > MARK_LIFETIME;
         while self.marks.len() > MAX_MARKS || self.marks.front().is_some_and(is_expired) {
-            let Some((_, expired)) = self.marks.pop_front() else { return };
+            let Some((_, expired)) = self.marks.pop_front() else { break };
             let Some(crashes) = self.crashes.get_mut(&expired.fingerprint) else { continue };
             crashes.remove(&expired.replica);
             if crashes.is_empty() {
                 self.crashes.remove(&expired.fingerprint);
             }
         }
+        is_new
     }
 }
--- a/serving/src/peer_exchange.rs
+++ b/serving/src/peer_exchange.rs
@@ -6,6 +6,7 @@
 //! enough for several of them within the duration of one response.
 
 use crate::config_sync;
+use crate::crash_record;
 use crate::instance_list_delta::InstanceListDelta;
 use crate::instance_list_sync;
 use crate::peer_codec;
@@ -13,6 +14,7 @@
 use crate::peer_codec::PeerMessage;
 use crate::replica_health;
 use crate::serving_cx::ServingCx;
+use guavaladder_lib::generated::events::Event;
 use guavaladder_lib::generated::serving_peer::NodeBeat;
 use guavaladder_lib::generated::serving_peer::ReplicaUse;
 use std::collections::HashMap;
@@ -158,7 +160,14 @@
         let loads: HashMap<u64, u32> =
             heartbeat.loads.iter().map(|load| (load.replica, load.running)).collect();
         cx.loads.set_remote_loads(&heartbeat.node, loads, now);
-        cx.crashes.merge(&heartbeat.crashes, now);
+        for fingerprint in cx.crashes.merge(&heartbeat.crashes, now) {
+            cx.metrics.crash_mark("peer");
+            cx.log.record(Event::CrashesLearned {
+                fingerprint: crash_record::format_fingerprint(fingerprint),
+                crashes: cx.crashes.crash_count(fingerprint) as u64,
+                source: heartbeat.node.clone(),
+            });
+        }
         if heartbeat.instances_revision > 0 {
             cx.fleet.note_watcher_revision(heartbeat.instances_revision, now);
         }
--- a/serving/src/request_handler.rs
+++ b/serving/src/request_handler.rs
@@ -1,6 +1,7 @@
 //! Entry point for requests of callers: matches a request to a route and a customer, reads its body and
 //! dispatches it to the forwarder for the kind of the route.
 
+use crate::crash_record;
 use crate::crash_record::CRASH_REFUSAL_THRESHOLD;
 use crate::dialect::RequestHead;
 use crate::fleet_config::Route;
@@ -128,7 +129,7 @@
         cx.metrics.request(&task.route, "crashing");
         cx.log.record(Event::CrashingRequestRefused {
             request: task.head.id.clone(),
-            fingerprint: format!("{:016x}", task.fingerprint),
+            fingerprint: crash_record::format_fingerprint(task.fingerprint),
             crashes: crashes as u64,
         });
         return local_response::not_run(
--- a/serving/src/request_task.rs
+++ b/serving/src/request_task.rs
@@ -1,6 +1,7 @@
 //! A request of a caller while it is being served, and the recording of its outcome in the log and
 //! metrics.
 
+use crate::crash_record;
 use crate::dialect::RequestHead;
 use crate::fleet_config::ConfigVersion;
 use crate::fleet_config::RouteKind;
@@ -97,6 +98,7 @@
     request: String,
     route: String,
     config: ConfigVersion,
+    fingerprint: u64,
     received: Instant,
     /// Key of the replica of the last attempt.
     pub replica: String,
@@ -121,6 +123,7 @@
             request: task.head.id.clone(),
             route: task.route.clone(),
             config: task.config_version,
+            fingerprint: task.fingerprint,
             received: task.received,
             replica: String::new(),
             attempts: 0,
@@ -138,6 +141,15 @@
         self.attempts += 1;
         self.ahead = u64::from(state.requests());
         self.replica = replica.key.clone();
+        let crashes = self.cx.crashes.crash_count(self.fingerprint);
+        if crashes > 0 {
+            self.cx.log.record(Event::SuspectSent {
+                request: self.request.clone(),
+                fingerprint: crash_record::format_fingerprint(self.fingerprint),
+                replica: self.replica.clone(),
+                crashes: crashes as u64,
+            });
+        }
     }
 
     /// Records the start of the response; later calls have no effect.
@@ -154,6 +166,7 @@
         self.cx.metrics.failover(service, name);
         self.cx.log.record(Event::RequestMoved {
             request: self.request.clone(),
+            fingerprint: crash_record::format_fingerprint(self.fingerprint),
             replica: self.replica.clone(),
             attempt: self.attempts,
             cause: cause.to_string(),
@@ -226,6 +239,7 @@
         self.cx.metrics.request(&self.route, "abandoned");
         self.cx.log.record(Event::RequestAbandoned {
             request: self.request.clone(),
+            fingerprint: crash_record::format_fingerprint(self.fingerprint),
             route: self.route.clone(),
             replica: self.replica.clone(),
             took: self.received.elapsed(),
--- a/serving/src/serving_metrics.rs
+++ b/serving/src/serving_metrics.rs
@@ -20,7 +20,7 @@
 const QUANTILES: [f64; 4] = [0.5, 0.9, 0.95, 0.99];
 
 /// Names of all metrics with their help texts.
-pub const CATALOGUE: [(&str, &str); 13] = [
+pub const CATALOGUE: [(&str, &str); 14] = [
     ("requests_total", "Requests of callers, by route and outcome."),
     ("first_event_seconds", "Time to the first byte of an answer, by route, in seconds."),
     ("request_seconds", "Time to the end of an answer, by route, in seconds."),
@@ -33,6 +33,10 @@
     ("orders_total", "Orders to instances, by order and outcome."),
     ("reports_total", "Questions to instances for their state, by cause."),
     ("replicas_down_total", "Replicas that were found to be down, by source."),
+    (
+        "crash_marks_total",
+        "Crashes under a request, by who saw them: this node, or a peer that let it refuse.",
+    ),
     ("log_lines_dropped_total", "Lines of the log that were dropped since its reader was slow."),
 ];
 
@@ -121,6 +125,11 @@
         self.count("replicas_down_total", &[("source", source)], 1);
     }
 
+    /// Counts a crash that was recorded for a request; `source` names who observed it.
+    pub fn crash_mark(&self, source: &str) {
+        self.count("crash_marks_total", &[("source", source)], 1);
+    }
+
     /// Sets the total number of dropped log lines.
     pub fn log_lines_dropped(&self, lines: u64) {
         let mut inner = self.lock();
--- a/serving/src/stream_forward.rs
+++ b/serving/src/stream_forward.rs
@@ -10,6 +10,7 @@
 use crate::attempt::Attempts;
 use crate::attempt::UpstreamResponse;
 use crate::candidates;
+use crate::crash_record;
 use crate::fleet_config::RouteKind;
 use crate::load_table::RequestGuard;
 use crate::next_replica::NextStep;
@@ -25,6 +26,7 @@
 use crate::sse::EventDecoder;
 use crate::sse::StreamEvent;
 use bytes::Bytes;
+use guavaladder_lib::generated::events::Event;
 use guavaladder_lib::generated::serving_peer::CrashMark;
 use http::HeaderMap;
 use http::Response;
@@ -379,8 +381,16 @@
         return;
     }
     if matches!(e, AttemptError::Broken(_)) {
-        cx.crashes
-            .record_crash(CrashMark { fingerprint: task.fingerprint, replica: replica.hash }, now);
+        let mark = CrashMark { fingerprint: task.fingerprint, replica: replica.hash };
+        let crashes = cx.crashes.record_crash(mark, now);
+        cx.metrics.crash_mark("own");
+        cx.log.record(Event::CrashMarked {
+            request: task.head.id.clone(),
+            fingerprint: crash_record::format_fingerprint(task.fingerprint),
+            replica: replica.key.clone(),
+            cause: e.to_string(),
+            crashes: crashes as u64,
+        });
     }
     match e {
         AttemptError::TimedOut(_) | AttemptError::Down => {}
