tests: a request that crashes replicas is sent on after its third crash

Fake instances can end when they begin to run a marked request, and come back under a new id or their own. Three nodes get copies of such a request in turn; counted are the runs that begin later than 3 s after the third crash, of which the platform's rules allow three.

--- a/serving/tests/fleet.rs
+++ b/serving/tests/fleet.rs
@@ -40,15 +40,20 @@
 impl Fleet {
     /// Starts the fakes: `engines` model engines in one domain and two plain instances.
     pub async fn new(engines: usize) -> Self {
-        Self::with_events(engines, 20).await
+        Self::with_platform(engines, |_| {}).await
     }
 
     /// Like `new`, with streams of `events` events.
     pub async fn with_events(engines: usize, events: u64) -> Self {
+        Self::with_platform(engines, |platform| platform.events = events).await
+    }
+
+    /// Like `new`, with changed properties of the fake instances.
+    pub async fn with_platform(engines: usize, change: impl FnOnce(&mut FakePlatform)) -> Self {
         let store = FakeStore::start().await;
         store.put("config", "main", config(5));
         let mut fake_platform = FakePlatform::new(store.clone());
-        fake_platform.events = events;
+        change(&mut fake_platform);
         for i in 0..engines {
             spawn_instance(&fake_platform, spec(&format!("i-{i:02}"), "drafting", Some("d0")))
                 .await;
--- /dev/null
+++ b/serving/tests/test_crashing_requests.rs
@@ -0,0 +1,171 @@
+//! End-to-end tests of requests that crash each replica that begins to run them. Once such a request has
+//! crashed three replicas, every node refuses it.
+
+use crate::fleet::Fleet;
+use crate::fleet::eventually;
+use guavaladder_platform_testutils::CRASH_MARKER;
+use guavaladder_platform_testutils::Call;
+use http::Method;
+use rstest::rstest;
+use std::time::Duration;
+use tokio::time::Instant;
+use tokio::time::sleep;
+use tokio::time::sleep_until;
+
+/// Number of crashes after which a request is refused.
+const CRASHES: usize = 3;
+/// Time after the third crash within which all nodes know of it: the platform's `stableWindowMs`.
+const KNOWN_AFTER: Duration = Duration::from_millis(3000);
+/// Maximum number of runs that begin later than that, according to the platform's rules.
+const MAX_LATER_RUNS: usize = 3;
+/// Time between two copies of the request.
+const SEND_PERIOD: Duration = Duration::from_millis(250);
+/// Maximum time until a request has crashed three replicas.
+const CRASH_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// Kind of the request, and for streams the member of the group that crashes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Kind {
+    Idempotent,
+    RunsOnce,
+    StreamHead,
+    StreamMember,
+}
+
+impl Kind {
+    fn call(self, path: &str) -> Call {
+        match self {
+            Self::Idempotent => Call::new(Method::GET, &format!("/look/{path}")),
+            Self::RunsOnce => Call::new(Method::POST, &format!("/book/{path}")),
+            Self::StreamHead | Self::StreamMember => {
+                Call::new(Method::POST, &format!("/draft/{path}"))
+            }
+        }
+    }
+
+    fn crashing(self) -> Call {
+        self.call(CRASH_MARKER)
+    }
+
+    fn service(self) -> &'static str {
+        match self {
+            Self::Idempotent | Self::RunsOnce => "orders",
+            Self::StreamHead | Self::StreamMember => "drafting",
+        }
+    }
+}
+
+/// Starts three nodes before four groups and two plain instances.
+async fn start_fleet(kind: Kind) -> Fleet {
+    let crash_rank = usize::from(kind == Kind::StreamMember);
+    let mut fleet = Fleet::with_platform(10, |platform| platform.crash_rank = crash_rank).await;
+    fleet.add_node().await;
+    fleet.add_node().await;
+    fleet.add_node().await;
+    for node in 0..3 {
+        fleet.wait_for_replicas(node, "orders", 2).await;
+        let replicas = fleet.nodes[node].cx.fleet.clone();
+        eventually(|| replicas.replicas().of_service("drafting").len() >= 4).await;
+    }
+    fleet
+}
+
+/// Sends copies of the crashing request to the nodes in turn until it has crashed three replicas, and
+/// until all nodes have to know of it.
+async fn crash_three_replicas(fleet: &Fleet, kind: Kind) {
+    let start = Instant::now();
+    let mut node = 0;
+    loop {
+        let runs = fleet.fake_platform.crash_runs();
+        if runs.get(CRASHES - 1).is_some_and(|third| third.elapsed() > KNOWN_AFTER) {
+            return;
+        }
+        assert!(start.elapsed() < CRASH_TIMEOUT, "{} crashes", runs.len());
+        send_crashing(fleet, kind, node % 3).await;
+        node += 1;
+    }
+}
+
+/// Sends a copy of the crashing request and waits for the time of the next one.
+async fn send_crashing(fleet: &Fleet, kind: Kind, node: usize) {
+    let next = Instant::now() + SEND_PERIOD;
+    kind.crashing().status(fleet.callers(node)).await;
+    sleep_until(next).await;
+}
+
+/// Returns the number of runs that began when all nodes had to know of the third crash.
+fn later_runs(fleet: &Fleet) -> usize {
+    let runs = fleet.fake_platform.crash_runs();
+    runs.iter().filter(|at| **at > runs[CRASHES - 1] + KNOWN_AFTER).count()
+}
+
+/// A request that differs from the crashing one is served, once the crashed instances are back.
+async fn assert_harmless_is_served(fleet: &Fleet, kind: Kind) {
+    for node in 0..fleet.nodes.len() {
+        let replicas = fleet.nodes[node].cx.fleet.clone();
+        eventually(|| !replicas.replicas().of_service(kind.service()).is_empty()).await;
+        sleep(SEND_PERIOD).await;
+        assert_eq!(kind.call("harmless").status(fleet.callers(node)).await, 200);
+    }
+}
+
+#[rstest]
+#[case::idempotent(Kind::Idempotent)]
+#[case::runs_once(Kind::RunsOnce)]
+#[case::stream_head(Kind::StreamHead)]
+#[case::stream_member(Kind::StreamMember)]
+#[tokio::test]
+async fn crashing_request_is_sent_on_after_the_third_crash(#[case] kind: Kind) {
+    let fleet = start_fleet(kind).await;
+    crash_three_replicas(&fleet, kind).await;
+    for node in 0..12 {
+        send_crashing(&fleet, kind, node % 3).await;
+    }
+    assert!(later_runs(&fleet) <= MAX_LATER_RUNS, "{} later runs", later_runs(&fleet));
+    assert_harmless_is_served(&fleet, kind).await;
+}
+
+#[rstest]
+#[case::idempotent(Kind::Idempotent)]
+#[case::runs_once(Kind::RunsOnce)]
+#[case::stream_head(Kind::StreamHead)]
+#[tokio::test]
+async fn crashing_request_is_sent_on_by_a_node_that_started_later(#[case] kind: Kind) {
+    let mut fleet = start_fleet(kind).await;
+    crash_three_replicas(&fleet, kind).await;
+    let before = later_runs(&fleet);
+    fleet.add_node().await;
+    let replicas = fleet.nodes[3].cx.fleet.clone();
+    eventually(|| !replicas.replicas().of_service(kind.service()).is_empty()).await;
+    sleep(KNOWN_AFTER).await;
+    for _ in 0..8 {
+        send_crashing(&fleet, kind, 3).await;
+    }
+    let runs = later_runs(&fleet) - before;
+    assert_eq!(runs, 0, "runs that the late node began");
+    assert_harmless_is_served(&fleet, kind).await;
+}
+
+#[rstest]
+#[case::idempotent(Kind::Idempotent)]
+#[case::stream_head(Kind::StreamHead)]
+#[tokio::test]
+async fn crashing_request_is_sent_on_after_all_nodes_restarted(#[case] kind: Kind) {
+    let mut fleet = start_fleet(kind).await;
+    crash_three_replicas(&fleet, kind).await;
+    let before = later_runs(&fleet);
+    let stopping = fleet.nodes.drain(..).map(|node| tokio::spawn(node.stop()));
+    for stopping in stopping.collect::<Vec<_>>() {
+        stopping.await.expect("a node that stops");
+    }
+    fleet.add_node().await;
+    let replicas = fleet.nodes[0].cx.fleet.clone();
+    eventually(|| !replicas.replicas().of_service(kind.service()).is_empty()).await;
+    sleep(KNOWN_AFTER).await;
+    for _ in 0..8 {
+        send_crashing(&fleet, kind, 0).await;
+    }
+    let runs = later_runs(&fleet) - before;
+    assert_eq!(runs, 0, "runs that the restarted node began");
+    assert_harmless_is_served(&fleet, kind).await;
+}
