crash_history: crashes under requests as a history that merges

The record of serving was a set of marks with one lifetime of 120 s, in which 4,096 newer marks displaced any older one: a crash of many busy replicas could displace the marks of a request that had been refused, and a request that comes again each two minutes was forgotten each time.

A history is kept by request. Crashes are only added and a cleared crash stays cleared, so that histories merge in any order, and a digest tells whether two differ. Requests with repeated crashes are kept for an hour after they were last seen and displaced last. Requests that complete can be cleared.

New tests: histories of three nodes agree after exchanges (proptest, 300 cases), 5,000 single crashes displace no repeated ones.

--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod config_diff;
 pub mod config_view;
 pub mod control_budget;
+pub mod crash_history;
 pub mod cx;
 pub mod domain_control;
 pub mod domain_lease;
--- /dev/null
+++ b/lib/tests/test_crash_history.rs
@@ -0,0 +1,151 @@
+//! Tests of the history of crashes under requests: nodes that exchange their histories agree, whatever
+//! order they learn of crashes in.
+
+use guavaladder_lib::crash_history::CrashHistory;
+use guavaladder_lib::crash_history::CrashedRequest;
+use guavaladder_lib::crash_history::MAX_CRASHES;
+use guavaladder_lib::crash_history::SHARED_RETENTION;
+use proptest::prelude::*;
+use proptest::test_runner::Config;
+use std::time::Duration;
+use tokio::time::Instant;
+
+#[derive(Debug, Clone, Copy)]
+enum Step {
+    /// A node records a crash under a request.
+    Crash { node: usize, fingerprint: u64, crash: u64 },
+    /// A run of a request completes at a node.
+    Complete { node: usize, fingerprint: u64 },
+    /// A node merges what another one keeps equal.
+    Exchange { from: usize, to: usize },
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let step = prop_oneof![
+        4 => (0..3usize, 0..4u64, 0..6u64)
+            .prop_map(|(node, fingerprint, crash)| Step::Crash { node, fingerprint, crash }),
+        1 => (0..3usize, 0..4u64)
+            .prop_map(|(node, fingerprint)| Step::Complete { node, fingerprint }),
+        2 => (0..3usize, 0..3usize).prop_map(|(from, to)| Step::Exchange { from, to }),
+    ];
+    proptest::collection::vec(step, 0..40)
+}
+
+fn exchange(nodes: &mut [CrashHistory], from: usize, to: usize, now: Instant) {
+    for request in nodes[from].shared(now) {
+        nodes[to].merge(&request, now);
+    }
+}
+
+proptest! {
+    #![proptest_config(Config { failure_persistence: None, cases: 300, ..Config::default() })]
+
+    #[test]
+    fn histories_agree_after_exchanges(steps in steps()) {
+        let now = Instant::now();
+        let mut nodes = [CrashHistory::new(), CrashHistory::new(), CrashHistory::new()];
+        for step in steps {
+            match step {
+                Step::Crash { node, fingerprint, crash } => {
+                    nodes[node].record_crash(fingerprint, crash, now);
+                }
+                Step::Complete { node, fingerprint } => {
+                    nodes[node].clear(fingerprint);
+                }
+                Step::Exchange { from, to } => exchange(&mut nodes, from, to, now),
+            }
+        }
+        let most = |nodes: &[CrashHistory], f: u64| {
+            nodes.iter().map(|node| node.crash_count(f)).max().unwrap_or(0)
+        };
+        let before: Vec<usize> = (0..4).map(|f| most(&nodes, f)).collect();
+        let has_cleared = |node: &CrashHistory, f: u64| {
+            node.get(f, now).is_some_and(|request| !request.cleared.is_empty())
+        };
+        let cleared: Vec<bool> =
+            (0..4).map(|f| nodes.iter().any(|node| has_cleared(node, f))).collect();
+        for _ in 0..2 {
+            for (from, to) in [(0, 1), (1, 2), (2, 0)] {
+                exchange(&mut nodes, from, to, now);
+            }
+        }
+        prop_assert_eq!(nodes[0].digest(now), nodes[1].digest(now));
+        prop_assert_eq!(nodes[1].digest(now), nodes[2].digest(now));
+        for f in 0..4u64 {
+            // A request that one node refuses is refused by all, unless a run of it completed.
+            if before[f as usize] >= MAX_CRASHES && !cleared[f as usize] {
+                prop_assert!(nodes.iter().all(|node| node.crash_count(f) >= MAX_CRASHES));
+            }
+        }
+    }
+}
+
+#[test]
+fn digest_differs_for_each_difference() {
+    let now = Instant::now();
+    let mut history = CrashHistory::new();
+    assert_eq!(history.digest(now), 0);
+    history.record_crash(1, 10, now);
+    assert_eq!(history.digest(now), 0, "a single crash is not shared");
+    history.record_crash(1, 11, now);
+    let two_crashes = history.digest(now);
+    history.record_crash(1, 12, now);
+    let three_crashes = history.digest(now);
+    history.clear(1);
+    let cleared = history.digest(now);
+    let mut digests = vec![0, two_crashes, three_crashes, cleared];
+    digests.sort();
+    digests.dedup();
+    assert_eq!(digests.len(), 4);
+}
+
+#[test]
+fn cleared_crash_stays_cleared() {
+    let now = Instant::now();
+    let mut history = CrashHistory::new();
+    for crash in 0..3 {
+        history.record_crash(1, crash, now);
+    }
+    let known_elsewhere = history.get(1, now).expect("a request");
+    assert!(history.clear(1));
+    assert!(!history.merge(&known_elsewhere, now));
+    assert_eq!(history.crash_count(1), 0);
+    assert_eq!(history.record_crash(1, 3, now), 1);
+}
+
+#[test]
+fn request_is_kept_as_long_as_it_comes_again() {
+    let start = Instant::now();
+    let mut history = CrashHistory::new();
+    for crash in 0..3 {
+        history.record_crash(1, crash, start);
+        history.record_crash(2, crash, start);
+    }
+    let later = start + SHARED_RETENTION / 2;
+    history.touch(1, later);
+    let age = later - start;
+    let known_elsewhere = CrashedRequest {
+        age_ms: age.as_millis() as u64,
+        ..history.get(2, start).expect("a request")
+    };
+    let end = start + SHARED_RETENTION + Duration::from_secs(1);
+    history.merge(&known_elsewhere, end);
+    history.expire(end);
+    assert_eq!((history.crash_count(1), history.crash_count(2)), (3, 3));
+    history.expire(start + 2 * SHARED_RETENTION);
+    assert_eq!((history.crash_count(1), history.crash_count(2)), (0, 0));
+}
+
+#[test]
+fn crowd_of_single_crashes_does_not_displace_repeated_ones() {
+    let now = Instant::now();
+    let mut history = CrashHistory::new();
+    for crash in 0..3 {
+        history.record_crash(1, crash, now);
+    }
+    for fingerprint in 2..5000 {
+        history.record_crash(fingerprint, 7, now + Duration::from_millis(fingerprint));
+    }
+    assert_eq!(history.crash_count(1), 3);
+    assert_eq!(history.counted().len(), 1024);
+}
