failed_attempts: record the crashes that no error of an attempt tells

Callers whose request crashes replicas took down one replica after the other, and with each the responses of all other callers there. Only a stream that ended as broken was recorded as running at a crash. A request of a plain service never was; a stream whose group loses a member ends as down, when another stream or node has found the loss, and was not; neither was a request whose caller left first. On the other hand a spoilt response of a live replica was recorded as a crash.

Each attempt without a complete response is now kept, 2 s for a group and 6 s for a plain instance, and recorded once its replica turns out to have ended: the group is marked as down here or by another node, the plain instance refuses connections, or its entry is gone although it did not announce to leave. A completed run clears a request. A retry waits up to 250 ms for the result of the check if that could be the third crash.

--- a/serving/src/instance_list_sync.rs
+++ b/serving/src/instance_list_sync.rs
@@ -4,6 +4,7 @@
 use crate::dialect::ObjectChange;
 use crate::dialect::ObjectKind;
 use crate::dialect::StoredObject;
+use crate::failed_attempts;
 use crate::fleet_view::EntryChange;
 use crate::fleet_view::REREGISTRATION_GRACE;
 use crate::instance::Instance;
@@ -65,8 +66,9 @@
     cx.store.health().recovered_at.map(|at| at + REREGISTRATION_GRACE)
 }
 
-/// Periodically drops held entries that were not registered again after an outage of the store, and the
-/// load state of replicas that no longer exist. Runs until the task is cancelled.
+/// Periodically drops held entries that were not registered again after an outage of the store, the load
+/// state of replicas that no longer exist, and what is kept of old crashes. Runs until the task is
+/// cancelled.
 pub async fn expire(cx: ServingCx) {
     let mut ticks = tokio::time::interval(WATCH_PERIOD);
     loop {
@@ -74,6 +76,8 @@
         cx.fleet.expire_held(Instant::now());
         let known: HashSet<u64> = cx.fleet.replicas().all().map(|replica| replica.hash).collect();
         cx.loads.retain(|hash| known.contains(&hash));
+        failed_attempts::review(&cx);
+        cx.crashes.expire(Instant::now());
     }
 }
 
--- a/serving/src/lib.rs
+++ b/serving/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod directory;
 pub mod down_reports;
 pub mod expired_members;
+pub mod failed_attempts;
 pub mod fleet_config;
 pub mod fleet_view;
 pub mod group_control;
--- a/serving/src/plain_forward.rs
+++ b/serving/src/plain_forward.rs
@@ -5,6 +5,7 @@
 use crate::attempt::AttemptError;
 use crate::attempt::Attempts;
 use crate::attempt::UpstreamResponse;
+use crate::failed_attempts;
 use crate::fleet_config::RouteKind;
 use crate::next_replica::NextStep;
 use crate::next_replica::next_replica;
@@ -17,6 +18,7 @@
 use http::Response;
 use http_body_util::BodyExt;
 use http_body_util::Limited;
+use std::sync::Arc;
 use tokio::time::Instant;
 use tokio::time::timeout_at;
 
@@ -31,6 +33,7 @@
     let mut trace = RequestTrace::new(cx, task);
     let mut attempts = Attempts::new();
     loop {
+        failed_attempts::settle(cx, task.fingerprint).await;
         let replica = match next_replica(cx, task, &mut trace, &mut attempts) {
             NextStep::Send(replica) => replica,
             NextStep::Respond(response) => return response,
@@ -52,7 +55,7 @@
 async fn attempt_once(
     cx: &ServingCx,
     task: &RequestTask,
-    replica: &Replica,
+    replica: &Arc<Replica>,
     attempts: &Attempts,
 ) -> Result<Response<ResponseBody>, AttemptError> {
     let is_idempotent = task.kind == RouteKind::Idempotent;
@@ -84,10 +87,14 @@
         Ok(_) => {
             cx.metrics.send(&task.service, "answered");
             cx.loads.record_success(replica.hash);
+            cx.crashes.clear(task.fingerprint);
         }
         Err(e) => {
             cx.metrics.send(&task.service, e.name());
             cx.loads.record_failure(replica.hash, Instant::now());
+            if e.may_have_run_at_crash() {
+                failed_attempts::add_failed(cx, task.failed_attempt(replica, e));
+            }
         }
     }
     result
--- a/serving/src/replica_health.rs
+++ b/serving/src/replica_health.rs
@@ -7,6 +7,7 @@
 
 use crate::connection;
 use crate::connection::CallError;
+use crate::failed_attempts;
 use crate::instance::InstanceId;
 use crate::instance::InstanceReport;
 use crate::instance::MembershipState;
@@ -218,6 +219,7 @@
         cause: reason.to_string(),
         source: source.to_string(),
     });
+    failed_attempts::replica_ended(cx, replica.hash);
     cx.down_reports.wake_group_control();
     true
 }
--- a/serving/src/request_task.rs
+++ b/serving/src/request_task.rs
@@ -1,8 +1,11 @@
 //! A request of a caller while it is being served, and the recording of its outcome in the log and
 //! metrics.
 
+use crate::attempt::AttemptError;
 use crate::crash_record;
 use crate::dialect::RequestHead;
+use crate::failed_attempts;
+use crate::failed_attempts::FailedAttempt;
 use crate::fleet_config::ConfigVersion;
 use crate::fleet_config::RouteKind;
 use crate::key_hash::key_hash;
@@ -16,6 +19,7 @@
 use http::HeaderMap;
 use http::Method;
 use http::Uri;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -73,6 +77,16 @@
         }
     }
 
+    /// Returns the record of an attempt of this request that failed with `error`.
+    pub fn failed_attempt(&self, replica: &Arc<Replica>, error: &AttemptError) -> FailedAttempt {
+        FailedAttempt {
+            request: self.head.id.clone(),
+            fingerprint: self.fingerprint,
+            replica: replica.clone(),
+            cause: error.to_string(),
+        }
+    }
+
     /// Returns the deadline to send to a replica: the time left until the request's own deadline, at
     /// least 1 ms.
     pub fn upstream_deadline(&self, now: Instant) -> Duration {
@@ -111,6 +125,8 @@
     /// Time from receiving the request to the start of the response.
     pub time_to_first_byte: Option<Duration>,
     is_recorded: bool,
+    /// Replica at which an attempt is in progress.
+    current: Option<Arc<Replica>>,
     /// Counts the request as running, so that a shutdown waits for it.
     _running: RunningRequestGuard,
 }
@@ -131,12 +147,14 @@
             events: 0,
             time_to_first_byte: None,
             is_recorded: false,
+            current: None,
             _running: cx.running.begin_request(),
         }
     }
 
     /// Records the start of an attempt at a replica.
-    pub fn record_attempt(&mut self, replica: &Replica) {
+    pub fn record_attempt(&mut self, replica: &Arc<Replica>) {
+        self.current = Some(replica.clone());
         let state = self.cx.loads.state(replica, Instant::now());
         self.attempts += 1;
         self.ahead = u64::from(state.requests());
@@ -162,7 +180,8 @@
     }
 
     /// Records that an attempt failed and the request may be tried on another replica.
-    pub fn record_failover(&self, service: &str, cause: &str, name: &'static str) {
+    pub fn record_failover(&mut self, service: &str, cause: &str, name: &'static str) {
+        self.current = None;
         self.cx.metrics.failover(service, name);
         self.cx.log.record(Event::RequestMoved {
             request: self.request.clone(),
@@ -217,6 +236,17 @@
         });
     }
 
+    /// Records that a request was refused because replicas crashed each time that they ran it.
+    pub fn record_refused_as_crashing(&mut self, crashes: usize) {
+        self.is_recorded = true;
+        self.cx.metrics.request(&self.route, "crashing");
+        self.cx.log.record(Event::CrashingRequestRefused {
+            request: self.request.clone(),
+            fingerprint: crash_record::format_fingerprint(self.fingerprint),
+            crashes: crashes as u64,
+        });
+    }
+
     /// Records that a request was sent but received no complete response.
     pub fn record_lost(&mut self, status: u16, cause: &str) {
         self.is_recorded = true;
@@ -237,6 +267,15 @@
     pub fn record_abandoned(&mut self) {
         self.is_recorded = true;
         self.cx.metrics.request(&self.route, "abandoned");
+        if let Some(replica) = self.current.take() {
+            let attempt = FailedAttempt {
+                request: self.request.clone(),
+                fingerprint: self.fingerprint,
+                replica,
+                cause: "the caller disconnected".to_string(),
+            };
+            failed_attempts::add_abandoned(&self.cx, attempt);
+        }
         self.cx.log.record(Event::RequestAbandoned {
             request: self.request.clone(),
             fingerprint: crash_record::format_fingerprint(self.fingerprint),
--- a/serving/src/serving_cx.rs
+++ b/serving/src/serving_cx.rs
@@ -3,6 +3,7 @@
 use crate::crash_record::CrashRecord;
 use crate::dialect::Dialect;
 use crate::down_reports::DownReports;
+use crate::failed_attempts::FailedAttempts;
 use crate::fleet_view::FleetView;
 use crate::lease_state::LeaseState;
 use crate::listeners::RunningRequests;
@@ -73,6 +74,8 @@
     pub budgets: Arc<RetryBudgets>,
     /// Requests that ran at a replica while it crashed.
     pub crashes: Arc<CrashRecord>,
+    /// Attempts of this node that failed, until it is known whether their replica crashed.
+    pub failed_attempts: FailedAttempts,
     /// Replicas that this node found to be down.
     pub down_reports: DownReports,
     /// Replicas whose members are being checked because they went silent or failed.
@@ -117,6 +120,7 @@
             nodes: NodeTable::new(&settings.node, log.clone()),
             budgets: Arc::new(RetryBudgets::new(bounds)),
             crashes: Arc::new(CrashRecord::new()),
+            failed_attempts: FailedAttempts::new(),
             down_reports: DownReports::new(),
             suspects: Suspects::new(),
             lease: LeaseState::new(clock.clone()),
--- a/serving/src/stream_forward.rs
+++ b/serving/src/stream_forward.rs
@@ -10,7 +10,7 @@
 use crate::attempt::Attempts;
 use crate::attempt::UpstreamResponse;
 use crate::candidates;
-use crate::crash_record;
+use crate::failed_attempts;
 use crate::fleet_config::RouteKind;
 use crate::load_table::RequestGuard;
 use crate::next_replica::NextStep;
@@ -26,8 +26,6 @@
 use crate::sse::EventDecoder;
 use crate::sse::StreamEvent;
 use bytes::Bytes;
-use guavaladder_lib::generated::events::Event;
-use guavaladder_lib::generated::serving_peer::CrashMark;
 use http::HeaderMap;
 use http::Response;
 use http::StatusCode;
@@ -68,6 +66,7 @@
     let mut trace = RequestTrace::new(cx, &task);
     let mut attempts = Attempts::new();
     loop {
+        failed_attempts::settle(cx, task.fingerprint).await;
         let replica = match next_replica(cx, &task, &mut trace, &mut attempts) {
             NextStep::Send(replica) => replica,
             NextStep::Respond(response) => return response,
@@ -273,6 +272,7 @@
                 },
                 Ok(StreamItem::End) => {
                     self.cx.loads.record_success(stream.replica.hash);
+                    self.cx.crashes.clear(self.task.fingerprint);
                     self.cx.metrics.send(&self.task.service, "answered");
                     stream.return_connection(&self.cx).await;
                     return RelayOutcome::Complete;
@@ -345,6 +345,7 @@
                 false => self.attempts.record_failure(error),
             }
             had_started = false;
+            failed_attempts::settle(&self.cx, self.task.fingerprint).await;
             let is_resumable = self.task.kind == RouteKind::Streaming { is_resumable: true };
             if !is_resumable || !self.attempts.may_send(&self.cx, &self.task) {
                 return Err(RelayOutcome::Failed(cause));
@@ -373,24 +374,15 @@
     }
 }
 
-/// Updates the metrics, the crash record and the replica's health after a failed attempt.
+/// Updates the metrics and the replica's health after a failed attempt.
 fn record_failure(cx: &ServingCx, task: &RequestTask, replica: &Arc<Replica>, e: &AttemptError) {
     let now = Instant::now();
     cx.metrics.send(&task.service, e.name());
     if matches!(e, AttemptError::TimedOut("the caller disconnected")) {
         return;
     }
-    if matches!(e, AttemptError::Broken(_)) {
-        let mark = CrashMark { fingerprint: task.fingerprint, replica: replica.hash };
-        let crashes = cx.crashes.record_crash(mark, now);
-        cx.metrics.crash_mark("own");
-        cx.log.record(Event::CrashMarked {
-            request: task.head.id.clone(),
-            fingerprint: crash_record::format_fingerprint(task.fingerprint),
-            replica: replica.key.clone(),
-            cause: e.to_string(),
-            crashes: crashes as u64,
-        });
+    if e.may_have_run_at_crash() {
+        failed_attempts::add_failed(cx, task.failed_attempt(replica, e));
     }
     match e {
         AttemptError::TimedOut(_) | AttemptError::Down => {}
