next_replica: look at the crash record before each send

A request was compared with the record once, when it arrived. A stream that lost its group without an event is sent to up to four replicas, since such attempts do not count against the route's attempts, and so one call crashed four replicas. The record is now asked before each send and each resume; a request that has run already ends with its error instead of a refusal.

--- a/serving/src/next_replica.rs
+++ b/serving/src/next_replica.rs
@@ -33,6 +33,9 @@
     trace: &mut RequestTrace,
     attempts: &mut Attempts,
 ) -> NextStep {
+    if let Some(crashes) = cx.crashes.refusal(task.fingerprint, Instant::now()) {
+        return NextStep::Respond(refuse_crashing_request(task, trace, attempts, crashes));
+    }
     if attempts.last_error.is_some() && !attempts.may_send(cx, task) {
         return NextStep::Respond(fail_request(task, trace, attempts));
     }
@@ -50,6 +53,21 @@
     }
 }
 
+/// Returns the final response to a request that crashes replicas.
+fn refuse_crashing_request(
+    task: &RequestTask,
+    trace: &mut RequestTrace,
+    attempts: &Attempts,
+    crashes: usize,
+) -> Response<ResponseBody> {
+    if attempts.runs > 0 {
+        return fail_request(task, trace, attempts);
+    }
+    trace.record_refused_as_crashing(crashes);
+    let reason = "replicas crashed each time they ran this request";
+    local_response::not_run(reason, task.time_left(Instant::now()))
+}
+
 /// Returns the final response to a request whose attempts failed.
 fn fail_request(
     task: &RequestTask,
--- a/serving/src/request_handler.rs
+++ b/serving/src/request_handler.rs
@@ -1,8 +1,6 @@
 //! Entry point for requests of callers: matches a request to a route and a customer, reads its body and
 //! dispatches it to the forwarder for the kind of the route.
 
-use crate::crash_record;
-use crate::crash_record::CRASH_REFUSAL_THRESHOLD;
 use crate::dialect::RequestHead;
 use crate::fleet_config::Route;
 use crate::fleet_config::RouteKind;
@@ -124,19 +122,6 @@
 
 async fn dispatch(cx: &ServingCx, task: RequestTask) -> Response<ResponseBody> {
     cx.budgets.count_request(&task.service, task.received);
-    let crashes = cx.crashes.crash_count(task.fingerprint);
-    if crashes >= CRASH_REFUSAL_THRESHOLD {
-        cx.metrics.request(&task.route, "crashing");
-        cx.log.record(Event::CrashingRequestRefused {
-            request: task.head.id.clone(),
-            fingerprint: crash_record::format_fingerprint(task.fingerprint),
-            crashes: crashes as u64,
-        });
-        return local_response::not_run(
-            "replicas crashed each time they ran this request",
-            task.time_left(task.received),
-        );
-    }
     match task.kind {
         RouteKind::Streaming { .. } => stream_forward::forward(cx, Arc::new(task)).await,
         RouteKind::Idempotent | RouteKind::NonIdempotent => plain_forward::forward(cx, &task).await,
--- a/serving/src/stream_forward.rs
+++ b/serving/src/stream_forward.rs
@@ -347,7 +347,9 @@
             had_started = false;
             failed_attempts::settle(&self.cx, self.task.fingerprint).await;
             let is_resumable = self.task.kind == RouteKind::Streaming { is_resumable: true };
-            if !is_resumable || !self.attempts.may_send(&self.cx, &self.task) {
+            let is_refused =
+                self.cx.crashes.refusal(self.task.fingerprint, Instant::now()).is_some();
+            if !is_resumable || is_refused || !self.attempts.may_send(&self.cx, &self.task) {
                 return Err(RelayOutcome::Failed(cause));
             }
             let tried = &self.attempts.tried;
--- a/serving/tests/test_crashing_requests.rs
+++ b/serving/tests/test_crashing_requests.rs
@@ -169,3 +169,13 @@
     assert_eq!(runs, 0, "runs that the restarted node began");
     assert_harmless_is_served(&fleet, kind).await;
 }
+
+/// A group that lost a member ends its requests as down, which does not count against the route's
+/// attempts; the crashes that they caused do.
+#[tokio::test]
+async fn crashing_request_is_sent_on_within_one_call_after_the_third_crash() {
+    let fleet = start_fleet(Kind::StreamMember).await;
+    Kind::StreamMember.crashing().status(fleet.callers(0)).await;
+    sleep(SEND_PERIOD).await;
+    assert_eq!(fleet.fake_platform.crash_runs().len(), CRASHES);
+}
