crash_sync: let nodes that missed the marks of a crash learn of it

Nodes that started after a request had crashed its third replica sent it on and lost three replicas of their own each, until they had counted to three again. A mark was in the heartbeats of the node that saw the crash for 2 s and was never sent again: a node that was not running, paused or cut off in these 2 s never learned of it, nor did any node once the sender was gone.

Each node now sends the digest of its requests with repeated crashes to three random nodes twice a second; a node whose digest differs asks the sender for them. Any node passes them on, whoever saw the crashes. Nothing is sent while no request has crashed two replicas. The message is a new variant, which nodes of earlier builds reject as undecodable and log at level debug.

--- a/serving/src/dialect.rs
+++ b/serving/src/dialect.rs
@@ -45,6 +45,8 @@
     Leases,
     /// Key that authenticates the messages between nodes.
     FleetKey,
+    /// Requests that are refused since they crash replicas.
+    CrashingRequests,
 }
 
 /// Object of the platform's store.
--- a/serving/src/node_table.rs
+++ b/serving/src/node_table.rs
@@ -18,6 +18,11 @@
 const MIN_SILENT_AFTER: Duration = Duration::from_millis(1000);
 /// Number of missed heartbeats after which a node counts as silent.
 const SILENT_PERIODS: u32 = 6;
+/// Maximum time without a heartbeat after which a node counts as silent for `is_cut_off`, which has to
+/// be shorter than the platform's `stableWindowMs`.
+const CUT_OFF_AFTER: Duration = Duration::from_millis(2000);
+/// A node may be cut off if one in this many registered nodes is silent.
+const CUT_OFF_DIVISOR: usize = 10;
 /// Time without a heartbeat after which a node that is not registered is removed from the table.
 const FORGET_AFTER: Duration = Duration::from_secs(20);
 
@@ -206,6 +211,20 @@
         nodes.values().filter(is_silent).map(|peer| peer.node.clone()).collect()
     }
 
+    /// Returns whether a tenth or more of the registered nodes are silent. In a large fleet, a few of
+    /// them always are, and a heartbeat may get lost.
+    pub fn is_cut_off(&self, now: Instant, period: Duration) -> bool {
+        let max_age = silent_after(period).min(CUT_OFF_AFTER);
+        let nodes = self.lock();
+        let registered = nodes.values().filter(|peer| peer.is_registered);
+        let (mut count, mut silent) = (0, 0);
+        for peer in registered {
+            count += 1;
+            silent += usize::from(peer.recent_heartbeat(now, max_age).is_none());
+        }
+        silent > 0 && silent * CUT_OFF_DIVISOR >= count
+    }
+
     fn lock(&self) -> MutexGuard<'_, HashMap<String, PeerNode>> {
         self.nodes.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/serving/src/peer_codec.rs
+++ b/serving/src/peer_codec.rs
@@ -2,6 +2,7 @@
 //!
 //! The tag is the truncated BLAKE3 hash of the content, keyed with the fleet key.
 
+use crate::crash_sync::CrashMessage;
 use crate::instance_list_delta::InstanceListDelta;
 use guavaladder_lib::generated::serving_peer::NodeBeat;
 use guavaladder_proc_macros::common_derives;
@@ -21,6 +22,8 @@
     Beat(NodeBeat),
     /// Changes of the instance list.
     News(InstanceListDelta),
+    /// Message about requests with repeated crashes.
+    Crashes(CrashMessage),
 }
 
 /// Errors of encoding or decoding a message.
--- a/serving/src/peer_exchange.rs
+++ b/serving/src/peer_exchange.rs
@@ -6,7 +6,8 @@
 //! enough for several of them within the duration of one response.
 
 use crate::config_sync;
-use crate::crash_record;
+use crate::crash_sync;
+use crate::crash_sync::CrashSync;
 use crate::instance_list_delta::InstanceListDelta;
 use crate::instance_list_sync;
 use crate::peer_codec;
@@ -14,7 +15,6 @@
 use crate::peer_codec::PeerMessage;
 use crate::replica_health;
 use crate::serving_cx::ServingCx;
-use guavaladder_lib::generated::events::Event;
 use guavaladder_lib::generated::serving_peer::NodeBeat;
 use guavaladder_lib::generated::serving_peer::ReplicaUse;
 use std::collections::HashMap;
@@ -34,6 +34,7 @@
 #[derive(Debug, Clone)]
 pub struct PeerExchange {
     heartbeats: HeartbeatHandler,
+    crashes: Arc<CrashSync>,
     key: PeerKey,
     socket: Arc<UdpSocket>,
 }
@@ -49,7 +50,8 @@
 impl PeerExchange {
     /// Creates an exchange that uses `socket` and authenticates messages with `key`.
     pub fn new(cx: ServingCx, key: PeerKey, socket: UdpSocket) -> Self {
-        Self { heartbeats: HeartbeatHandler::new(cx), key, socket: Arc::new(socket) }
+        let crashes = Arc::new(CrashSync::new(cx.clone()));
+        Self { heartbeats: HeartbeatHandler::new(cx), crashes, key, socket: Arc::new(socket) }
     }
 
     /// Sends heartbeats until the task is cancelled: periodically, and at once when a replica is
@@ -78,13 +80,27 @@
         }
     }
 
+    /// Sends the digest of the repeated crashes until the task is cancelled.
+    pub async fn crash_digest_loop(self) {
+        loop {
+            sleep(crash_sync::DIGEST_PERIOD).await;
+            if let Some((digest, receivers)) = self.crashes.next_digest() {
+                self.send_to(PeerMessage::Crashes(digest), receivers).await;
+            }
+        }
+    }
+
     async fn send(&self, message: PeerMessage) {
+        self.send_to(message, self.heartbeats.cx.nodes.addresses()).await;
+    }
+
+    async fn send_to(&self, message: PeerMessage, receivers: Vec<IpAddr>) {
         let message = match peer_codec::encode(&message, &self.key) {
             Ok(message) if message.len() <= peer_codec::MAX_MESSAGE_LEN => message,
             Ok(message) => return log::warn!("message too long to send: {} bytes", message.len()),
             Err(e) => return log::warn!("failed to encode a message: {e}"),
         };
-        for address in self.heartbeats.cx.nodes.addresses() {
+        for address in receivers {
             let to = SocketAddr::new(address, self.heartbeats.cx.settings.peers.port());
             if let Err(e) = self.socket.send_to(&message, to).await {
                 log::debug!("failed to send a message to {to}: {e}");
@@ -105,6 +121,12 @@
                         let hold_until = instance_list_sync::hold_until(&self.heartbeats.cx);
                         self.heartbeats.cx.fleet.apply_delta(delta, hold_until, Instant::now());
                     }
+                    Ok(PeerMessage::Crashes(message)) => {
+                        let reply = self.crashes.apply(message, &from.ip().to_string());
+                        if let Some(reply) = reply {
+                            self.send_to(PeerMessage::Crashes(reply), vec![from.ip()]).await;
+                        }
+                    }
                     Err(e) => log::debug!("rejected a message from {from}: {e}"),
                 },
                 // An earlier datagram that this node sent reached a closed port.
@@ -160,14 +182,8 @@
         let loads: HashMap<u64, u32> =
             heartbeat.loads.iter().map(|load| (load.replica, load.running)).collect();
         cx.loads.set_remote_loads(&heartbeat.node, loads, now);
-        for fingerprint in cx.crashes.merge(&heartbeat.crashes, now) {
-            cx.metrics.crash_mark("peer");
-            cx.log.record(Event::CrashesLearned {
-                fingerprint: crash_record::format_fingerprint(fingerprint),
-                crashes: cx.crashes.crash_count(fingerprint) as u64,
-                source: heartbeat.node.clone(),
-            });
-        }
+        let refused = cx.crashes.merge(&heartbeat.crashes, now);
+        crash_sync::log_refused(cx, &refused, &heartbeat.node);
         if heartbeat.instances_revision > 0 {
             cx.fleet.note_watcher_revision(heartbeat.instances_revision, now);
         }
--- a/serving/src/serving_cx.rs
+++ b/serving/src/serving_cx.rs
@@ -161,6 +161,11 @@
         self.nodes.count(Instant::now(), self.heartbeat_period())
     }
 
+    /// Returns whether this node may be cut off from others, since it does not hear many of them.
+    pub fn is_cut_off(&self) -> bool {
+        self.nodes.is_cut_off(Instant::now(), self.heartbeat_period())
+    }
+
     /// Returns the current phase of the node.
     pub fn phase(&self) -> NodePhase {
         *self.phase.borrow()
--- a/serving/src/serving_metrics.rs
+++ b/serving/src/serving_metrics.rs
@@ -35,7 +35,7 @@
     ("replicas_down_total", "Replicas that were found to be down, by source."),
     (
         "crash_marks_total",
-        "Crashes under a request, by who saw them: this node, or a peer that let it refuse.",
+        "Crashes under requests that this node saw (own), and requests it refuses by crashes that it learned of (learned).",
     ),
     ("log_lines_dropped_total", "Lines of the log that were dropped since its reader was slow."),
 ];
@@ -101,6 +101,7 @@
             ObjectKind::Nodes => "nodes",
             ObjectKind::Leases => "leases",
             ObjectKind::FleetKey => "fleet_key",
+            ObjectKind::CrashingRequests => "crashing_requests",
         };
         self.count("store_calls_total", &[("call", call), ("kind", kind)], 1);
     }
--- a/serving/src/serving_node.rs
+++ b/serving/src/serving_node.rs
@@ -106,6 +106,7 @@
             let exchange = PeerExchange::new(peers_cx, key, peers);
             spawn_until(&peers_stopping, exchange.clone().receive_loop());
             spawn_until(&peers_stopping, exchange.clone().send_loop());
+            spawn_until(&peers_stopping, exchange.clone().crash_digest_loop());
             spawn_until(&peers_stopping, exchange.clone().instance_delta_loop(deltas));
             exchange_tx.send_replace(Some(exchange));
         });
--- a/serving/tests/fleet.rs
+++ b/serving/tests/fleet.rs
@@ -72,11 +72,20 @@
 
     /// Starts another node.
     pub async fn add_node(&mut self) {
+        self.add_node_at(PEER_PORT).await;
+    }
+
+    /// Starts another node, which exchanges no messages with the others.
+    pub async fn add_cut_off_node(&mut self) {
+        self.add_node_at(PEER_PORT + 1).await;
+    }
+
+    async fn add_node_at(&mut self, peer_port: u16) {
         let host = next_host();
         let listen = |port: u16| SocketAddr::from((host, port)).to_string();
         let settings = json!({
             "node": format!("n{}", self.nodes.len()), "data_centre": "east",
-            "peer_port": PEER_PORT, "store": self.store.address.to_string(),
+            "peer_port": peer_port, "store": self.store.address.to_string(),
             "listen": {
                 "callers": listen(7001), "readiness": listen(7002), "directory": listen(7003),
             },
--- a/serving/tests/test_crashing_requests.rs
+++ b/serving/tests/test_crashing_requests.rs
@@ -146,6 +146,22 @@
     assert_harmless_is_served(&fleet, kind).await;
 }
 
+/// The node reaches the store, so the platform's rules apply to it.
+#[tokio::test]
+async fn crashing_request_is_sent_on_by_a_node_cut_off_from_the_others() {
+    let kind = Kind::StreamHead;
+    let mut fleet = start_fleet(kind).await;
+    fleet.add_cut_off_node().await;
+    crash_three_replicas(&fleet, kind).await;
+    let before = later_runs(&fleet);
+    for _ in 0..8 {
+        send_crashing(&fleet, kind, 3).await;
+    }
+    let runs = later_runs(&fleet) - before;
+    assert_eq!(runs, 0, "runs that the node began");
+    assert_harmless_is_served(&fleet, kind).await;
+}
+
 #[rstest]
 #[case::idempotent(Kind::Idempotent)]
 #[case::stream_head(Kind::StreamHead)]
