crash_store: keep refused requests when all nodes restart

After all nodes had restarted at once, a request that crashes replicas was run again by each of them until three more replicas had ended; the same happened at a node that reaches the store and callers but none of the other nodes. What nodes know of crashes was in their memory only.

--- a/serving/src/lib.rs
+++ b/serving/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod config_sync;
 pub mod connection;
 pub mod crash_record;
+pub mod crash_store;
 pub mod crash_sync;
 pub mod dialect;
 pub mod directory;
--- a/serving/src/serving_node.rs
+++ b/serving/src/serving_node.rs
@@ -1,6 +1,7 @@
 //! Startup and graceful shutdown of a node on the users' platform.
 
 use crate::config_sync;
+use crate::crash_store;
 use crate::dialect::Dialect;
 use crate::group_control::GroupControl;
 use crate::instance_list_sync;
@@ -97,6 +98,7 @@
         spawn_until(&stopping, instance_list_sync::expire(cx.clone()));
         spawn_until(&stopping, replica_health::run(cx.clone()));
         spawn_until(&stopping, node_registry::run(cx.clone()));
+        spawn_until(&stopping, crash_store::run(cx.clone()));
         spawn_until(&stopping, LeaseManager::new(cx.clone()).run());
         spawn_until(&stopping, GroupControl::new(cx.clone()).run());
         spawn_until(&stopping, log_pauses(cx.clone()));
