suspects: publish a fact of bounded size

Nodes did not share what they knew of a crash under more than about 30 requests: a fact of more than 700 bytes is neither sent nor accepted, and the one of a node with 128 suspects has several thousand. A request that crashes busy replicas was convicted at no other node.

A node now publishes the requests with the most crashes, as many as fit, from the history of crashes that serving uses too. A request keeps its crashes there when the fact that told of them is gone.

suspects_of_a_busy_replica_are_not_sent failed before (verdict Clear) and passes.

--- a/lib/src/crash_history.rs
+++ b/lib/src/crash_history.rs
@@ -147,6 +147,14 @@
         is_changed
     }
 
+    /// Returns whether a merge of `request` would change nothing but the time for which it is kept.
+    pub fn knows(&self, request: &CrashedRequest) -> bool {
+        let Some(entry) = self.requests.get(&request.fingerprint) else { return false };
+        let is_cleared = |crash: &u64| entry.crashes.get(crash) == Some(&CrashStatus::Cleared);
+        request.crashes.iter().all(|crash| entry.crashes.contains_key(crash))
+            && request.cleared.iter().all(is_cleared)
+    }
+
     /// Drops the requests that were not seen for longer than they are kept, and those beyond the
     /// maximum number.
     pub fn expire(&mut self, now: Instant) {
--- a/lib/src/suspects.rs
+++ b/lib/src/suspects.rs
@@ -6,25 +6,24 @@
 //! case it is isolated from other suspects, and its third crash convicts it regardless of other
 //! requests.
 
+use crate::crash_history::CrashHistory;
+use crate::crash_history::CrashedRequest;
+use crate::crash_history::MAX_CRASHES;
 use crate::cx::Cx;
 use crate::facts::FactKind;
 use crate::generated::requests::Suspect;
 use crate::generated::requests::SuspectFact;
+use crate::gossip_build::MAX_FACT_BYTES;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
-use std::collections::VecDeque;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use tokio::time::Instant;
 
-/// Number of crashes that convict a request regardless of other requests.
-const MAX_CRASHES: usize = 3;
-/// Maximum number of suspects, and of cleared requests, that a node keeps and publishes.
-const MAX_SUSPECTS: usize = 128;
-
-/// Ids of crashes, as returned by `Replica::crash_id`.
-type Crashes = BTreeSet<u64>;
+/// Maximum number of requests of which a node publishes the crashes; their encoded size is bounded too.
+const MAX_PUBLISHED: usize = 128;
 
 /// Assessment of whether a request crashes replicas.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -48,15 +47,9 @@
 
 #[derive(Debug, Default)]
 struct Inner {
-    own: Observations,
-    known: BTreeMap<u64, Crashes>,
-}
-
-/// Crashes and completed requests that this node observed.
-#[derive(Debug, Default)]
-struct Observations {
-    suspects: VecDeque<(u64, Crashes)>,
-    cleared: VecDeque<(u64, Crashes)>,
+    history: CrashHistory,
+    /// Fingerprints of the requests of which this node publishes the crashes: those that it observed.
+    published: BTreeSet<u64>,
 }
 
 impl Suspects {
@@ -69,26 +62,32 @@
     /// crashes.
     pub fn record_crash(&self, fingerprint: u64, replica: u64) -> usize {
         let mut inner = self.lock();
-        add_crashes(&mut inner.own.suspects, fingerprint, [replica]);
+        let crashes = inner.history.record_crash(fingerprint, replica, Instant::now());
+        inner.published.insert(fingerprint);
         self.publish(&mut inner);
-        inner.known.get(&fingerprint).map_or(0, BTreeSet::len)
+        crashes
     }
 
     /// Records that a request completed, which clears it of the known crashes.
     pub fn clear(&self, fingerprint: u64) {
         let mut inner = self.lock();
-        let Some(crashes) = inner.known.get(&fingerprint).cloned() else { return };
-        add_crashes(&mut inner.own.cleared, fingerprint, crashes);
-        self.publish(&mut inner);
+        if inner.history.clear(fingerprint) {
+            inner.published.insert(fingerprint);
+            self.publish(&mut inner);
+        }
     }
 
     /// Returns the current assessment of a request.
     pub fn verdict(&self, fingerprint: u64, crash_limit: u32) -> Verdict {
         let inner = self.lock();
-        let Some(crashes) = inner.known.get(&fingerprint) else { return Verdict::Clear };
+        if inner.history.crash_count(fingerprint) == 0 {
+            return Verdict::Clear;
+        }
+        let counted = inner.history.counted();
+        let Some(crashes) = counted.get(&fingerprint) else { return Verdict::Clear };
         let limit = (crash_limit as usize).clamp(1, MAX_CRASHES);
         let is_shared = || {
-            let mut others = inner.known.iter().filter(|(other, _)| **other != fingerprint);
+            let mut others = counted.iter().filter(|(other, _)| **other != fingerprint);
             others.any(|(_, other)| other.is_superset(crashes))
         };
         match crashes.len() {
@@ -102,54 +101,73 @@
 
     /// Returns the number of known crashes at which a request was running.
     pub fn crashes(&self, fingerprint: u64) -> usize {
-        self.lock().known.get(&fingerprint).map_or(0, BTreeSet::len)
+        self.lock().history.crash_count(fingerprint)
     }
 
     /// Applies the observations that the other nodes published.
     pub fn refresh(&self) {
+        let now = Instant::now();
+        let current = self.current_facts();
         let mut inner = self.lock();
-        inner.known = self.combine(&inner.own);
-    }
-
-    /// Publishes this node's observations and combines them with those of the other nodes.
-    fn publish(&self, inner: &mut Inner) {
-        let list = |queue: &VecDeque<(u64, Crashes)>| {
-            let suspect = |(fingerprint, crashes): &(u64, Crashes)| Suspect {
-                fingerprint: *fingerprint,
-                crashes: crashes.iter().copied().collect(),
-            };
-            queue.iter().map(suspect).collect()
-        };
-        let fact =
-            SuspectFact { suspects: list(&inner.own.suspects), cleared: list(&inner.own.cleared) };
-        if let Ok(value) = postcard::to_stdvec(&fact) {
-            let cx = &self.cx;
-            cx.facts.publish(cx.node(), cx.incarnation, FactKind::SuspectRequests, value);
+        let inner = &mut *inner;
+        inner.history.expire(now);
+        // A merge renews the time for which a request is kept, but a fact does not tell its age.
+        for request in current.values() {
+            if !inner.history.knows(request) {
+                inner.history.merge(request, now);
+            }
+        }
+        let is_known = |fingerprint: &u64| inner.history.get(*fingerprint, now).is_some();
+        let is_changed = !inner.published.iter().all(is_known);
+        if is_changed {
+            self.publish(inner);
         }
-        inner.known = self.combine(&inner.own);
     }
 
-    fn combine(&self, own: &Observations) -> BTreeMap<u64, Crashes> {
-        let mut known: BTreeMap<u64, Crashes> = BTreeMap::new();
-        let mut cleared: Vec<(u64, Crashes)> = own.cleared.iter().cloned().collect();
-        for (fingerprint, crashes) in &own.suspects {
-            known.entry(*fingerprint).or_default().extend(crashes);
-        }
+    /// Returns the crashes in the facts of all nodes, this one included, by request. A fact of an earlier
+    /// run of a node is left out: it is gone once the node publishes another one.
+    fn current_facts(&self) -> BTreeMap<u64, CrashedRequest> {
+        let members = self.cx.members.get();
+        let mut current: BTreeMap<u64, CrashedRequest> = BTreeMap::new();
         for fact in self.cx.facts.all(FactKind::SuspectRequests) {
-            let Ok(fact) = postcard::from_bytes::<SuspectFact>(&fact.value) else { continue };
-            for suspect in fact.suspects {
-                known.entry(suspect.fingerprint).or_default().extend(suspect.crashes);
+            let member = members.get(&fact.node);
+            if member.is_some_and(|member| member.incarnation != fact.incarnation) {
+                continue;
             }
-            let pairs = fact.cleared.into_iter().map(|s| (s.fingerprint, s.crashes));
-            cleared.extend(pairs.map(|(fp, crashes)| (fp, crashes.into_iter().collect())));
-        }
-        for (fingerprint, crashes) in cleared {
-            if let Some(known) = known.get_mut(&fingerprint) {
-                known.retain(|crash| !crashes.contains(crash));
+            let fact = match postcard::from_bytes::<SuspectFact>(&fact.value) {
+                Ok(fact) => fact,
+                Err(e) => {
+                    log::debug!("failed to decode the suspects of {}: {e}", fact.node);
+                    continue;
+                }
+            };
+            for Suspect { fingerprint, crashes } in fact.suspects {
+                entry(&mut current, fingerprint).crashes.extend(crashes);
+            }
+            for Suspect { fingerprint, crashes } in fact.cleared {
+                entry(&mut current, fingerprint).cleared.extend(crashes);
             }
         }
-        known.retain(|_, crashes| !crashes.is_empty());
-        known
+        current
+    }
+
+    /// Publishes the requests with the most crashes, as many as fit in a fact.
+    fn publish(&self, inner: &mut Inner) {
+        let now = Instant::now();
+        let Inner { history, published } = inner;
+        published.retain(|fingerprint| history.get(*fingerprint, now).is_some());
+        let mut requests = history.most_crashing(usize::MAX, now);
+        requests.retain(|request| published.contains(&request.fingerprint));
+        requests.truncate(MAX_PUBLISHED);
+        let value = loop {
+            match postcard::to_stdvec(&suspect_fact(&requests)) {
+                Ok(value) if value.len() <= MAX_FACT_BYTES => break value,
+                Ok(_) => requests.truncate(requests.len() - 1),
+                Err(e) => return log::debug!("failed to encode the suspects: {e}"),
+            }
+        };
+        let cx = &self.cx;
+        cx.facts.publish(cx.node(), cx.incarnation, FactKind::SuspectRequests, value);
     }
 
     fn lock(&self) -> MutexGuard<'_, Inner> {
@@ -157,18 +175,26 @@
     }
 }
 
-/// Adds crashes to the entry of a fingerprint and moves it to the back; a full queue drops its
-/// front.
-fn add_crashes(
-    queue: &mut VecDeque<(u64, Crashes)>,
-    fingerprint: u64,
-    more: impl IntoIterator<Item = u64>,
-) {
-    let known = queue.iter().position(|(known, _)| *known == fingerprint);
-    let mut crashes = known.and_then(|i| queue.remove(i)).map(|(_, c)| c).unwrap_or_default();
-    crashes.extend(more);
-    if queue.len() == MAX_SUSPECTS {
-        queue.pop_front();
+fn entry(requests: &mut BTreeMap<u64, CrashedRequest>, fingerprint: u64) -> &mut CrashedRequest {
+    requests.entry(fingerprint).or_insert_with(|| CrashedRequest {
+        fingerprint,
+        crashes: vec![],
+        cleared: vec![],
+        age_ms: 0,
+    })
+}
+
+fn suspect_fact(requests: &[CrashedRequest]) -> SuspectFact {
+    let list = |crashes: fn(&CrashedRequest) -> &Vec<u64>| {
+        let suspect = |request: &CrashedRequest| Suspect {
+            fingerprint: request.fingerprint,
+            crashes: crashes(request).clone(),
+        };
+        let suspects = requests.iter().map(suspect);
+        suspects.filter(|suspect| !suspect.crashes.is_empty()).collect()
+    };
+    SuspectFact {
+        suspects: list(|request| &request.crashes),
+        cleared: list(|request| &request.cleared),
     }
-    queue.push_back((fingerprint, crashes));
 }
--- a/lib/tests/test_suspects.rs
+++ b/lib/tests/test_suspects.rs
@@ -2,9 +2,11 @@
 
 use guavaladder_lib::clock::Clock;
 use guavaladder_lib::cx::Cx;
+use guavaladder_lib::facts::FactKind;
 use guavaladder_lib::generated::engine::MemberState;
 use guavaladder_lib::generated::requests::ErrorCode;
 use guavaladder_lib::generation::GenerationEvent;
+use guavaladder_lib::gossip_build::MAX_FACT_BYTES;
 use guavaladder_lib::metrics::Metrics;
 use guavaladder_lib::request_path::RequestPath;
 use guavaladder_lib::suspects::Suspects;
@@ -98,14 +100,44 @@
 }
 
 fn suspects() -> Suspects {
+    Suspects::new(cx("n"))
+}
+
+fn cx(node: &str) -> Cx {
     let settings = serde_json::from_value(serde_json::json!({
-        "node": "n", "data_centre": "dc", "region": "r", "platform": "127.0.0.1:1",
+        "node": node, "data_centre": "dc", "region": "r", "platform": "127.0.0.1:1",
         "fleet_key_file": "/dev/null", "caller_listen": "127.0.0.1:0",
         "operator_listen": "127.0.0.1:0", "peer_listen": "127.0.0.1:0",
     }))
     .unwrap();
     let clock = Clock::with_tokio_time(Duration::from_secs(1_700_000_000));
-    Suspects::new(Cx::new(settings, clock, Metrics::new()))
+    Cx::new(settings, clock, Metrics::new())
+}
+
+/// Sends a node's published suspects to another one, as the gossip does.
+fn send_suspects(from: &Cx, to: &Cx) {
+    for fact in from.facts.all(FactKind::SuspectRequests) {
+        if fact.value.len() <= MAX_FACT_BYTES && fact.node != to.node() {
+            to.facts.merge(fact);
+        }
+    }
+}
+
+/// The fact of a node with more suspects than a fact holds was sent to no node at all, and one crash of a
+/// busy replica makes as many suspects as it runs requests.
+#[tokio::test(start_paused = true)]
+async fn suspects_of_a_busy_replica_are_not_sent() {
+    let (a, b) = (cx("a"), cx("b"));
+    let (at_a, at_b) = (Suspects::new(a.clone()), Suspects::new(b.clone()));
+    for crash in 0..3 {
+        at_a.record_crash(1, u64::MAX - crash);
+        for bystander in 0..60 {
+            at_a.record_crash(u64::MAX - 100 * crash - bystander, u64::MAX - crash);
+        }
+    }
+    send_suspects(&a, &b);
+    at_b.refresh();
+    assert_eq!(at_b.verdict(1, 3), Verdict::Convicted);
 }
 
 #[tokio::test(start_paused = true)]
