suspects: publish repeated crashes whose observers are gone

On our own interface a conviction was forgotten with the node that had seen the crashes: its facts are removed when it is dead, and its first fact after a restart replaces the earlier one, so that the request could run again on three more replicas.

A node that knows of repeated crashes which no present node publishes takes them over, one node on average in each round. Facts of an earlier run of a node don't count as present.

conviction_is_forgotten_with_the_node_that_saw_the_crashes failed before in both cases (verdict Clear at once) and passes. Not covered: all nodes lost at once.

--- a/lib/src/suspects.rs
+++ b/lib/src/suspects.rs
@@ -48,7 +48,8 @@
 #[derive(Debug, Default)]
 struct Inner {
     history: CrashHistory,
-    /// Fingerprints of the requests of which this node publishes the crashes: those that it observed.
+    /// Fingerprints of the requests of which this node publishes the crashes: those that it observed, and
+    /// those whose observers are gone.
     published: BTreeSet<u64>,
 }
 
@@ -104,7 +105,8 @@
         self.lock().history.crash_count(fingerprint)
     }
 
-    /// Applies the observations that the other nodes published.
+    /// Applies the observations that the other nodes published, and publishes repeated crashes of which
+    /// no other node does, since the nodes that observed them are gone.
     pub fn refresh(&self) {
         let now = Instant::now();
         let current = self.current_facts();
@@ -118,12 +120,25 @@
             }
         }
         let is_known = |fingerprint: &u64| inner.history.get(*fingerprint, now).is_some();
-        let is_changed = !inner.published.iter().all(is_known);
+        let mut is_changed = !inner.published.iter().all(is_known);
+        for request in inner.history.shared(now) {
+            let published = current.get(&request.fingerprint);
+            let is_published = published.is_some_and(|published| covers(published, &request));
+            if !is_published && self.may_take_over() {
+                is_changed |= inner.published.insert(request.fingerprint);
+            }
+        }
         if is_changed {
             self.publish(inner);
         }
     }
 
+    /// Returns whether this node takes over a request in this round. One of all nodes does on average,
+    /// and the others then see that it is published.
+    fn may_take_over(&self) -> bool {
+        rand::random_range(0..self.cx.members.get().len().max(1)) == 0
+    }
+
     /// Returns the crashes in the facts of all nodes, this one included, by request. A fact of an earlier
     /// run of a node is left out: it is gone once the node publishes another one.
     fn current_facts(&self) -> BTreeMap<u64, CrashedRequest> {
@@ -184,6 +199,14 @@
     })
 }
 
+/// Returns whether `published` tells all that `request` does.
+fn covers(published: &CrashedRequest, request: &CrashedRequest) -> bool {
+    let is_known =
+        |crash: &u64| published.crashes.contains(crash) || published.cleared.contains(crash);
+    request.crashes.iter().all(is_known)
+        && request.cleared.iter().all(|crash| published.cleared.contains(crash))
+}
+
 fn suspect_fact(requests: &[CrashedRequest]) -> SuspectFact {
     let list = |crashes: fn(&CrashedRequest) -> &Vec<u64>| {
         let suspect = |request: &CrashedRequest| Suspect {
--- a/lib/tests/test_suspects.rs
+++ b/lib/tests/test_suspects.rs
@@ -5,6 +5,7 @@
 use guavaladder_lib::facts::FactKind;
 use guavaladder_lib::generated::engine::MemberState;
 use guavaladder_lib::generated::requests::ErrorCode;
+use guavaladder_lib::generated::requests::SuspectFact;
 use guavaladder_lib::generation::GenerationEvent;
 use guavaladder_lib::gossip_build::MAX_FACT_BYTES;
 use guavaladder_lib::metrics::Metrics;
@@ -140,6 +141,35 @@
     assert_eq!(at_b.verdict(1, 3), Verdict::Convicted);
 }
 
+/// The facts of a node are removed when it is dead, and those of an earlier run when it publishes again.
+#[rstest]
+#[case::dead(false)]
+#[case::restarted(true)]
+#[tokio::test(start_paused = true)]
+async fn conviction_is_forgotten_with_the_node_that_saw_the_crashes(#[case] is_restarted: bool) {
+    let (a, b, c) = (cx("a"), cx("b"), cx("c"));
+    let (at_a, at_b, at_c) =
+        (Suspects::new(a.clone()), Suspects::new(b.clone()), Suspects::new(c.clone()));
+    for crash in 0..3 {
+        at_a.record_crash(1, crash);
+    }
+    send_suspects(&a, &b);
+    at_b.refresh();
+    assert_eq!(at_b.verdict(1, 3), Verdict::Convicted);
+    if is_restarted {
+        let fact = SuspectFact { suspects: vec![], cleared: vec![] };
+        let value = postcard::to_stdvec(&fact).unwrap();
+        b.facts.publish("a", a.incarnation + 1, FactKind::SuspectRequests, value);
+    } else {
+        b.facts.remove_node("a");
+    }
+    at_b.refresh();
+    assert_eq!(at_b.verdict(1, 3), Verdict::Convicted);
+    send_suspects(&b, &c);
+    at_c.refresh();
+    assert_eq!(at_c.verdict(1, 3), Verdict::Convicted);
+}
+
 #[tokio::test(start_paused = true)]
 async fn verdict_distinguishes_poison_from_bystander() {
     let suspects = suspects();
