request_task: recognise a request under another key of its customer

The fingerprint of a request held the caller's API key. A customer has several, and keys are cancelled and added while its callers go on, so the same request under another key counted as a new one and crashed three more replicas. It now holds the name of the customer.

crashing_request_is_sent_on_under_another_key_of_its_customer failed before (502 after a fourth crash) and passes (503 at each node, no run).

--- a/serving/src/crash_record.rs
+++ b/serving/src/crash_record.rs
@@ -1,8 +1,8 @@
 //! Record of the requests that were running on replicas when those crashed, by request fingerprint and
 //! across all nodes.
 //!
-//! A request that crashes every replica on which it runs is retried with the same method, path, key and
-//! body. A request that was running during three different crashes is refused. A harmless request
+//! A request that crashes every replica on which it runs is retried with the same method, path, customer
+//! and body. A request that was running during three different crashes is refused. A harmless request
 //! hardly ever reaches that count, since a crash affects only a few of many requests.
 
 use guavaladder_lib::crash_history::CrashHistory;
--- a/serving/src/request_handler.rs
+++ b/serving/src/request_handler.rs
@@ -152,7 +152,9 @@
     let body = read_body(body, table.config.limits.max_body_bytes, deadline).await;
     let body = body.map_err(|rejection| incoming.reject(&route.name, &rejection))?;
     let uri = path_and_query(&parts.uri);
-    let fingerprint = request_task::fingerprint(&parts.method, &uri, head.key.as_deref(), &body);
+    let urgency = customer.and_then(|customer| customer.priority).unwrap_or(route.priority);
+    let customer = customer.map(|customer| customer.name.as_str());
+    let fingerprint = request_task::fingerprint(&parts.method, &uri, customer, &body);
     Ok(RequestTask {
         method: parts.method,
         uri,
@@ -161,8 +163,8 @@
         route: route.name.clone(),
         kind: route.kind,
         service,
-        customer: customer.map(|customer| customer.name.clone()),
-        urgency: customer.and_then(|customer| customer.priority).unwrap_or(route.priority),
+        customer: customer.map(str::to_string),
+        urgency,
         max_attempts: route.max_attempts,
         target_latency: route.target_latency,
         config_version: table.config.version,
--- a/serving/src/request_task.rs
+++ b/serving/src/request_task.rs
@@ -59,7 +59,7 @@
     pub received: Instant,
     /// Time by which the response must be complete.
     pub deadline: Instant,
-    /// Hash of method, URI, key and body, which is the same each time the request is retried.
+    /// Hash of method, URI, customer and body, which is the same each time the request is retried.
     pub fingerprint: u64,
 }
 
@@ -95,9 +95,9 @@
 }
 
 /// Returns the hash that identifies a request across retries.
-pub fn fingerprint(method: &Method, uri: &Uri, key: Option<&str>, body: &[u8]) -> u64 {
+pub fn fingerprint(method: &Method, uri: &Uri, customer: Option<&str>, body: &[u8]) -> u64 {
     let mut text = Vec::with_capacity(body.len() + 128);
-    for part in [method.as_str(), &uri.to_string(), key.unwrap_or_default()] {
+    for part in [method.as_str(), &uri.to_string(), customer.unwrap_or_default()] {
         text.extend_from_slice(part.as_bytes());
         text.push(0);
     }
--- a/serving/tests/test_crashing_requests.rs
+++ b/serving/tests/test_crashing_requests.rs
@@ -195,3 +195,17 @@
     sleep(SEND_PERIOD).await;
     assert_eq!(fleet.fake_platform.crash_runs().len(), CRASHES);
 }
+
+/// Keys are added and cancelled while a caller goes on with its request.
+#[tokio::test]
+async fn crashing_request_is_sent_on_under_another_key_of_its_customer() {
+    let kind = Kind::StreamHead;
+    let fleet = start_fleet(kind).await;
+    crash_three_replicas(&fleet, kind).await;
+    let before = later_runs(&fleet);
+    for node in 0..3 {
+        let call = kind.crashing().with_key(Some("key-2"));
+        assert_eq!(call.status(fleet.callers(node)).await, 503);
+    }
+    assert_eq!(later_runs(&fleet), before);
+}
