retry_budget: no slack for a node that does not know its peers

A node that has not read the registered nodes counted itself as the only one and used the whole slack of each service's retry budget. Nodes that start together read that list late when the store loses writes, since they register first; so retries could exceed the budget of a service by as many slacks as nodes start.

Until the list has been read, a node uses its part of the ratio only.

slack_is_used_whole_by_each_node_that_knows_no_other failed before with 756 retries of 160 allowed at seven nodes, and passes.

--- a/serving/src/attempt.rs
+++ b/serving/src/attempt.rs
@@ -154,7 +154,7 @@
             return false;
         }
         // Sending again is not a retry if no replica has received the request.
-        !self.has_reached_replica || cx.budgets.withdraw(&task.service, cx.sharing_nodes(), now)
+        !self.has_reached_replica || cx.budgets.withdraw(&task.service, cx.budget_sharers(), now)
     }
 }
 
--- a/serving/src/node_table.rs
+++ b/serving/src/node_table.rs
@@ -11,6 +11,8 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -57,6 +59,7 @@
     own_id: Arc<str>,
     log: RateLimitedLog,
     nodes: Arc<Mutex<HashMap<String, PeerNode>>>,
+    is_registry_known: Arc<AtomicBool>,
 }
 
 /// Renewal of the lease on the groups, as reported in the holder's heartbeat.
@@ -84,11 +87,17 @@
 impl NodeTable {
     /// Returns an empty table for the node `own_id`.
     pub fn new(own_id: &str, log: RateLimitedLog) -> Self {
-        Self { own_id: Arc::from(own_id), log, nodes: Arc::default() }
+        Self {
+            own_id: Arc::from(own_id),
+            log,
+            nodes: Arc::default(),
+            is_registry_known: Arc::default(),
+        }
     }
 
     /// Updates the table with the list of nodes that are registered in the store.
     pub fn set_registered(&self, registered: &[(String, IpAddr)]) {
+        self.is_registry_known.store(true, Ordering::Relaxed);
         let mut nodes = self.lock();
         for peer in nodes.values_mut() {
             peer.is_registered = registered.iter().any(|(node, _)| *node == peer.node);
@@ -156,6 +165,11 @@
         self.lock().values().filter(is_member).count() + 1
     }
 
+    /// Returns whether the list of the registered nodes has been read.
+    pub fn is_registry_known(&self) -> bool {
+        self.is_registry_known.load(Ordering::Relaxed)
+    }
+
     /// Returns the other nodes that serve callers and are not silent.
     pub fn entry_nodes(&self, now: Instant, period: Duration) -> Vec<EntryNode> {
         let max_age = silent_after(period);
--- a/serving/src/retry_budget.rs
+++ b/serving/src/retry_budget.rs
@@ -59,12 +59,13 @@
         });
     }
 
-    /// Withdraws one retry from the budget that `nodes` nodes share; returns false if none is left.
-    pub fn withdraw(&self, service: &str, nodes: usize, now: Instant) -> bool {
+    /// Withdraws one retry from the budget that `nodes` nodes share; returns false if none is left. While
+    /// their number is not known, the slack is left to those that know it.
+    pub fn withdraw(&self, service: &str, nodes: Option<usize>, now: Instant) -> bool {
         self.with_window(service, now, |window| {
             let requests: u32 = window.buckets.iter().map(|bucket| bucket.requests).sum();
             let retries: u32 = window.buckets.iter().map(|bucket| bucket.retries).sum();
-            let own_slack = self.bounds.slack / nodes.max(1) as f64;
+            let own_slack = nodes.map_or(0.0, |nodes| self.bounds.slack / nodes.max(1) as f64);
             let budget = USABLE_RATIO * (self.bounds.ratio * f64::from(requests) + own_slack);
             let has_left = f64::from(retries) + 1.0 <= budget;
             if has_left {
--- a/serving/src/serving_cx.rs
+++ b/serving/src/serving_cx.rs
@@ -156,11 +156,18 @@
         }
     }
 
-    /// Returns the number of nodes that share a retry budget, this one included.
+    /// Returns the number of nodes that send requests to the replicas, this one included, as far as it is
+    /// known.
     pub fn sharing_nodes(&self) -> usize {
         self.nodes.count(Instant::now(), self.heartbeat_period())
     }
 
+    /// Returns the number of nodes that share the retry budgets, this one included; `None` while the
+    /// registered nodes are not known.
+    pub fn budget_sharers(&self) -> Option<usize> {
+        self.nodes.is_registry_known().then(|| self.sharing_nodes())
+    }
+
     /// Returns whether this node may be cut off from others, since it does not hear many of them.
     pub fn is_cut_off(&self) -> bool {
         self.nodes.is_cut_off(Instant::now(), self.heartbeat_period())
--- a/serving/tests/test_crash_sync.rs
+++ b/serving/tests/test_crash_sync.rs
@@ -1,20 +1,15 @@
 //! Tests of the messages by which nodes keep their crash records equal.
 
-use guavaladder_lib::clock::Clock;
+use crate::util;
 use guavaladder_lib::generated::serving_peer::CrashMark;
-use guavaladder_platform::dialect::PlatformDialect;
 use guavaladder_serving::crash_record::CRASH_REFUSAL_THRESHOLD;
 use guavaladder_serving::crash_sync::CrashMessage;
 use guavaladder_serving::crash_sync::CrashSync;
-use guavaladder_serving::network::Network;
 use guavaladder_serving::peer_codec;
 use guavaladder_serving::peer_codec::PeerMessage;
 use guavaladder_serving::peer_exchange::HeartbeatHandler;
 use guavaladder_serving::serving_cx::ServingCx;
-use guavaladder_serving::serving_settings;
-use serde_json::json;
 use std::net::IpAddr;
-use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
 use tokio::time::sleep;
@@ -28,17 +23,7 @@
 }
 
 fn node(number: u8) -> Node {
-    let address = |port: u16| format!("127.0.0.{number}:{port}");
-    let settings = json!({
-        "node": format!("n{number}"), "data_centre": "east", "peer_port": 7004,
-        "store": "127.0.0.1:1",
-        "listen": {
-            "callers": address(7001), "readiness": address(7002), "directory": address(7003),
-        },
-    });
-    let settings = serving_settings::parse(&settings.to_string()).expect("valid settings");
-    let clock = Clock::with_tokio_time(Duration::from_secs(1_700_000_000));
-    let cx = ServingCx::new(settings, Arc::new(PlatformDialect::new()), clock, Network::Tcp);
+    let cx = util::serving_cx(number);
     let (heartbeats, sync) = (HeartbeatHandler::new(cx.clone()), CrashSync::new(cx.clone()));
     Node { cx, heartbeats, sync }
 }
--- a/serving/tests/test_retry_budget.rs
+++ b/serving/tests/test_retry_budget.rs
@@ -1,5 +1,6 @@
 //! Tests of the retry budget.
 
+use crate::util;
 use guavaladder_serving::retry_budget::RetryBounds;
 use guavaladder_serving::retry_budget::RetryBudgets;
 use std::time::Duration;
@@ -24,7 +25,7 @@
                 budget.count_request("drafting", now);
                 requests.push(now);
             }
-            while budget.withdraw("drafting", nodes, now) {
+            while budget.withdraw("drafting", Some(nodes), now) {
                 retries.push(now);
             }
         }
@@ -44,8 +45,31 @@
 fn budget_recovers_as_the_window_moves() {
     let budgets = RetryBudgets::new(BOUNDS);
     let start = Instant::now();
-    while budgets.withdraw("drafting", 1, start) {}
-    assert!(!budgets.withdraw("drafting", 1, start + Duration::from_secs(9)));
-    assert!(budgets.withdraw("drafting", 1, start + Duration::from_secs(10)));
-    assert!(budgets.withdraw("orders", 1, start));
+    while budgets.withdraw("drafting", Some(1), start) {}
+    assert!(!budgets.withdraw("drafting", Some(1), start + Duration::from_secs(9)));
+    assert!(budgets.withdraw("drafting", Some(1), start + Duration::from_secs(10)));
+    assert!(budgets.withdraw("orders", Some(1), start));
+}
+
+/// Nodes that start together while the store loses writes read the registered nodes late.
+#[test]
+fn slack_is_used_whole_by_each_node_that_knows_no_other() {
+    let start = Instant::now();
+    let budgets: Vec<RetryBudgets> = (0..7).map(|_| RetryBudgets::new(BOUNDS)).collect();
+    let (mut requests, mut retries) = (0, 0);
+    for budget in &budgets {
+        let cx = util::serving_cx(1);
+        for _ in 0..20 {
+            budget.count_request("drafting", start);
+            requests += 1;
+        }
+        while budget.withdraw("drafting", cx.budget_sharers(), start) {
+            retries += 1;
+        }
+        assert!(retries > 0);
+        cx.nodes.set_registered(&[]);
+        assert_eq!(cx.budget_sharers(), Some(1));
+    }
+    let allowed = BOUNDS.ratio * f64::from(requests) + BOUNDS.slack;
+    assert!(f64::from(retries) <= allowed, "{retries} of {allowed}");
 }
--- a/serving/tests/util.rs
+++ b/serving/tests/util.rs
@@ -2,6 +2,7 @@
 
 use guavaladder_lib::clock::Clock;
 use guavaladder_lib::event_log::EventLog;
+use guavaladder_platform::dialect::PlatformDialect;
 use guavaladder_serving::fleet_config::Customer;
 use guavaladder_serving::fleet_config::Engine;
 use guavaladder_serving::fleet_config::FleetConfig;
@@ -13,12 +14,32 @@
 use guavaladder_serving::instance::Instance;
 use guavaladder_serving::instance::Membership;
 use guavaladder_serving::instance::MembershipState;
+use guavaladder_serving::network::Network;
 use guavaladder_serving::rate_limited_log::RateLimitedLog;
+use guavaladder_serving::serving_cx::ServingCx;
+use guavaladder_serving::serving_settings;
+use serde_json::json;
 use std::collections::HashMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 pub const SERVICE: &str = "drafting";
 
+/// Returns the context of a node whose tasks are not running.
+pub fn serving_cx(number: u8) -> ServingCx {
+    let address = |port: u16| format!("127.0.0.{number}:{port}");
+    let settings = json!({
+        "node": format!("n{number}"), "data_centre": "east", "peer_port": 7004,
+        "store": "127.0.0.1:1",
+        "listen": {
+            "callers": address(7001), "readiness": address(7002), "directory": address(7003),
+        },
+    });
+    let settings = serving_settings::parse(&settings.to_string()).expect("valid settings");
+    let clock = Clock::with_tokio_time(Duration::from_secs(1_700_000_000));
+    ServingCx::new(settings, Arc::new(PlatformDialect::new()), clock, Network::Tcp)
+}
+
 pub fn log() -> RateLimitedLog {
     RateLimitedLog::new("n1", EventLog::new(Clock::new()))
 }
