crash_history: don't count crashes of a request that completes

Many callers sent the same request, so that some of its runs were on each of the instances; and a refused request cannot complete, which would clear it.

A request that crashes each replica never completes. So crashes of a request that completed on a node within the last one to two minutes, or completes afterwards, do not count. What is left of the danger ends by itself: an hour after its last crash a refused request may run once, and is refused again if that run crashes its replica; before, each refusal renewed the hour. A complete response with an error status counts as completed too.

--- a/lib/src/suspects.rs
+++ b/lib/src/suspects.rs
@@ -72,7 +72,7 @@
     /// Records that a request completed, which clears it of the known crashes.
     pub fn clear(&self, fingerprint: u64) {
         let mut inner = self.lock();
-        if inner.history.clear(fingerprint) {
+        if inner.history.record_completion(fingerprint, Instant::now()) {
             inner.published.insert(fingerprint);
             self.publish(&mut inner);
         }
--- a/serving/src/crash_record.rs
+++ b/serving/src/crash_record.rs
@@ -103,21 +103,15 @@
         self.lock().history.crash_count(fingerprint)
     }
 
-    /// Returns the number of crashes if the request has to be refused, which renews the time for which
-    /// they are kept.
-    pub fn refusal(&self, fingerprint: u64, now: Instant) -> Option<usize> {
-        let mut inner = self.lock();
-        let crashes = inner.history.crash_count(fingerprint);
-        if crashes < CRASH_REFUSAL_THRESHOLD {
-            return None;
-        }
-        inner.history.touch(fingerprint, now);
-        Some(crashes)
+    /// Returns the number of crashes if the request has to be refused.
+    pub fn refusal(&self, fingerprint: u64) -> Option<usize> {
+        let crashes = self.crash_count(fingerprint);
+        (crashes >= CRASH_REFUSAL_THRESHOLD).then_some(crashes)
     }
 
-    /// Records that a request completed, which clears it of the known crashes.
-    pub fn clear(&self, fingerprint: u64) {
-        self.lock().history.clear(fingerprint);
+    /// Records that a run of a request completed, which clears it of the known crashes.
+    pub fn record_completion(&self, fingerprint: u64, now: Instant) {
+        self.lock().history.record_completion(fingerprint, now);
     }
 
     /// Drops what is older than it is kept.
--- a/serving/src/crash_store.rs
+++ b/serving/src/crash_store.rs
@@ -162,8 +162,7 @@
         }
     }
 
-    /// Deletes the objects of requests that did not come again for as long as they are kept, and renews
-    /// those of requests that did.
+    /// Deletes the objects of requests that are no longer refused, and those that cannot be decoded.
     async fn clean_up(&mut self) {
         let objects = match self.cx.store.list(ObjectKind::CrashingRequests).await {
             Ok((objects, _)) => objects,
@@ -171,38 +170,24 @@
         };
         let unix = self.cx.clock.unix();
         for object in objects {
-            let stored = decode(&object, unix);
-            let is_old = |age_ms: u64| Duration::from_millis(age_ms) >= SHARED_RETENTION / 2;
-            if stored.as_ref().is_some_and(|request| !is_old(request.age_ms)) {
+            let is_current = |request: &CrashedRequest| {
+                Duration::from_millis(request.age_ms) < SHARED_RETENTION
+                    || self.cx.crashes.refusal(request.fingerprint).is_some()
+            };
+            if decode(&object, unix).as_ref().is_some_and(is_current) {
                 continue;
             }
-            let refused = self.cx.crashes.refused(Instant::now()).into_iter();
-            let mut known = refused.map(|(request, _)| request);
-            let known = known.find(|request| {
-                stored.as_ref().is_some_and(|s| s.fingerprint == request.fingerprint)
-            });
-            let changed = match known {
-                Some(request) if !is_old(request.age_ms) => {
-                    let renewed =
-                        StoredObject { revision: object.revision, ..self.encode(&request) };
-                    self.cx.store.replace(ObjectKind::CrashingRequests, &renewed).await.map(|_| ())
-                }
-                Some(_) => Ok(()),
-                None => {
-                    let (name, revision) = (&object.name, object.revision);
-                    self.cx.store.delete(ObjectKind::CrashingRequests, name, revision).await
-                }
-            };
-            if let Err(e) = changed {
-                log::debug!("failed to clean up the refused request {}: {e}", object.name);
+            let (kind, name) = (ObjectKind::CrashingRequests, &object.name);
+            if let Err(e) = self.cx.store.delete(kind, name, object.revision).await {
+                log::debug!("failed to delete the object of request {name}: {e}");
             }
         }
     }
 
     fn encode(&self, request: &CrashedRequest) -> StoredObject {
-        let seen = (self.cx.clock.unix().as_millis() as u64).saturating_sub(request.age_ms);
+        let crashed = (self.cx.clock.unix().as_millis() as u64).saturating_sub(request.age_ms);
         let crashes = request.crashes.iter().map(|id| crash_record::format_fingerprint(*id));
-        let content = json!({"crashes": crashes.collect::<Vec<_>>(), "seen_ms": seen});
+        let content = json!({"crashes": crashes.collect::<Vec<_>>(), "crashed_ms": crashed});
         let name = crash_record::format_fingerprint(request.fingerprint);
         StoredObject { name, content, ..StoredObject::default() }
     }
@@ -213,11 +198,11 @@
     let id = |text: &str| u64::from_str_radix(text, 16).ok();
     let crashes = object.content["crashes"].as_array()?;
     let crashes = crashes.iter().map(|crash| crash.as_str().and_then(id));
-    let seen_ms = object.content["seen_ms"].as_u64()?;
+    let crashed_ms = object.content["crashed_ms"].as_u64()?;
     Some(CrashedRequest {
         fingerprint: id(&object.name)?,
         crashes: crashes.collect::<Option<Vec<u64>>>()?,
         cleared: vec![],
-        age_ms: (unix.as_millis() as u64).saturating_sub(seen_ms),
+        age_ms: (unix.as_millis() as u64).saturating_sub(crashed_ms),
     })
 }
--- a/serving/src/next_replica.rs
+++ b/serving/src/next_replica.rs
@@ -33,7 +33,7 @@
     trace: &mut RequestTrace,
     attempts: &mut Attempts,
 ) -> NextStep {
-    if let Some(crashes) = cx.crashes.refusal(task.fingerprint, Instant::now()) {
+    if let Some(crashes) = cx.crashes.refusal(task.fingerprint) {
         return NextStep::Respond(refuse_crashing_request(task, trace, attempts, crashes));
     }
     if attempts.last_error.is_some() && !attempts.may_send(cx, task) {
--- a/serving/src/plain_forward.rs
+++ b/serving/src/plain_forward.rs
@@ -80,6 +80,9 @@
     let result = timeout_at(until, exchange).await;
     let result = result.unwrap_or(Err(AttemptError::TimedOut(reason)));
     drop(guard);
+    if result.is_ok() {
+        cx.crashes.record_completion(task.fingerprint, Instant::now());
+    }
     match &result {
         Ok(response) if response.status().is_server_error() => {
             cx.metrics.send(&task.service, "failure");
@@ -87,7 +90,6 @@
         Ok(_) => {
             cx.metrics.send(&task.service, "answered");
             cx.loads.record_success(replica.hash);
-            cx.crashes.clear(task.fingerprint);
         }
         Err(e) => {
             cx.metrics.send(&task.service, e.name());
--- a/serving/src/stream_forward.rs
+++ b/serving/src/stream_forward.rs
@@ -272,7 +272,7 @@
                 },
                 Ok(StreamItem::End) => {
                     self.cx.loads.record_success(stream.replica.hash);
-                    self.cx.crashes.clear(self.task.fingerprint);
+                    self.cx.crashes.record_completion(self.task.fingerprint, Instant::now());
                     self.cx.metrics.send(&self.task.service, "answered");
                     stream.return_connection(&self.cx).await;
                     return RelayOutcome::Complete;
@@ -347,8 +347,7 @@
             had_started = false;
             failed_attempts::settle(&self.cx, self.task.fingerprint).await;
             let is_resumable = self.task.kind == RouteKind::Streaming { is_resumable: true };
-            let is_refused =
-                self.cx.crashes.refusal(self.task.fingerprint, Instant::now()).is_some();
+            let is_refused = self.cx.crashes.refusal(self.task.fingerprint).is_some();
             if !is_resumable || is_refused || !self.attempts.may_send(&self.cx, &self.task) {
                 return Err(RelayOutcome::Failed(cause));
             }
