failed_attempts: leave out replicas that were down before the request was sent

The head of such a group accepts a request and cannot begin it. If this node had other streams there and none of them has sent an event since the request was sent, the group was down already, and the attempt does not count.

request_sent_to_groups_that_were_down_counts_as_crashing failed before with one crash counted, and passes with none.

--- a/serving/src/failed_attempts.rs
+++ b/serving/src/failed_attempts.rs
@@ -49,6 +49,9 @@
     pub replica: Arc<Replica>,
     /// Why there was no complete response.
     pub cause: String,
+    /// When the request was sent, if the replica was running other streams of this node then and has sent
+    /// no event of this one. It was down already if there has been no event of the others since.
+    pub no_event_if_down_at: Option<Instant>,
 }
 
 /// Shared list of the failed attempts whose replica may have crashed.
@@ -213,8 +216,14 @@
     cx.failed_attempts.end_check(replica.hash);
 }
 
+/// Records an attempt as running at a crash, unless its replica was down before the request was sent.
 fn record(cx: &ServingCx, attempt: FailedAttempt, now: Instant) {
-    let FailedAttempt { request, fingerprint, replica, cause } = attempt;
+    let FailedAttempt { request, fingerprint, replica, cause, no_event_if_down_at } = attempt;
+    let last_event = cx.loads.state(&replica, now).last_event;
+    let was_down = no_event_if_down_at.is_some_and(|sent| last_event.is_none_or(|at| at < sent));
+    if was_down && replica.model.is_some() {
+        return;
+    }
     let mark = CrashMark { fingerprint, replica: replica.hash };
     let crashes = cx.crashes.record_crash(mark, now);
     cx.metrics.crash_mark("own");
--- a/serving/src/load_table.rs
+++ b/serving/src/load_table.rs
@@ -36,6 +36,8 @@
     pub unanswered: u32,
     /// Last activity; the start of a request at a replica without requests of this node counts as activity.
     pub last_activity: Option<Instant>,
+    /// When the last event of a stream of this node arrived.
+    pub last_event: Option<Instant>,
     /// Moving average of the interval between events relative to the expected one; above 1 means slow.
     pub slowness: f64,
     /// Whether it is marked as down.
@@ -54,6 +56,7 @@
             remote: 0,
             unanswered: 0,
             last_activity: None,
+            last_event: None,
             slowness: 1.0,
             is_down: false,
             is_ejected: false,
@@ -72,6 +75,7 @@
     own: u32,
     unanswered: u32,
     last_activity: Option<Instant>,
+    last_event: Option<Instant>,
     slowness: f64,
     failure_rate: f64,
     failures: u32,
@@ -87,6 +91,7 @@
             own: 0,
             unanswered: 0,
             last_activity: None,
+            last_event: None,
             slowness: 1.0,
             failure_rate: 0.0,
             failures: 0,
@@ -154,6 +159,7 @@
             remote,
             unanswered: entry.unanswered,
             last_activity: entry.last_activity,
+            last_event: entry.last_event,
             slowness: entry.slowness,
             is_down: entry.is_down(now),
             is_ejected: entry.ejected_until.is_some_and(|until| until > now),
@@ -176,13 +182,13 @@
         expected: Duration,
         now: Instant,
     ) {
-        let Some(expected) = Some(expected.as_secs_f64()).filter(|expected| *expected > 0.0) else {
-            return self.record_activity(hash, now);
-        };
         if let Some(entry) = self.lock().entries.get_mut(&hash) {
             entry.last_activity = Some(now);
-            let factor = interval.as_secs_f64() / expected;
-            entry.slowness += NEWEST_WEIGHT * (factor - entry.slowness);
+            entry.last_event = Some(now);
+            if !expected.is_zero() {
+                let factor = interval.as_secs_f64() / expected.as_secs_f64();
+                entry.slowness += NEWEST_WEIGHT * (factor - entry.slowness);
+            }
         }
     }
 
--- a/serving/src/plain_forward.rs
+++ b/serving/src/plain_forward.rs
@@ -18,7 +18,6 @@
 use http::Response;
 use http_body_util::BodyExt;
 use http_body_util::Limited;
-use std::sync::Arc;
 use tokio::time::Instant;
 use tokio::time::timeout_at;
 
@@ -45,6 +44,11 @@
                 return response;
             }
             Err(e) => {
+                if let Some(attempt) = trace.failed_attempt(&e.to_string())
+                    && e.may_have_run_at_crash()
+                {
+                    failed_attempts::add_failed(cx, attempt);
+                }
                 trace.record_failover(&task.service, &e.to_string(), e.name());
                 attempts.record_failure(e);
             }
@@ -55,7 +59,7 @@
 async fn attempt_once(
     cx: &ServingCx,
     task: &RequestTask,
-    replica: &Arc<Replica>,
+    replica: &Replica,
     attempts: &Attempts,
 ) -> Result<Response<ResponseBody>, AttemptError> {
     let is_idempotent = task.kind == RouteKind::Idempotent;
@@ -94,9 +98,6 @@
         Err(e) => {
             cx.metrics.send(&task.service, e.name());
             cx.loads.record_failure(replica.hash, Instant::now());
-            if e.may_have_run_at_crash() {
-                failed_attempts::add_failed(cx, task.failed_attempt(replica, e));
-            }
         }
     }
     result
--- a/serving/src/request_task.rs
+++ b/serving/src/request_task.rs
@@ -1,7 +1,6 @@
 //! A request of a caller while it is being served, and the recording of its outcome in the log and
 //! metrics.
 
-use crate::attempt::AttemptError;
 use crate::crash_record;
 use crate::dialect::RequestHead;
 use crate::failed_attempts;
@@ -77,16 +76,6 @@
         }
     }
 
-    /// Returns the record of an attempt of this request that failed with `error`.
-    pub fn failed_attempt(&self, replica: &Arc<Replica>, error: &AttemptError) -> FailedAttempt {
-        FailedAttempt {
-            request: self.head.id.clone(),
-            fingerprint: self.fingerprint,
-            replica: replica.clone(),
-            cause: error.to_string(),
-        }
-    }
-
     /// Returns the deadline to send to a replica: the time left until the request's own deadline, at
     /// least 1 ms.
     pub fn upstream_deadline(&self, now: Instant) -> Duration {
@@ -125,12 +114,23 @@
     /// Time from receiving the request to the start of the response.
     pub time_to_first_byte: Option<Duration>,
     is_recorded: bool,
-    /// Replica at which an attempt is in progress.
-    current: Option<Arc<Replica>>,
+    /// Attempt in progress.
+    current: Option<CurrentAttempt>,
     /// Counts the request as running, so that a shutdown waits for it.
     _running: RunningRequestGuard,
 }
 
+/// An attempt in progress.
+#[derive(Debug)]
+struct CurrentAttempt {
+    replica: Arc<Replica>,
+    sent_at: Instant,
+    /// Whether other streams of this node were running at the replica.
+    has_others: bool,
+    /// Whether the first event of the response has arrived.
+    has_begun: bool,
+}
+
 impl RequestTrace {
     /// Returns the trace of a new request.
     pub fn new(cx: &ServingCx, task: &RequestTask) -> Self {
@@ -154,8 +154,14 @@
 
     /// Records the start of an attempt at a replica.
     pub fn record_attempt(&mut self, replica: &Arc<Replica>) {
-        self.current = Some(replica.clone());
-        let state = self.cx.loads.state(replica, Instant::now());
+        let now = Instant::now();
+        let state = self.cx.loads.state(replica, now);
+        self.current = Some(CurrentAttempt {
+            replica: replica.clone(),
+            sent_at: now,
+            has_others: state.own > state.unanswered,
+            has_begun: false,
+        });
         self.attempts += 1;
         self.ahead = u64::from(state.requests());
         self.replica = replica.key.clone();
@@ -179,6 +185,25 @@
         }
     }
 
+    /// Records that the first event of the current attempt has arrived.
+    pub fn record_begun(&mut self) {
+        if let Some(current) = &mut self.current {
+            current.has_begun = true;
+        }
+    }
+
+    /// Returns the record of the current attempt, which failed; `None` if there is none.
+    pub fn failed_attempt(&self, cause: &str) -> Option<FailedAttempt> {
+        let CurrentAttempt { replica, sent_at, has_others, has_begun } = self.current.as_ref()?;
+        Some(FailedAttempt {
+            request: self.request.clone(),
+            fingerprint: self.fingerprint,
+            replica: replica.clone(),
+            cause: cause.to_string(),
+            no_event_if_down_at: (*has_others && !*has_begun).then_some(*sent_at),
+        })
+    }
+
     /// Records that an attempt failed and the request may be tried on another replica.
     pub fn record_failover(&mut self, service: &str, cause: &str, name: &'static str) {
         self.current = None;
@@ -267,15 +292,10 @@
     pub fn record_abandoned(&mut self) {
         self.is_recorded = true;
         self.cx.metrics.request(&self.route, "abandoned");
-        if let Some(replica) = self.current.take() {
-            let attempt = FailedAttempt {
-                request: self.request.clone(),
-                fingerprint: self.fingerprint,
-                replica,
-                cause: "the caller disconnected".to_string(),
-            };
+        if let Some(attempt) = self.failed_attempt("the caller disconnected") {
             failed_attempts::add_abandoned(&self.cx, attempt);
         }
+        self.current = None;
         self.cx.log.record(Event::RequestAbandoned {
             request: self.request.clone(),
             fingerprint: crash_record::format_fingerprint(self.fingerprint),
--- a/serving/src/stream_forward.rs
+++ b/serving/src/stream_forward.rs
@@ -75,7 +75,7 @@
         match open_stream(cx, &task, &replica, last_event_id).await {
             Ok((stream, first)) => return start_relay(cx, task, trace, attempts, stream, first),
             Err(e) => {
-                record_failure(cx, &task, &replica, &e);
+                record_failure(cx, &trace, &task, &replica, &e);
                 trace.record_failover(&task.service, &e.to_string(), e.name());
                 attempts.record_failure(e);
             }
@@ -209,6 +209,7 @@
     first: StreamItem,
 ) -> Response<ResponseBody> {
     trace.record_response_start();
+    trace.record_begun();
     let status = stream.upstream.response.status();
     let headers = cx.dialect.caller_headers(stream.upstream.response.headers());
     let (tx, rx) = mpsc::channel(EVENT_QUEUE_LEN);
@@ -282,7 +283,7 @@
             next = match error {
                 None => self.next_item(&mut stream).await,
                 Some(e) => {
-                    record_failure(&self.cx, &self.task, &stream.replica, &e);
+                    record_failure(&self.cx, &self.trace, &self.task, &stream.replica, &e);
                     match self.resume(e).await {
                         Ok((other, first)) => {
                             stream = other;
@@ -365,9 +366,12 @@
                 () = self.tx.closed() => return Err(RelayOutcome::CallerDisconnected),
             };
             match opened {
-                Ok(opened) => return Ok(opened),
+                Ok(opened) => {
+                    self.trace.record_begun();
+                    return Ok(opened);
+                }
                 Err(e) => {
-                    record_failure(&self.cx, &self.task, &replica, &e);
+                    record_failure(&self.cx, &self.trace, &self.task, &replica, &e);
                     error = e;
                 }
             }
@@ -376,14 +380,22 @@
 }
 
 /// Updates the metrics and the replica's health after a failed attempt.
-fn record_failure(cx: &ServingCx, task: &RequestTask, replica: &Arc<Replica>, e: &AttemptError) {
+fn record_failure(
+    cx: &ServingCx,
+    trace: &RequestTrace,
+    task: &RequestTask,
+    replica: &Arc<Replica>,
+    e: &AttemptError,
+) {
     let now = Instant::now();
     cx.metrics.send(&task.service, e.name());
     if matches!(e, AttemptError::TimedOut("the caller disconnected")) {
         return;
     }
-    if e.may_have_run_at_crash() {
-        failed_attempts::add_failed(cx, task.failed_attempt(replica, e));
+    if let Some(attempt) = trace.failed_attempt(&e.to_string())
+        && e.may_have_run_at_crash()
+    {
+        failed_attempts::add_failed(cx, attempt);
     }
     match e {
         AttemptError::TimedOut(_) | AttemptError::Down => {}
--- a/serving/tests/test_crashing_requests.rs
+++ b/serving/tests/test_crashing_requests.rs
@@ -3,8 +3,11 @@
 
 use crate::fleet::Fleet;
 use crate::fleet::eventually;
+use crate::fleet::start_streams;
 use guavaladder_platform_testutils::CRASH_MARKER;
 use guavaladder_platform_testutils::Call;
+use guavaladder_platform_testutils::InstanceMode;
+use guavaladder_serving::request_task::fingerprint;
 use http::Method;
 use rstest::rstest;
 use std::time::Duration;
@@ -209,3 +212,25 @@
     }
     assert_eq!(later_runs(&fleet), before);
 }
+
+/// Several groups lose a member at the same time. The head of such a group accepts a request that it
+/// cannot begin, so the request has not crashed it; callers send the request again when all are down.
+#[tokio::test]
+async fn request_sent_to_groups_that_were_down_counts_as_crashing() {
+    let mut fleet = Fleet::with_events(10, 300).await;
+    fleet.add_node().await;
+    let replicas = fleet.nodes[0].cx.fleet.clone();
+    eventually(|| replicas.replicas().of_service("drafting").len() >= 4).await;
+    let to = fleet.callers(0);
+    let _streams = start_streams(to, 16);
+    sleep(Duration::from_millis(200)).await;
+    for group in fleet.fake_platform.open_groups() {
+        fleet.fake_platform.set_mode(&group[1], InstanceMode::Unresponsive);
+    }
+    sleep(Duration::from_millis(40)).await;
+    Call::new(Method::POST, "/draft/late").status(to).await;
+    let uri = "/draft/late".parse().expect("a path");
+    let fingerprint = fingerprint(&Method::POST, &uri, Some("baker"), b"a body");
+    assert!(fleet.nodes[0].cx.metrics.sum("crash_marks_total") > 0);
+    assert_eq!(fleet.nodes[0].cx.crashes.crash_count(fingerprint), 0);
+}
