--- a/bench/tests/runner.rs
+++ b/bench/tests/runner.rs
@@ -2,4 +2,5 @@
 
 mod test_call_oracle;
 mod test_fake_fleet;
+mod test_serving_soak;
 mod test_store_oracle;
