failed_attempts: a replica that does not respond has not ended by that

A node that is cut off finds all groups down, and its streams, resumed from one to the next, were recorded as running at three crashes; the records then spread to all nodes.

A failed attempt counts only once an instance of its replica is known to have ended: its address refuses connections or answers for another run, or its entry is gone or shows another run within 6 s. When a group is marked as down, by this node or another, the missing member is asked once more for its report. A plain instance is checked by a connection after a failed one, no longer after a timeout, which slow instances cause.

--- a/serving/src/attempt.rs
+++ b/serving/src/attempt.rs
@@ -87,12 +87,6 @@
         matches!(self, Self::NotSent(_) | Self::NotRun { .. })
     }
 
-    /// Returns whether the request may have been running on a replica that ended: there was no response
-    /// from it, or no complete one.
-    pub fn may_have_run_at_crash(&self) -> bool {
-        matches!(self, Self::Broken(_) | Self::TimedOut(_) | Self::Down)
-    }
-
     /// Returns whether the request reached the replica, even if the replica refused it.
     pub fn has_reached_replica(&self) -> bool {
         !matches!(self, Self::NotSent(_))
--- a/serving/src/failed_attempts.rs
+++ b/serving/src/failed_attempts.rs
@@ -1,21 +1,27 @@
 //! Failed attempts whose replica may have crashed.
 //!
 //! A failed attempt does not show by itself that its replica crashed: responses are lost and
-//! connections are reset while the replica lives on. Nor does the error tell: a group that lost a member
-//! ends the attempt when it is marked as down, and a caller may leave before anything is noticed. So
-//! each attempt without a complete response is kept for a while, and is recorded as running at a crash
-//! once its replica turns out to have ended.
+//! connections are reset while the replica lives on, and a replica that does not respond may only be
+//! unreachable from this node. Nor does the error tell: a group that lost a member ends the attempt when
+//! it is marked as down, and a caller may leave before anything is noticed. So each attempt without a
+//! complete response is kept for a while, and is recorded as running at a crash once an instance of its
+//! replica turns out to have ended: its address refuses connections or belongs to another run, or its
+//! entry is gone or shows another run.
 
 use crate::connection::ConnectError;
 use crate::connection::Connection;
 use crate::crash_record;
 use crate::crash_record::CRASH_REFUSAL_THRESHOLD;
+use crate::instance::InstanceId;
+use crate::replica_health;
 use crate::replica_set::Replica;
 use crate::serving_cx::ServingCx;
 use guavaladder_lib::generated::events::Event;
 use guavaladder_lib::generated::serving_peer::CrashMark;
+use std::collections::HashMap;
 use std::collections::HashSet;
 use std::collections::VecDeque;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -24,15 +30,13 @@
 use tokio::time::Instant;
 use tokio::time::sleep;
 
-/// Time within which a group that lost a member is marked as down.
-const GROUP_RETENTION: Duration = Duration::from_secs(2);
-/// Time within which the entry of a plain instance that ended is removed or replaced: three missed
-/// heartbeats and the delay of the instance list.
-const PLAIN_RETENTION: Duration = Duration::from_secs(6);
+/// Time for which an attempt is kept: within it the entry of an instance that ended is removed or
+/// replaced, after three missed heartbeats and the delay of the instance list.
+const RETENTION: Duration = Duration::from_secs(6);
 /// Maximum number of attempts that are kept.
 const MAX_ATTEMPTS: usize = 4096;
-/// Time within which a connection to a live instance is established.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(110);
+/// Time within which a live instance accepts a connection or reports its state.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(110);
 /// Maximum time for which a request waits until it is known whether its last replica crashed.
 const SETTLE_TIMEOUT: Duration = Duration::from_millis(250);
 /// Interval at which a waiting request checks that.
@@ -63,14 +67,18 @@
 #[derive(Debug, Default)]
 struct Inner {
     attempts: VecDeque<KeptAttempt>,
-    /// Hashes of the plain instances to which a connection is being opened.
-    connecting: HashSet<u64>,
+    /// Hashes of the replicas that are being checked.
+    checking: HashSet<u64>,
+    /// Hashes of the replicas that have ended, with the time at which this was found out.
+    ended: HashMap<u64, Instant>,
 }
 
 #[derive(Debug)]
 struct KeptAttempt {
     attempt: FailedAttempt,
     failed_at: Instant,
+    /// Start times of the members that were registered and not draining when the attempt failed.
+    members: Vec<(InstanceId, u64)>,
     /// Whether the check of the replica that the failure started is still running.
     is_being_checked: bool,
 }
@@ -81,29 +89,22 @@
         Self::default()
     }
 
-    fn add(&self, attempt: FailedAttempt, is_being_checked: bool, now: Instant) {
-        let mut inner = self.lock();
-        inner.attempts.push_back(KeptAttempt { attempt, failed_at: now, is_being_checked });
-        if inner.attempts.len() > MAX_ATTEMPTS {
-            inner.attempts.pop_front();
-        }
-    }
-
     /// Removes and returns the attempts at replicas that ended; drops those that are too old.
-    fn take_ended(&self, now: Instant, has_ended: impl Fn(&Replica) -> bool) -> Vec<FailedAttempt> {
+    fn take_ended(
+        &self,
+        now: Instant,
+        has_ended: impl Fn(&KeptAttempt) -> bool,
+    ) -> Vec<FailedAttempt> {
         let mut inner = self.lock();
+        inner.ended.retain(|_, at| now - *at < RETENTION);
         let mut ended = vec![];
-        inner.attempts.retain(|KeptAttempt { attempt, failed_at, .. }| {
-            let retention = match attempt.replica.model {
-                Some(_) => GROUP_RETENTION,
-                None => PLAIN_RETENTION,
-            };
-            if now - *failed_at >= retention {
+        inner.attempts.retain(|kept| {
+            if now - kept.failed_at >= RETENTION {
                 return false;
             }
-            let has_ended = has_ended(&attempt.replica);
+            let has_ended = has_ended(kept);
             if has_ended {
-                ended.push(attempt.clone());
+                ended.push(kept.attempt.clone());
             }
             !has_ended
         });
@@ -133,7 +134,7 @@
         let mut inner = self.lock();
         let at_replica = inner.attempts.iter_mut().filter(|k| k.attempt.replica.hash == hash);
         at_replica.for_each(|kept| kept.is_being_checked = false);
-        inner.connecting.remove(&hash);
+        inner.checking.remove(&hash);
     }
 
     fn lock(&self) -> MutexGuard<'_, Inner> {
@@ -141,51 +142,76 @@
     }
 }
 
-/// Keeps an attempt whose caller disconnected, or records it at once if its replica is marked as down.
-pub fn add_abandoned(cx: &ServingCx, attempt: FailedAttempt) {
-    keep(cx, attempt, false);
+/// Keeps an attempt without a complete response. Checks the missing member if its group is marked as
+/// down.
+pub fn add(cx: &ServingCx, attempt: FailedAttempt) {
+    let replica = attempt.replica.clone();
+    let missing = cx.loads.down_members(Instant::now()).remove(&replica.hash);
+    keep(cx, attempt, missing.is_some());
+    if let Some(member) = missing {
+        check_member(cx, &replica, &member);
+    }
 }
 
-/// Keeps an attempt that failed, or records it at once if its replica is marked as down. Of a plain
-/// instance, finds out whether it still accepts connections; `replica_health` checks groups.
-pub fn add_failed(cx: &ServingCx, attempt: FailedAttempt) {
+/// Like `add`, for an attempt whose connection failed. Checks a plain instance; a group is checked by
+/// `replica_health`.
+pub fn add_and_check(cx: &ServingCx, attempt: FailedAttempt) {
     let replica = attempt.replica.clone();
-    let is_kept = keep(cx, attempt, true);
-    let is_plain = replica.model.is_none();
-    if is_kept && is_plain && cx.failed_attempts.lock().connecting.insert(replica.hash) {
+    keep(cx, attempt, true);
+    if replica.model.is_none() && cx.failed_attempts.lock().checking.insert(replica.hash) {
         tokio::spawn(connect(cx.clone(), replica));
     }
 }
 
-fn keep(cx: &ServingCx, attempt: FailedAttempt, is_being_checked: bool) -> bool {
-    let now = Instant::now();
-    if cx.loads.state(&attempt.replica, now).is_down {
-        record(cx, attempt, now);
-        return false;
+/// Checks the missing member of a group that was marked as down, if attempts at the group are kept.
+pub fn replica_down(cx: &ServingCx, replica: &Arc<Replica>, member: &str) {
+    let is_kept = {
+        let inner = cx.failed_attempts.lock();
+        inner.attempts.iter().any(|kept| kept.attempt.replica.hash == replica.hash)
+    };
+    if is_kept {
+        check_member(cx, replica, member);
     }
-    cx.failed_attempts.add(attempt, is_being_checked, now);
-    true
 }
 
-/// Records the attempts at a replica that is known to have ended.
-pub fn replica_ended(cx: &ServingCx, hash: u64) {
+/// Records the attempts at replicas of which an instance is no longer registered, and drops old attempts.
+pub fn review(cx: &ServingCx) {
     let now = Instant::now();
-    for attempt in cx.failed_attempts.take_ended(now, |replica| replica.hash == hash) {
+    let instances = cx.fleet.instances();
+    let has_ended = |kept: &KeptAttempt| {
+        kept.members.iter().any(|(id, born)| {
+            instances.get(id).is_none_or(|instance| instance.engine.born_ms != *born)
+        })
+    };
+    for attempt in cx.failed_attempts.take_ended(now, has_ended) {
         record(cx, attempt, now);
     }
 }
 
-/// Records the attempts at plain instances that are no longer registered, and drops old attempts.
-pub fn review(cx: &ServingCx) {
+fn keep(cx: &ServingCx, attempt: FailedAttempt, is_being_checked: bool) {
     let now = Instant::now();
-    let replicas = cx.fleet.replicas();
-    let has_ended = |replica: &Replica| {
-        let is_known =
-            || replicas.of_service(&replica.service).iter().any(|r| r.key == replica.key);
-        let is_draining = || cx.fleet.instance(&replica.instance).is_some_and(|i| i.is_draining);
-        replica.model.is_none() && !is_known() && !is_draining()
+    let registered = |(id, _): &(InstanceId, SocketAddr)| {
+        let instance = cx.fleet.instance(id).filter(|instance| !instance.is_draining)?;
+        Some((id.clone(), instance.engine.born_ms))
     };
-    for attempt in cx.failed_attempts.take_ended(now, has_ended) {
+    let members = attempt.replica.members.iter().filter_map(registered).collect();
+    let mut inner = cx.failed_attempts.lock();
+    if inner.ended.contains_key(&attempt.replica.hash) {
+        drop(inner);
+        return record(cx, attempt, now);
+    }
+    inner.attempts.push_back(KeptAttempt { attempt, failed_at: now, members, is_being_checked });
+    if inner.attempts.len() > MAX_ATTEMPTS {
+        inner.attempts.pop_front();
+    }
+}
+
+/// Records the attempts at a replica that has ended.
+fn replica_ended(cx: &ServingCx, hash: u64) {
+    let now = Instant::now();
+    cx.failed_attempts.lock().ended.insert(hash, now);
+    let at_replica = |kept: &KeptAttempt| kept.attempt.replica.hash == hash;
+    for attempt in cx.failed_attempts.take_ended(now, at_replica) {
         record(cx, attempt, now);
     }
 }
@@ -209,13 +235,38 @@
 /// Opens a connection to a plain instance; if it is refused, the process has ended. An instance that
 /// accepts it may have been started again, which its entry will show.
 async fn connect(cx: ServingCx, replica: Arc<Replica>) {
-    let opened = Connection::open(&cx.network, replica.address, CONNECT_TIMEOUT).await;
+    let opened = Connection::open(&cx.network, replica.address, CHECK_TIMEOUT).await;
     if matches!(opened, Err(ConnectError::Refused)) {
         replica_ended(&cx, replica.hash);
     }
     cx.failed_attempts.end_check(replica.hash);
 }
 
+/// Starts a check of whether a member of a group has ended, unless the group is being checked.
+fn check_member(cx: &ServingCx, replica: &Arc<Replica>, member: &str) {
+    let address = replica.members.iter().find(|(id, _)| id == member).map(|(_, address)| *address);
+    let Some(address) = address else { return cx.failed_attempts.end_check(replica.hash) };
+    if !cx.failed_attempts.lock().checking.insert(replica.hash) {
+        return;
+    }
+    let (cx, hash, member) = (cx.clone(), replica.hash, member.to_string());
+    tokio::spawn(async move {
+        if has_ended(&cx, &member, address).await {
+            replica_ended(&cx, hash);
+        }
+        cx.failed_attempts.end_check(hash);
+    });
+}
+
+/// Returns whether a member is known to have ended: nothing listens at its address, or another run does.
+async fn has_ended(cx: &ServingCx, member: &str, address: SocketAddr) -> bool {
+    let born = cx.fleet.instance(member).map(|instance| instance.engine.born_ms);
+    match replica_health::fetch_report(cx, member, address, "crash", CHECK_TIMEOUT).await {
+        Ok(report) => born.is_some_and(|born| born != report.engine.born_ms),
+        Err(e) => e.proves_not_running(),
+    }
+}
+
 /// Records an attempt as running at a crash, unless its replica was down before the request was sent.
 fn record(cx: &ServingCx, attempt: FailedAttempt, now: Instant) {
     let FailedAttempt { request, fingerprint, replica, cause, no_event_if_down_at } = attempt;
--- a/serving/src/plain_forward.rs
+++ b/serving/src/plain_forward.rs
@@ -44,11 +44,7 @@
                 return response;
             }
             Err(e) => {
-                if let Some(attempt) = trace.failed_attempt(&e.to_string())
-                    && e.may_have_run_at_crash()
-                {
-                    failed_attempts::add_failed(cx, attempt);
-                }
+                trace.keep_failed_attempt(&e);
                 trace.record_failover(&task.service, &e.to_string(), e.name());
                 attempts.record_failure(e);
             }
--- a/serving/src/replica_health.rs
+++ b/serving/src/replica_health.rs
@@ -190,7 +190,7 @@
 /// Marks a replica as down and reports it to the other nodes.
 pub fn mark_and_report_down(
     cx: &ServingCx,
-    replica: &Replica,
+    replica: &Arc<Replica>,
     member: &str,
     reason: &str,
     source: &'static str,
@@ -204,7 +204,7 @@
 /// Marks a replica as down on this node; returns false if it was already marked.
 pub fn mark_replica_down(
     cx: &ServingCx,
-    replica: &Replica,
+    replica: &Arc<Replica>,
     member: &str,
     reason: &str,
     source: &'static str,
@@ -219,7 +219,7 @@
         cause: reason.to_string(),
         source: source.to_string(),
     });
-    failed_attempts::replica_ended(cx, replica.hash);
+    failed_attempts::replica_down(cx, replica, member);
     cx.down_reports.wake_group_control();
     true
 }
--- a/serving/src/request_task.rs
+++ b/serving/src/request_task.rs
@@ -1,6 +1,7 @@
 //! A request of a caller while it is being served, and the recording of its outcome in the log and
 //! metrics.
 
+use crate::attempt::AttemptError;
 use crate::crash_record;
 use crate::dialect::RequestHead;
 use crate::failed_attempts;
@@ -192,8 +193,22 @@
         }
     }
 
-    /// Returns the record of the current attempt, which failed; `None` if there is none.
-    pub fn failed_attempt(&self, cause: &str) -> Option<FailedAttempt> {
+    /// Keeps the current attempt, which failed, until it is known whether its replica crashed.
+    pub fn keep_failed_attempt(&self, error: &AttemptError) {
+        let Some(attempt) = self.failed_attempt(&error.to_string()) else { return };
+        match error {
+            AttemptError::Broken(_) => failed_attempts::add_and_check(&self.cx, attempt),
+            AttemptError::TimedOut(_) | AttemptError::Down => {
+                failed_attempts::add(&self.cx, attempt)
+            }
+            // The replica has responded, or has not received the request.
+            AttemptError::NotSent(_)
+            | AttemptError::NotRun { .. }
+            | AttemptError::Failure { .. } => {}
+        }
+    }
+
+    fn failed_attempt(&self, cause: &str) -> Option<FailedAttempt> {
         let CurrentAttempt { replica, sent_at, has_others, has_begun } = self.current.as_ref()?;
         Some(FailedAttempt {
             request: self.request.clone(),
@@ -293,7 +308,7 @@
         self.is_recorded = true;
         self.cx.metrics.request(&self.route, "abandoned");
         if let Some(attempt) = self.failed_attempt("the caller disconnected") {
-            failed_attempts::add_abandoned(&self.cx, attempt);
+            failed_attempts::add(&self.cx, attempt);
         }
         self.current = None;
         self.cx.log.record(Event::RequestAbandoned {
--- a/serving/src/stream_forward.rs
+++ b/serving/src/stream_forward.rs
@@ -392,11 +392,7 @@
     if matches!(e, AttemptError::TimedOut("the caller disconnected")) {
         return;
     }
-    if let Some(attempt) = trace.failed_attempt(&e.to_string())
-        && e.may_have_run_at_crash()
-    {
-        failed_attempts::add_failed(cx, attempt);
-    }
+    trace.keep_failed_attempt(e);
     match e {
         AttemptError::TimedOut(_) | AttemptError::Down => {}
         AttemptError::NotRun { at_fault: Some(at_fault), .. } => {
--- a/serving/tests/test_crashing_requests.rs
+++ b/serving/tests/test_crashing_requests.rs
@@ -225,12 +225,31 @@
     let _streams = start_streams(to, 16);
     sleep(Duration::from_millis(200)).await;
     for group in fleet.fake_platform.open_groups() {
-        fleet.fake_platform.set_mode(&group[1], InstanceMode::Unresponsive);
+        fleet.fake_platform.kill(&group[1]);
     }
     sleep(Duration::from_millis(40)).await;
     Call::new(Method::POST, "/draft/late").status(to).await;
+    sleep(SEND_PERIOD).await;
     let uri = "/draft/late".parse().expect("a path");
     let fingerprint = fingerprint(&Method::POST, &uri, Some("baker"), b"a body");
     assert!(fleet.nodes[0].cx.metrics.sum("crash_marks_total") > 0);
     assert_eq!(fleet.nodes[0].cx.crashes.crash_count(fingerprint), 0);
 }
+
+/// A node that is cut off from the instances finds every group down, while they work for all others.
+#[tokio::test]
+async fn unreachable_group_counts_as_crashed_by_its_requests() {
+    let mut fleet = Fleet::with_events(10, 300).await;
+    fleet.add_node().await;
+    let replicas = fleet.nodes[0].cx.fleet.clone();
+    eventually(|| replicas.replicas().of_service("drafting").len() >= 4).await;
+    let _streams = start_streams(fleet.callers(0), 16);
+    sleep(Duration::from_millis(200)).await;
+    for group in fleet.fake_platform.open_groups() {
+        fleet.fake_platform.set_mode(&group[1], InstanceMode::Unresponsive);
+    }
+    let metrics = fleet.nodes[0].cx.metrics.clone();
+    eventually(|| metrics.sum("replicas_down_total") >= 4).await;
+    sleep(KNOWN_AFTER).await;
+    assert_eq!(metrics.sum("crash_marks_total"), 0);
+}
