--- a/bench/src/serving_soak.rs
+++ b/bench/src/serving_soak.rs
@@ -33,6 +33,8 @@
 use rand::rngs::StdRng;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::path::Path;
+use std::path::PathBuf;
 use std::process::ExitCode;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -104,11 +106,13 @@
     options.optopt("", "seed", "seed of the faults and the requests", "N");
     options.optopt("", "seconds", "duration of the traffic", "S");
     options.optopt("", "nodes", "number of daemons", "N");
+    options.optopt("", "logs", "directory in which the daemons' logs are kept", "DIR");
     let matches = options.parse(args)?;
     let seed: u64 = matches.opt_get_default("seed", 1)?;
     let seconds: u64 = matches.opt_get_default("seconds", 40)?;
     let nodes: u8 = matches.opt_get_default("nodes", 3)?;
-    let tally = soak(seed, Duration::from_secs(seconds), nodes).await?;
+    let logs = matches.opt_str("logs").map(PathBuf::from);
+    let tally = soak(seed, Duration::from_secs(seconds), nodes, logs.as_deref()).await?;
     println!("seed {seed}, {seconds} s, {nodes} daemons: {:?}", tally.outcomes);
     println!("runs that crashed replicas: {}", tally.crash_runs);
     println!("responses during recovery: {:?}", tally.recovered);
@@ -119,8 +123,9 @@
     Ok(if is_clean { ExitCode::SUCCESS } else { ExitCode::FAILURE })
 }
 
-/// Runs `count` daemons for `length` with the faults of a seed.
-pub async fn soak(seed: u64, length: Duration, count: u8) -> Result<Tally> {
+/// Runs `count` daemons for `length` with the faults of a seed. Their logs are kept in `logs`, if it is
+/// given.
+pub async fn soak(seed: u64, length: Duration, count: u8, logs: Option<&Path>) -> Result<Tally> {
     let store = FakeStore::start().await;
     store.put("config", "main", config(1));
     let mut fake_platform = FakePlatform::new(store.clone());
@@ -138,7 +143,8 @@
     let directory = daemon_process::RunDirectory::new("serving-soak")?;
     let mut nodes = vec![];
     for number in 0..count {
-        let node = NodeProcess::start(&program, directory.path(), proxy_address, number).await?;
+        let node =
+            NodeProcess::start(&program, directory.path(), logs, proxy_address, number).await?;
         nodes.push(Arc::new(tokio::sync::Mutex::new(node)));
     }
     sleep(Duration::from_secs(3)).await;
@@ -212,10 +218,14 @@
     }
     let is_lost = |(node, request, at): &&(usize, String, Instant)| {
         fake_platform.execution_count(request) > 0
+            && !fake_platform.was_broken_off(request)
             && disturbances.is_only_stopping(*node, *at - STABLE_WINDOW, *at)
     };
-    let lost: Vec<&str> =
-        tally.unanswered.iter().filter(is_lost).map(|(_, request, _)| request.as_str()).collect();
+    let describe = |(node, request, at): &(usize, String, Instant)| {
+        let after = disturbances.last_begin(*node, *at).map(|begin| *at - begin);
+        format!("{request} at n{node}, {after:?} after the first signal")
+    };
+    let lost: Vec<String> = tally.unanswered.iter().filter(is_lost).map(describe).collect();
     if lost.len() > MAX_UNANSWERED {
         found.push(format!("passed on and left unanswered by stopping daemons: {lost:?}"));
     }
--- a/bench/src/serving_soak_faults.rs
+++ b/bench/src/serving_soak_faults.rs
@@ -22,6 +22,7 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use serde_json::json;
+use std::fs::File;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::path::PathBuf;
@@ -83,6 +84,13 @@
         !periods.iter().any(|d| d.affects(node) && d.overlaps(from, until))
     }
 
+    /// Returns when the last disturbance of a daemon before a moment began.
+    pub fn last_begin(&self, node: usize, before: Instant) -> Option<Instant> {
+        let periods = self.periods.lock().expect("the lock is not poisoned");
+        let begun = periods.iter().filter(|d| d.node == Some(node) && d.from <= before);
+        begun.map(|d| d.from).max()
+    }
+
     /// Returns whether a daemon was asked to stop and not disturbed otherwise between two moments.
     pub fn is_only_stopping(&self, node: usize, from: Instant, until: Instant) -> bool {
         let periods = self.periods.lock().expect("the lock is not poisoned");
@@ -109,6 +117,8 @@
     pub caller_address: SocketAddr,
     program: PathBuf,
     config: PathBuf,
+    /// File that the daemon's log is appended to.
+    log: Option<PathBuf>,
     child: Child,
 }
 
@@ -117,6 +127,7 @@
     pub async fn start(
         program: &Path,
         directory: &Path,
+        logs: Option<&Path>,
         store: SocketAddr,
         number: u8,
     ) -> Result<Self> {
@@ -135,8 +146,9 @@
         });
         let config = directory.join(format!("n{number}.json"));
         std::fs::write(&config, settings.to_string())?;
-        let child = spawn(program, &config)?;
-        Ok(Self { caller_address, program: program.to_path_buf(), config, child })
+        let log = logs.map(|logs| logs.join(format!("n{number}.log")));
+        let child = spawn(program, &config, log.as_deref())?;
+        Ok(Self { caller_address, program: program.to_path_buf(), config, log, child })
     }
 
     /// Ends the process.
@@ -154,15 +166,19 @@
     async fn restart(&mut self, delay: Duration) -> Result<()> {
         self.child.wait().await?;
         sleep(delay).await;
-        self.child = spawn(&self.program, &self.config)?;
+        self.child = spawn(&self.program, &self.config, self.log.as_deref())?;
         Ok(())
     }
 }
 
-fn spawn(program: &Path, config: &Path) -> Result<Child> {
+fn spawn(program: &Path, config: &Path, log: Option<&Path>) -> Result<Child> {
+    let output = match log {
+        Some(log) => Stdio::from(File::options().create(true).append(true).open(log)?),
+        None => Stdio::null(),
+    };
     let mut command = Command::new(program);
     command.args(["--serve", "--config"]).arg(config);
-    command.stdout(Stdio::null()).stderr(Stdio::inherit()).kill_on_drop(true);
+    command.stdout(output).stderr(Stdio::inherit()).kill_on_drop(true);
     command.spawn().context("cannot start a daemon")
 }
 
