--- a/lib/tests/test_suspects.rs
+++ b/lib/tests/test_suspects.rs
@@ -124,8 +124,8 @@
     }
 }
 
-/// The fact of a node with more suspects than a fact holds was sent to no node at all, and one crash of a
-/// busy replica makes as many suspects as it runs requests.
+/// A fact that is too large is sent to no node, and one crash makes as many suspects as requests were
+/// running.
 #[tokio::test(start_paused = true)]
 async fn suspects_of_a_busy_replica_are_not_sent() {
     let (a, b) = (cx("a"), cx("b"));
@@ -141,7 +141,7 @@
     assert_eq!(at_b.verdict(1, 3), Verdict::Convicted);
 }
 
-/// The facts of a node are removed when it is dead, and those of an earlier run when it publishes again.
+/// The facts of a node are removed when it is dead, and those of an earlier run once it publishes again.
 #[rstest]
 #[case::dead(false)]
 #[case::restarted(true)]
--- a/serving/src/failed_attempts.rs
+++ b/serving/src/failed_attempts.rs
@@ -53,9 +53,9 @@
     pub replica: Arc<Replica>,
     /// Why there was no complete response.
     pub cause: String,
-    /// When the request was sent, if the replica was running other streams of this node then and has sent
-    /// no event of this one. It was down already if there has been no event of the others since.
-    pub no_event_if_down_at: Option<Instant>,
+    /// When the request was sent, if other streams of this node were running at the replica then and no
+    /// event of this one has arrived. If the others have had no event since, the replica was down already.
+    pub sent_beside_others: Option<Instant>,
 }
 
 /// Shared list of the failed attempts whose replica may have crashed.
@@ -269,9 +269,9 @@
 
 /// Records an attempt as running at a crash, unless its replica was down before the request was sent.
 fn record(cx: &ServingCx, attempt: FailedAttempt, now: Instant) {
-    let FailedAttempt { request, fingerprint, replica, cause, no_event_if_down_at } = attempt;
+    let FailedAttempt { request, fingerprint, replica, cause, sent_beside_others } = attempt;
     let last_event = cx.loads.state(&replica, now).last_event;
-    let was_down = no_event_if_down_at.is_some_and(|sent| last_event.is_none_or(|at| at < sent));
+    let was_down = sent_beside_others.is_some_and(|sent| last_event.is_none_or(|at| at < sent));
     if was_down && replica.model.is_some() {
         return;
     }
--- a/serving/src/request_task.rs
+++ b/serving/src/request_task.rs
@@ -215,7 +215,7 @@
             fingerprint: self.fingerprint,
             replica: replica.clone(),
             cause: cause.to_string(),
-            no_event_if_down_at: (*has_others && !*has_begun).then_some(*sent_at),
+            sent_beside_others: (*has_others && !*has_begun).then_some(*sent_at),
         })
     }
 
--- a/serving/tests/test_crashing_requests.rs
+++ b/serving/tests/test_crashing_requests.rs
@@ -213,8 +213,8 @@
     assert_eq!(later_runs(&fleet), before);
 }
 
-/// Several groups lose a member at the same time. The head of such a group accepts a request that it
-/// cannot begin, so the request has not crashed it; callers send the request again when all are down.
+/// The head of a group that has lost a member accepts a request that it cannot begin, so the request has
+/// not crashed it.
 #[tokio::test]
 async fn request_sent_to_groups_that_were_down_counts_as_crashing() {
     let mut fleet = Fleet::with_events(10, 300).await;
