--- a/serving/tests/test_crashing_requests.rs
+++ b/serving/tests/test_crashing_requests.rs
@@ -14,6 +14,7 @@
 use tokio::time::Instant;
 use tokio::time::sleep;
 use tokio::time::sleep_until;
+use tokio::time::timeout;
 
 /// Number of crashes after which a request is refused.
 const CRASHES: usize = 3;
@@ -213,6 +214,29 @@
     assert_eq!(later_runs(&fleet), before);
 }
 
+/// Callers give up before their node finds that the group is down.
+#[tokio::test]
+async fn crash_under_a_request_whose_caller_has_left_is_not_recorded() {
+    let fleet = Fleet::with_platform(10, |platform| {
+        platform.crash_rank = 1;
+        platform.events = 300;
+    });
+    let mut fleet = fleet.await;
+    fleet.add_node().await;
+    let replicas = fleet.nodes[0].cx.fleet.clone();
+    eventually(|| replicas.replicas().of_service("drafting").len() >= 4).await;
+    let to = fleet.callers(0);
+    let _streams = start_streams(to, 16);
+    sleep(Duration::from_millis(200)).await;
+    let crashing = Kind::StreamMember.crashing();
+    let left = timeout(Duration::from_millis(100), crashing.send(to)).await;
+    assert!(left.is_err(), "the caller has left before the group was found down");
+    let uri = format!("/draft/{CRASH_MARKER}").parse().expect("a path");
+    let fingerprint = fingerprint(&Method::POST, &uri, Some("baker"), b"a body");
+    let crashes = fleet.nodes[0].cx.crashes.clone();
+    eventually(|| crashes.crash_count(fingerprint) == 1).await;
+}
+
 /// The head of a group that has lost a member accepts a request that it cannot begin, so the request has
 /// not crashed it.
 #[tokio::test]
