--- a/lib/src/crash_history.rs
+++ b/lib/src/crash_history.rs
@@ -129,7 +129,7 @@
 struct CompletedRequests {
     current: HashSet<u64>,
     previous: HashSet<u64>,
-    since: Option<Instant>,
+    period_start: Option<Instant>,
 }
 
 impl CompletedRequests {
@@ -147,8 +147,8 @@
 
     /// Starts a new period if the current one has ended.
     fn advance(&mut self, now: Instant) {
-        let since = *self.since.get_or_insert(now);
-        let age = now.saturating_duration_since(since);
+        let period_start = *self.period_start.get_or_insert(now);
+        let age = now.saturating_duration_since(period_start);
         if age < COMPLETION_MEMORY {
             return;
         }
@@ -156,7 +156,7 @@
         if age >= 2 * COMPLETION_MEMORY {
             self.previous.clear();
         }
-        self.since = Some(now);
+        self.period_start = Some(now);
     }
 }
 
