crash_history: requests that share a part which crashes replicas are refused

Callers saw sound answers broken off for as long as requests with one part in their prompts came: each crashed a replica, no two were alike.

Cause: crashes were recorded by the fingerprint of the whole request only, and the parts of the prompt were not read. The class: what repeats is recognised by the identity of one message instead of by what the messages share.

A request now has a key for itself and for each part of its prompt but the last; a crash counts against all of them, a completed run clears all of them. A request is refused if one of its keys has three crashes that nothing else explains: a suspect with more crashes, or all of the same ones, explains those at which it ran, if it is not part of this request. So parts that merely ran beside the cause go on, and two parts with the same crashes are told apart by the next run that holds only one of them.

A completed run excuses crashes for two seconds and three crashes after that, instead of all for one to two minutes: a part may begin to crash replicas after it worked. Only a successful stream with an event counts as completed. A request that is refused with more than three crashes may run once after the retention; it stayed refused for an hour for each crash beyond two.

GL0528, GL0533 and GL0535 name the kind (request or part) and the position; crash_marks_total has the label kind, requests_total the outcome crashing_part.

--- a/lib/src/crash_history.rs
+++ b/lib/src/crash_history.rs
@@ -1,4 +1,5 @@
-//! Crashes of replicas under requests, by the fingerprint of the request.
+//! Crashes of replicas under requests, by the fingerprint of the request or of a part that requests share.
+//! What is said of requests below holds for such parts too.
 //!
 //! A request that crashes each replica on which it runs comes again, at any node, as long as one node
 //! does not know of the crashes. So the histories of the nodes have to agree, whatever a node missed:
@@ -8,12 +9,14 @@
 //! Many callers may send the same harmless request, and some of its runs are on replicas that another
 //! request crashes. Since a request that crashes each replica never completes, the crashes of a request
 //! that completed not long before or afterwards are cleared.
+//!
+//! A crash also counts against each request that merely ran beside the one that caused it. So crashes are
+//! no reason to refuse a request if another one that ran at them has more: see `CrashHistory::refusal`.
 
 use guavaladder_proc_macros::common_derives;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::HashMap;
-use std::collections::HashSet;
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -34,6 +37,13 @@
 const MAX_CRASHES_KEPT: usize = 8;
 /// Minimum time for which a completed run is remembered; the maximum is twice as long.
 const COMPLETION_MEMORY: Duration = Duration::from_secs(60);
+/// Time after a completed run in which no crash counts.
+const COMPLETION_EXCUSE: Duration = Duration::from_secs(2);
+/// Number of later crashes that do not count either, until the completed run is forgotten. A request or a
+/// part that begins to crash replicas has completed not long before.
+const EXCUSED_CRASHES: u8 = 3;
+/// Interval at which old crashes are looked for.
+const EXPIRY_PERIOD: Duration = Duration::from_secs(1);
 /// Maximum number of completed requests that are remembered for each such period.
 const MAX_COMPLETED: usize = 16_384;
 /// Maximum number of requests in a message or a digest.
@@ -82,6 +92,16 @@
         self.with_status(CrashStatus::Counted).count()
     }
 
+    fn counts(&self, id: &u64) -> bool {
+        self.crashes.get(id).is_some_and(|crash| crash.status == CrashStatus::Counted)
+    }
+
+    /// Returns whether a crash counts or was dropped as one of too many. The ones with the highest ids are.
+    fn may_count(&self, id: &u64) -> bool {
+        let last = self.with_status(CrashStatus::Counted).last();
+        self.counts(id) || self.counted() == MAX_CRASHES_KEPT && last.is_some_and(|last| last < *id)
+    }
+
     fn clear(&mut self, change: u64) {
         let counted = self.crashes.values_mut().filter(|c| c.status == CrashStatus::Counted);
         counted.for_each(|crash| *crash = Crash { status: CrashStatus::Cleared, change });
@@ -122,27 +142,48 @@
     completed: CompletedRequests,
     /// Number of changes so far.
     changes: u64,
+    /// When old crashes were last looked for.
+    last_expiry: Option<Instant>,
 }
 
-/// Fingerprints of the requests that completed in the current and in the previous period.
+/// Last completed runs of requests in the current and in the previous period.
 #[derive(Debug, Clone, Default)]
 struct CompletedRequests {
-    current: HashSet<u64>,
-    previous: HashSet<u64>,
+    current: HashMap<u64, Completion>,
+    previous: HashMap<u64, Completion>,
     period_start: Option<Instant>,
 }
 
+#[derive(Debug, Clone, Copy)]
+struct Completion {
+    at: Instant,
+    /// Number of later crashes that do not count.
+    excused: u8,
+}
+
+impl Completion {
+    /// Returns whether a crash does not count.
+    fn excuses(&mut self, crashed_at: Instant) -> bool {
+        if crashed_at < self.at + COMPLETION_EXCUSE {
+            return true;
+        }
+        let is_excused = self.excused > 0;
+        self.excused = self.excused.saturating_sub(1);
+        is_excused
+    }
+}
+
 impl CompletedRequests {
     fn add(&mut self, fingerprint: u64, now: Instant) {
         self.advance(now);
-        if self.current.len() < MAX_COMPLETED {
-            self.current.insert(fingerprint);
+        if self.current.len() < MAX_COMPLETED || self.current.contains_key(&fingerprint) {
+            self.current.insert(fingerprint, Completion { at: now, excused: EXCUSED_CRASHES });
         }
     }
 
-    fn contains(&mut self, fingerprint: u64, now: Instant) -> bool {
+    fn get_mut(&mut self, fingerprint: u64, now: Instant) -> Option<&mut Completion> {
         self.advance(now);
-        self.current.contains(&fingerprint) || self.previous.contains(&fingerprint)
+        self.current.get_mut(&fingerprint).or_else(|| self.previous.get_mut(&fingerprint))
     }
 
     /// Starts a new period if the current one has ended.
@@ -186,6 +227,13 @@
         had_crashes
     }
 
+    /// Returns whether a run of a request completed so short a time ago that no crash counts against it.
+    pub fn has_just_completed(&self, fingerprint: u64, now: Instant) -> bool {
+        let CompletedRequests { current, previous, .. } = &self.completed;
+        let completion = current.get(&fingerprint).or_else(|| previous.get(&fingerprint));
+        completion.is_some_and(|completion| now < completion.at + COMPLETION_EXCUSE)
+    }
+
     /// Returns the number of crashes that count against a request.
     pub fn crash_count(&self, fingerprint: u64) -> usize {
         self.requests.get(&fingerprint).map_or(0, Entry::counted)
@@ -211,22 +259,69 @@
         self.changes += 1;
         let change = self.changes;
         let mut is_changed = false;
+        let mut completion = self.completed.get_mut(request.fingerprint, now);
         let counted = request.crashes.iter().map(|crash| (*crash, CrashStatus::Counted));
         let cleared = request.cleared.iter().map(|crash| (*crash, CrashStatus::Cleared));
         for (crash, status) in counted.chain(cleared) {
-            if entry.crashes.get(&crash).is_none_or(|known| known.status < status) {
-                entry.crashes.insert(crash, Crash { status, change });
-                is_changed = true;
+            if entry.crashes.get(&crash).is_some_and(|known| known.status >= status) {
+                continue;
             }
-        }
-        if self.completed.contains(request.fingerprint, now) {
-            entry.clear(change);
+            is_changed = true;
+            let is_excused =
+                completion.as_mut().is_some_and(|completion| completion.excuses(crashed_at));
+            let status = if is_excused { CrashStatus::Cleared } else { status };
+            entry.crashes.insert(crash, Crash { status, change });
         }
         entry.truncate();
-        self.expire(now);
+        if self.last_expiry.is_none_or(|last| now >= last + EXPIRY_PERIOD) {
+            self.expire(now);
+        }
+        self.drop_beyond_maximum();
         is_changed
     }
 
+    /// Returns the key of a request for which the request must not run, with the number of crashes that
+    /// count against it.
+    ///
+    /// A key has to have three crashes that nothing else explains. Those at which another suspect ran are
+    /// explained by it if it has more crashes, or all of the same ones, and is no key of this request. The
+    /// cause has the most crashes as soon as it has run without what ran beside it.
+    pub fn refusal(&self, keys: &[u64]) -> Option<(u64, usize)> {
+        let must_not_run = |key: &&u64| {
+            let is_other = |other: u64| !keys.contains(&other);
+            self.unexplained(**key, &is_other, true) >= MAX_CRASHES
+        };
+        let refused = keys.iter().filter(must_not_run).map(|key| (*key, self.crash_count(*key)));
+        // The first of those with the most crashes.
+        refused.rev().max_by_key(|(_, crashes)| *crashes)
+    }
+
+    /// Returns whether three crashes of a request are not explained by one that has more.
+    pub fn is_suspected_cause(&self, fingerprint: u64) -> bool {
+        self.unexplained(fingerprint, &|_| true, false) >= MAX_CRASHES
+    }
+
+    /// Returns the number of crashes under `key` at which no suspect ran that has more of them, or with
+    /// `or_equal` the same ones; 0 if it is no suspect.
+    fn unexplained(&self, key: u64, is_other: &dyn Fn(u64) -> bool, or_equal: bool) -> usize {
+        let Some(entry) = self.requests.get(&key) else { return 0 };
+        let crashes: Vec<u64> = entry.with_status(CrashStatus::Counted).collect();
+        if crashes.len() < MAX_CRASHES {
+            return 0;
+        }
+        let explains = |other: &&Entry| {
+            let counted = other.counted();
+            counted > crashes.len()
+                || or_equal
+                    && counted == crashes.len()
+                    && crashes.iter().all(|crash| other.counts(crash))
+        };
+        let others = self.requests.iter().filter(|(other, _)| **other != key && is_other(**other));
+        let explaining: Vec<&Entry> = others.map(|(_, entry)| entry).filter(explains).collect();
+        let is_explained = |id: &u64| explaining.iter().any(|other| other.may_count(id));
+        crashes.iter().filter(|id| !is_explained(id)).count()
+    }
+
     /// Returns whether a merge of `request` would change nothing but the time for which it is kept.
     pub fn knows(&self, request: &CrashedRequest) -> bool {
         let Some(entry) = self.requests.get(&request.fingerprint) else { return false };
@@ -237,9 +332,10 @@
             && request.cleared.iter().all(is_cleared)
     }
 
-    /// Drops the requests whose last crash is older than they are kept, and those beyond the maximum
-    /// number. A request that must not run again is first cleared of one crash, so that it may run once.
+    /// Drops the requests whose last crash is older than they are kept. A request that must not run again
+    /// is first cleared of all crashes but two, so that it may run once.
     pub fn expire(&mut self, now: Instant) {
+        self.last_expiry = Some(now);
         self.changes += 1;
         let cleared = Crash { status: CrashStatus::Cleared, change: self.changes };
         self.requests.retain(|_, entry| {
@@ -247,14 +343,20 @@
                 return true;
             }
             let is_refused = entry.counted() >= MAX_CRASHES;
-            // The lowest id is the same crash on all nodes, so that their histories stay equal.
-            let lowest = entry.with_status(CrashStatus::Counted).next();
-            if let Some(id) = lowest.filter(|_| is_refused) {
-                entry.crashes.insert(id, cleared);
+            if is_refused {
+                // The lowest ids are the same crashes on all nodes, so that their histories stay equal.
+                let excess = entry.counted() - (MAX_CRASHES - 1);
+                let lowest: Vec<u64> =
+                    entry.with_status(CrashStatus::Counted).take(excess).collect();
+                entry.crashes.extend(lowest.into_iter().map(|id| (id, cleared)));
                 entry.last_crash = now;
             }
             is_refused
         });
+    }
+
+    /// Drops the requests with the fewest crashes beyond the maximum number.
+    fn drop_beyond_maximum(&mut self) {
         while self.requests.len() > MAX_REQUESTS {
             let lowest = self.requests.iter().min_by_key(|(_, entry)| entry.rank());
             let Some(fingerprint) = lowest.map(|(fingerprint, _)| *fingerprint) else { return };
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -6,6 +6,7 @@
 mod test_config_change;
 mod test_config_check;
 mod test_config_fuzz;
+mod test_crash_causes;
 mod test_crash_history;
 mod test_fake_instances;
 mod test_fake_store;
--- a/serving/src/crash_record.rs
+++ b/serving/src/crash_record.rs
@@ -1,10 +1,14 @@
-//! Record of the requests that were running on replicas when those crashed, by request fingerprint and
-//! across all nodes.
+//! Record of the requests that were running on replicas when those crashed, by the fingerprints of the
+//! requests and of the parts of their prompts, and across all nodes.
 //!
 //! A request that crashes every replica on which it runs is retried with the same method, path, customer
-//! and body. A request that was running during three different crashes is refused. A harmless request
-//! hardly ever reaches that count, since a crash affects only a few of many requests.
+//! and body, and a part of a prompt that does so comes in requests that have nothing else in common. A
+//! request is refused if it, or one of its parts, was running during three different crashes that nothing
+//! else explains. Harmless requests hardly ever reach that count, since a crash affects only a few of many
+//! requests; parts that many of them share are cleared by those that complete.
 
+use crate::crash_keys::CrashKeys;
+use crate::crash_keys::CrashSubject;
 use guavaladder_lib::crash_history::CrashHistory;
 use guavaladder_lib::crash_history::CrashedRequest;
 use guavaladder_lib::crash_history::MAX_CRASHES;
@@ -26,6 +30,17 @@
 /// Maximum number of marks in a heartbeat.
 const MAX_BROADCAST_MARKS: usize = 256;
 
+/// Why a request is refused.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CrashRefusal {
+    /// Whether the whole request crashes replicas, or which of its parts.
+    pub subject: CrashSubject,
+    /// Fingerprint of that request or part.
+    pub fingerprint: u64,
+    /// Number of crashes that count against it.
+    pub crashes: usize,
+}
+
 /// Returns a fingerprint as it appears in events and in the store.
 pub fn format_fingerprint(fingerprint: u64) -> String {
     format!("{fingerprint:016x}")
@@ -42,25 +57,43 @@
 struct Inner {
     history: CrashHistory,
     local_marks: VecDeque<(Instant, CrashMark)>,
-    /// Fingerprints of refused requests of which this node saw a crash itself.
+    /// Fingerprints of refused requests and parts of which this node saw a crash itself.
     witnessed: HashSet<u64>,
 }
 
+impl Inner {
+    /// Adds a mark to those that are sent, and drops the oldest one with the fewest crashes beyond the
+    /// maximum number.
+    fn add_local_mark(&mut self, mark: CrashMark, now: Instant) {
+        if self.local_marks.iter().any(|(_, known)| *known == mark) {
+            return;
+        }
+        self.local_marks.push_back((now, mark));
+        if self.local_marks.len() > MAX_BROADCAST_MARKS {
+            let crashes = |(_, (_, mark)): &(usize, &(Instant, CrashMark))| {
+                self.history.crash_count(mark.fingerprint)
+            };
+            let dropped = self.local_marks.iter().enumerate().min_by_key(crashes);
+            let dropped = dropped.map_or(0, |(index, _)| index);
+            self.local_marks.remove(dropped);
+        }
+    }
+}
+
 impl CrashRecord {
     /// Returns an empty record.
     pub fn new() -> Self {
         Self::default()
     }
 
-    /// Records that a request of this node was running on a replica that crashed, and returns the
-    /// number of crashes known for the request.
+    /// Records that a request of this node, or a part of it, was running on a replica that crashed, and
+    /// returns the number of crashes known for it.
     pub fn record_crash(&self, mark: CrashMark, now: Instant) -> usize {
         let mut inner = self.lock();
-        inner.local_marks.push_back((now, mark));
-        if inner.local_marks.len() > MAX_BROADCAST_MARKS {
-            inner.local_marks.pop_front();
-        }
         let crashes = inner.history.record_crash(mark.fingerprint, mark.replica, now);
+        if !inner.history.has_just_completed(mark.fingerprint, now) {
+            inner.add_local_mark(mark, now);
+        }
         if crashes >= CRASH_REFUSAL_THRESHOLD {
             inner.witnessed.insert(mark.fingerprint);
             self.refusal_added.notify_one();
@@ -86,9 +119,8 @@
         let mut inner = self.lock();
         let mut refused = vec![];
         for request in requests {
-            let is_refused = |history: &CrashHistory| {
-                history.crash_count(request.fingerprint) >= CRASH_REFUSAL_THRESHOLD
-            };
+            let is_refused =
+                |history: &CrashHistory| history.is_suspected_cause(request.fingerprint);
             let was_refused = is_refused(&inner.history);
             inner.history.merge(request, now);
             if !was_refused && is_refused(&inner.history) {
@@ -103,15 +135,41 @@
         self.lock().history.crash_count(fingerprint)
     }
 
-    /// Returns the number of crashes if the request has to be refused.
-    pub fn refusal(&self, fingerprint: u64) -> Option<usize> {
-        let crashes = self.crash_count(fingerprint);
-        (crashes >= CRASH_REFUSAL_THRESHOLD).then_some(crashes)
+    /// Returns what has the most crashes of a request and its parts, with their number, if any has one.
+    pub fn most_suspect(&self, keys: &CrashKeys) -> Option<CrashRefusal> {
+        let inner = self.lock();
+        let suspects = keys.all().map(|(fingerprint, subject)| {
+            let crashes = inner.history.crash_count(fingerprint);
+            CrashRefusal { subject, fingerprint, crashes }
+        });
+        suspects.filter(|suspect| suspect.crashes > 0).max_by_key(|suspect| suspect.crashes)
+    }
+
+    /// Returns why a request has to be refused, if it has to.
+    pub fn refusal(&self, keys: &CrashKeys) -> Option<CrashRefusal> {
+        let fingerprints: Vec<u64> = keys.all().map(|(fingerprint, _)| fingerprint).collect();
+        let (refused, crashes) = self.lock().history.refusal(&fingerprints)?;
+        let (fingerprint, subject) = keys.all().find(|(fingerprint, _)| *fingerprint == refused)?;
+        Some(CrashRefusal { subject, fingerprint, crashes })
+    }
+
+    /// Returns whether a fingerprint is refused, in any request that holds it.
+    pub fn is_refused(&self, fingerprint: u64) -> bool {
+        self.lock().history.is_suspected_cause(fingerprint)
+    }
+
+    /// Returns whether a run of a request or a part completed so short a time ago that no crash counts
+    /// against it.
+    pub fn has_just_completed(&self, fingerprint: u64, now: Instant) -> bool {
+        self.lock().history.has_just_completed(fingerprint, now)
     }
 
-    /// Records that a run of a request completed, which clears it of the known crashes.
-    pub fn record_completion(&self, fingerprint: u64, now: Instant) {
-        self.lock().history.record_completion(fingerprint, now);
+    /// Records that a run of a request completed, which clears it and its parts of the known crashes.
+    pub fn record_completion(&self, keys: &CrashKeys, now: Instant) {
+        let mut inner = self.lock();
+        for (fingerprint, _) in keys.all() {
+            inner.history.record_completion(fingerprint, now);
+        }
     }
 
     /// Drops what is older than it is kept.
@@ -144,11 +202,11 @@
         self.lock().history.corrections(requests, now)
     }
 
-    /// Returns the refused requests, each with whether this node saw one of the crashes itself.
+    /// Returns the refused requests and parts, each with whether this node saw one of the crashes itself.
     pub fn refused(&self, now: Instant) -> Vec<(CrashedRequest, bool)> {
         let inner = self.lock();
         let mut repeated = inner.history.shared(now);
-        repeated.retain(|request| request.crashes.len() >= CRASH_REFUSAL_THRESHOLD);
+        repeated.retain(|request| inner.history.is_suspected_cause(request.fingerprint));
         let with_witness = |request: CrashedRequest| {
             let is_witness = inner.witnessed.contains(&request.fingerprint);
             (request, is_witness)
--- a/serving/src/crash_store.rs
+++ b/serving/src/crash_store.rs
@@ -172,7 +172,7 @@
         for object in objects {
             let is_current = |request: &CrashedRequest| {
                 Duration::from_millis(request.age_ms) < SHARED_RETENTION
-                    || self.cx.crashes.refusal(request.fingerprint).is_some()
+                    || self.cx.crashes.is_refused(request.fingerprint)
             };
             if decode(&object, unix).as_ref().is_some_and(is_current) {
                 continue;
--- a/serving/src/crash_sync.rs
+++ b/serving/src/crash_sync.rs
@@ -97,7 +97,7 @@
 /// Logs the requests that are refused since this node has learned of their crashes from `source`.
 pub fn log_refused(cx: &ServingCx, fingerprints: &[u64], source: &str) {
     for fingerprint in fingerprints {
-        cx.metrics.crash_mark("learned");
+        cx.metrics.crash_mark("learned", "unknown");
         cx.log.record(Event::CrashesLearned {
             fingerprint: crash_record::format_fingerprint(*fingerprint),
             crashes: cx.crashes.crash_count(*fingerprint) as u64,
--- a/serving/src/dialect.rs
+++ b/serving/src/dialect.rs
@@ -132,6 +132,8 @@
     pub max_response_tokens: u32,
     /// Id of the last event of this stream that the caller received.
     pub last_event_id: Option<u64>,
+    /// Ids of the parts of the prompt, in order. Other requests may share each of them but the last.
+    pub prompt_parts: Vec<u128>,
 }
 
 /// Parameters that the node adds to a request that it forwards to a replica.
--- a/serving/src/failed_attempts.rs
+++ b/serving/src/failed_attempts.rs
@@ -10,6 +10,8 @@
 
 use crate::connection::ConnectError;
 use crate::connection::Connection;
+use crate::crash_keys::CrashKeys;
+use crate::crash_keys::CrashSubject;
 use crate::crash_record;
 use crate::crash_record::CRASH_REFUSAL_THRESHOLD;
 use crate::instance::InstanceId;
@@ -47,8 +49,8 @@
 pub struct FailedAttempt {
     /// Id of the request.
     pub request: String,
-    /// Fingerprint of the request.
-    pub fingerprint: u64,
+    /// Fingerprints of the request and of the parts of its prompt.
+    pub crash_keys: CrashKeys,
     /// Replica that it was sent to.
     pub replica: Arc<Replica>,
     /// Why there was no complete response.
@@ -111,13 +113,13 @@
         ended
     }
 
-    /// Returns the number of replicas at which attempts of a request failed just now and whose check is
-    /// still running.
+    /// Returns the number of replicas at which attempts with a key failed just now and whose check is still
+    /// running.
     fn count_being_checked(&self, fingerprint: u64, now: Instant) -> usize {
         let inner = self.lock();
         let is_being_checked = |kept: &&KeptAttempt| {
             kept.is_being_checked
-                && kept.attempt.fingerprint == fingerprint
+                && kept.attempt.crash_keys.contains(fingerprint)
                 && now - kept.failed_at < SETTLE_TIMEOUT
         };
         let replicas: HashSet<u64> = inner
@@ -218,20 +220,27 @@
 
 /// Waits until it is known whether the replicas of a request's failed attempts crashed, if the request
 /// would have to be refused then.
-pub async fn settle(cx: &ServingCx, fingerprint: u64) {
+pub async fn settle(cx: &ServingCx, crash_keys: &CrashKeys) {
     let end = Instant::now() + SETTLE_TIMEOUT;
     loop {
         let now = Instant::now();
-        let unsettled = cx.failed_attempts.count_being_checked(fingerprint, now);
-        let may_be_refused =
-            cx.crashes.crash_count(fingerprint) + unsettled >= CRASH_REFUSAL_THRESHOLD;
-        if unsettled == 0 || !may_be_refused || now >= end {
+        let is_open = |(key, _): (u64, CrashSubject)| may_be_refused(cx, key, now);
+        if now >= end || !crash_keys.all().any(is_open) {
             return;
         }
         sleep(SETTLE_PERIOD).await;
     }
 }
 
+/// Returns whether requests with a key would have to be refused if the replicas that are being checked
+/// crashed.
+fn may_be_refused(cx: &ServingCx, key: u64, now: Instant) -> bool {
+    let unsettled = cx.failed_attempts.count_being_checked(key, now);
+    unsettled > 0
+        && cx.crashes.crash_count(key) + unsettled >= CRASH_REFUSAL_THRESHOLD
+        && !cx.crashes.has_just_completed(key, now)
+}
+
 /// Opens a connection to a plain instance; if it is refused, the process has ended. An instance that
 /// accepts it may have been started again, which its entry will show.
 async fn connect(cx: ServingCx, replica: Arc<Replica>) {
@@ -269,20 +278,28 @@
 
 /// Records an attempt as running at a crash, unless its replica was down before the request was sent.
 fn record(cx: &ServingCx, attempt: FailedAttempt, now: Instant) {
-    let FailedAttempt { request, fingerprint, replica, cause, sent_beside_others } = attempt;
+    let FailedAttempt { request, crash_keys, replica, cause, sent_beside_others } = attempt;
     let last_event = cx.loads.state(&replica, now).last_event;
     let was_down = sent_beside_others.is_some_and(|sent| last_event.is_none_or(|at| at < sent));
     if was_down && replica.model.is_some() {
         return;
     }
-    let mark = CrashMark { fingerprint, replica: replica.hash };
-    let crashes = cx.crashes.record_crash(mark, now);
-    cx.metrics.crash_mark("own");
-    cx.log.record(Event::CrashMarked {
-        request,
-        fingerprint: crash_record::format_fingerprint(fingerprint),
-        replica: replica.key.clone(),
-        cause,
-        crashes: crashes as u64,
-    });
+    for (fingerprint, subject) in crash_keys.all() {
+        let mark = CrashMark { fingerprint, replica: replica.hash };
+        let crashes = cx.crashes.record_crash(mark, now);
+        // Most parts are shared by requests that complete, and need no line.
+        if crashes == 0 && subject != CrashSubject::Request {
+            continue;
+        }
+        cx.metrics.crash_mark("own", subject.name());
+        cx.log.record(Event::CrashMarked {
+            request: request.clone(),
+            fingerprint: crash_record::format_fingerprint(fingerprint),
+            kind: subject.name().to_string(),
+            position: subject.position(),
+            replica: replica.key.clone(),
+            cause: cause.clone(),
+            crashes: crashes as u64,
+        });
+    }
 }
--- a/serving/src/lib.rs
+++ b/serving/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod candidates;
 pub mod config_sync;
 pub mod connection;
+pub mod crash_keys;
 pub mod crash_record;
 pub mod crash_store;
 pub mod crash_sync;
--- a/serving/src/next_replica.rs
+++ b/serving/src/next_replica.rs
@@ -4,6 +4,8 @@
 use crate::attempt::AttemptError;
 use crate::attempt::Attempts;
 use crate::candidates;
+use crate::crash_keys::CrashSubject;
+use crate::crash_record::CrashRefusal;
 use crate::local_response;
 use crate::placement;
 use crate::placement::Occupancy;
@@ -33,8 +35,8 @@
     trace: &mut RequestTrace,
     attempts: &mut Attempts,
 ) -> NextStep {
-    if let Some(crashes) = cx.crashes.refusal(task.fingerprint) {
-        return NextStep::Respond(refuse_crashing_request(task, trace, attempts, crashes));
+    if let Some(refusal) = cx.crashes.refusal(&task.crash_keys) {
+        return NextStep::Respond(refuse_crashing_request(task, trace, attempts, refusal));
     }
     if attempts.last_error.is_some() && !attempts.may_send(cx, task) {
         return NextStep::Respond(fail_request(task, trace, attempts));
@@ -58,13 +60,16 @@
     task: &RequestTask,
     trace: &mut RequestTrace,
     attempts: &Attempts,
-    crashes: usize,
+    refusal: CrashRefusal,
 ) -> Response<ResponseBody> {
     if attempts.runs > 0 {
         return fail_request(task, trace, attempts);
     }
-    trace.record_refused_as_crashing(crashes);
-    let reason = "replicas crashed each time they ran this request";
+    trace.record_refused_as_crashing(refusal);
+    let reason = match refusal.subject {
+        CrashSubject::Request => "replicas crashed each time they ran this request",
+        CrashSubject::Part(_) => "replicas crashed each time they ran a part of this prompt",
+    };
     local_response::not_run(reason, task.time_left(Instant::now()))
 }
 
--- a/serving/src/plain_forward.rs
+++ b/serving/src/plain_forward.rs
@@ -32,7 +32,7 @@
     let mut trace = RequestTrace::new(cx, task);
     let mut attempts = Attempts::new();
     loop {
-        failed_attempts::settle(cx, task.fingerprint).await;
+        failed_attempts::settle(cx, &task.crash_keys).await;
         let replica = match next_replica(cx, task, &mut trace, &mut attempts) {
             NextStep::Send(replica) => replica,
             NextStep::Respond(response) => return response,
@@ -81,7 +81,7 @@
     let result = result.unwrap_or(Err(AttemptError::TimedOut(reason)));
     drop(guard);
     if result.is_ok() {
-        cx.crashes.record_completion(task.fingerprint, Instant::now());
+        cx.crashes.record_completion(&task.crash_keys, Instant::now());
     }
     match &result {
         Ok(response) if response.status().is_server_error() => {
--- a/serving/src/request_handler.rs
+++ b/serving/src/request_handler.rs
@@ -1,6 +1,7 @@
 //! Entry point for requests of callers: matches a request to a route and a customer, reads its body and
 //! dispatches it to the forwarder for the kind of the route.
 
+use crate::crash_keys::CrashKeys;
 use crate::dialect::RequestHead;
 use crate::fleet_config::Route;
 use crate::fleet_config::RouteKind;
@@ -155,6 +156,7 @@
     let urgency = customer.and_then(|customer| customer.priority).unwrap_or(route.priority);
     let customer = customer.map(|customer| customer.name.as_str());
     let fingerprint = request_task::fingerprint(&parts.method, &uri, customer, &body);
+    let crash_keys = CrashKeys::new(fingerprint, head.model.as_deref(), &head.prompt_parts);
     Ok(RequestTask {
         method: parts.method,
         uri,
@@ -171,7 +173,7 @@
         is_likely_retry: head.deadline.is_some_and(|d| d + route.target_latency < route.timeout),
         received,
         deadline,
-        fingerprint,
+        crash_keys,
         head,
     })
 }
--- a/serving/src/request_task.rs
+++ b/serving/src/request_task.rs
@@ -2,7 +2,10 @@
 //! metrics.
 
 use crate::attempt::AttemptError;
+use crate::crash_keys::CrashKeys;
+use crate::crash_keys::CrashSubject;
 use crate::crash_record;
+use crate::crash_record::CrashRefusal;
 use crate::dialect::RequestHead;
 use crate::failed_attempts;
 use crate::failed_attempts::FailedAttempt;
@@ -59,8 +62,8 @@
     pub received: Instant,
     /// Time by which the response must be complete.
     pub deadline: Instant,
-    /// Hash of method, URI, customer and body, which is the same each time the request is retried.
-    pub fingerprint: u64,
+    /// Fingerprints under which crashes of replicas are recorded.
+    pub crash_keys: CrashKeys,
 }
 
 impl RequestTask {
@@ -102,7 +105,7 @@
     request: String,
     route: String,
     config: ConfigVersion,
-    fingerprint: u64,
+    crash_keys: CrashKeys,
     received: Instant,
     /// Key of the replica of the last attempt.
     pub replica: String,
@@ -140,7 +143,7 @@
             request: task.head.id.clone(),
             route: task.route.clone(),
             config: task.config_version,
-            fingerprint: task.fingerprint,
+            crash_keys: task.crash_keys.clone(),
             received: task.received,
             replica: String::new(),
             attempts: 0,
@@ -166,13 +169,14 @@
         self.attempts += 1;
         self.ahead = u64::from(state.requests());
         self.replica = replica.key.clone();
-        let crashes = self.cx.crashes.crash_count(self.fingerprint);
-        if crashes > 0 {
+        if let Some(suspect) = self.cx.crashes.most_suspect(&self.crash_keys) {
             self.cx.log.record(Event::SuspectSent {
                 request: self.request.clone(),
-                fingerprint: crash_record::format_fingerprint(self.fingerprint),
+                fingerprint: crash_record::format_fingerprint(suspect.fingerprint),
+                kind: suspect.subject.name().to_string(),
+                position: suspect.subject.position(),
                 replica: self.replica.clone(),
-                crashes: crashes as u64,
+                crashes: suspect.crashes as u64,
             });
         }
     }
@@ -212,7 +216,7 @@
         let CurrentAttempt { replica, sent_at, has_others, has_begun } = self.current.as_ref()?;
         Some(FailedAttempt {
             request: self.request.clone(),
-            fingerprint: self.fingerprint,
+            crash_keys: self.crash_keys.clone(),
             replica: replica.clone(),
             cause: cause.to_string(),
             sent_beside_others: (*has_others && !*has_begun).then_some(*sent_at),
@@ -225,7 +229,7 @@
         self.cx.metrics.failover(service, name);
         self.cx.log.record(Event::RequestMoved {
             request: self.request.clone(),
-            fingerprint: crash_record::format_fingerprint(self.fingerprint),
+            fingerprint: crash_record::format_fingerprint(self.crash_keys.request()),
             replica: self.replica.clone(),
             attempt: self.attempts,
             cause: cause.to_string(),
@@ -276,14 +280,21 @@
         });
     }
 
-    /// Records that a request was refused because replicas crashed each time that they ran it.
-    pub fn record_refused_as_crashing(&mut self, crashes: usize) {
+    /// Records that a request was refused because replicas crashed each time that they ran it, or a part
+    /// of its prompt.
+    pub fn record_refused_as_crashing(&mut self, refusal: CrashRefusal) {
         self.is_recorded = true;
-        self.cx.metrics.request(&self.route, "crashing");
+        let outcome = match refusal.subject {
+            CrashSubject::Request => "crashing",
+            CrashSubject::Part(_) => "crashing_part",
+        };
+        self.cx.metrics.request(&self.route, outcome);
         self.cx.log.record(Event::CrashingRequestRefused {
             request: self.request.clone(),
-            fingerprint: crash_record::format_fingerprint(self.fingerprint),
-            crashes: crashes as u64,
+            fingerprint: crash_record::format_fingerprint(refusal.fingerprint),
+            kind: refusal.subject.name().to_string(),
+            position: refusal.subject.position(),
+            crashes: refusal.crashes as u64,
         });
     }
 
@@ -313,7 +324,7 @@
         self.current = None;
         self.cx.log.record(Event::RequestAbandoned {
             request: self.request.clone(),
-            fingerprint: crash_record::format_fingerprint(self.fingerprint),
+            fingerprint: crash_record::format_fingerprint(self.crash_keys.request()),
             route: self.route.clone(),
             replica: self.replica.clone(),
             took: self.received.elapsed(),
--- a/serving/src/serving_metrics.rs
+++ b/serving/src/serving_metrics.rs
@@ -35,7 +35,7 @@
     ("replicas_down_total", "Replicas that were found to be down, by source."),
     (
         "crash_marks_total",
-        "Crashes under requests that this node saw (own), and requests it refuses by crashes that it learned of (learned).",
+        "Crashes that this node saw (own), by kind (request or part of a prompt), and requests or parts that it refuses by crashes that it learned of (learned).",
     ),
     ("log_lines_dropped_total", "Lines of the log that were dropped since its reader was slow."),
 ];
@@ -126,9 +126,10 @@
         self.count("replicas_down_total", &[("source", source)], 1);
     }
 
-    /// Counts a crash that was recorded for a request; `source` names who observed it.
-    pub fn crash_mark(&self, source: &str) {
-        self.count("crash_marks_total", &[("source", source)], 1);
+    /// Counts a crash that was recorded for a request or a part of its prompt (`kind`); `source` names who
+    /// observed it.
+    pub fn crash_mark(&self, source: &str, kind: &str) {
+        self.count("crash_marks_total", &[("source", source), ("kind", kind)], 1);
     }
 
     /// Sets the total number of dropped log lines.
--- a/serving/src/stream_forward.rs
+++ b/serving/src/stream_forward.rs
@@ -66,7 +66,7 @@
     let mut trace = RequestTrace::new(cx, &task);
     let mut attempts = Attempts::new();
     loop {
-        failed_attempts::settle(cx, task.fingerprint).await;
+        failed_attempts::settle(cx, &task.crash_keys).await;
         let replica = match next_replica(cx, &task, &mut trace, &mut attempts) {
             NextStep::Send(replica) => replica,
             NextStep::Respond(response) => return response,
@@ -273,7 +273,7 @@
                 },
                 Ok(StreamItem::End) => {
                     self.cx.loads.record_success(stream.replica.hash);
-                    self.cx.crashes.record_completion(self.task.fingerprint, Instant::now());
+                    self.record_completed_run(&stream);
                     self.cx.metrics.send(&self.task.service, "answered");
                     stream.return_connection(&self.cx).await;
                     return RelayOutcome::Complete;
@@ -299,6 +299,14 @@
         }
     }
 
+    /// Clears the request and the parts of its prompt of crashes, unless the replica has not begun an
+    /// answer.
+    fn record_completed_run(&self, stream: &UpstreamStream) {
+        if stream.upstream.response.status().is_success() && self.trace.events > 0 {
+            self.cx.crashes.record_completion(&self.task.crash_keys, Instant::now());
+        }
+    }
+
     async fn next_item(&self, stream: &mut UpstreamStream) -> Result<StreamItem, AttemptError> {
         let until = Instant::now() + MAX_EVENT_GAP;
         tokio::select! {
@@ -346,9 +354,9 @@
                 false => self.attempts.record_failure(error),
             }
             had_started = false;
-            failed_attempts::settle(&self.cx, self.task.fingerprint).await;
+            failed_attempts::settle(&self.cx, &self.task.crash_keys).await;
             let is_resumable = self.task.kind == RouteKind::Streaming { is_resumable: true };
-            let is_refused = self.cx.crashes.refusal(self.task.fingerprint).is_some();
+            let is_refused = self.cx.crashes.refusal(&self.task.crash_keys).is_some();
             if !is_resumable || is_refused || !self.attempts.may_send(&self.cx, &self.task) {
                 return Err(RelayOutcome::Failed(cause));
             }
--- a/serving/tests/test_crash_sync.rs
+++ b/serving/tests/test_crash_sync.rs
@@ -2,6 +2,7 @@
 
 use crate::util;
 use guavaladder_lib::generated::serving_peer::CrashMark;
+use guavaladder_serving::crash_keys::CrashKeys;
 use guavaladder_serving::crash_record::CRASH_REFUSAL_THRESHOLD;
 use guavaladder_serving::crash_sync::CrashMessage;
 use guavaladder_serving::crash_sync::CrashSync;
@@ -101,10 +102,11 @@
     let (a, b) = (node(1), node(2));
     record_crashes(&a, 3);
     exchange(&a, &b);
-    assert!(b.cx.crashes.refusal(FINGERPRINT).is_some());
-    a.cx.crashes.record_completion(FINGERPRINT, Instant::now());
+    let keys = CrashKeys::new(FINGERPRINT, None, &[]);
+    assert!(b.cx.crashes.refusal(&keys).is_some());
+    a.cx.crashes.record_completion(&keys, Instant::now());
     sleep(Duration::from_secs(3)).await;
     assert_eq!(exchange(&b, &a), 4, "digest, query, requests and corrections");
-    assert!(b.cx.crashes.refusal(FINGERPRINT).is_none());
+    assert!(b.cx.crashes.refusal(&keys).is_none());
     assert_eq!((exchange(&a, &b), exchange(&b, &a)), (0, 0));
 }
--- a/serving/tests/test_crashing_prompt_parts.rs
+++ b/serving/tests/test_crashing_prompt_parts.rs
@@ -112,7 +112,7 @@
     let parts = [BAD, OTHER_BAD].map(|part| (part, runs(fleet, part)));
     let end = Instant::now();
     let crashes = fleet.fake_platform.crash_runs();
-    let fifth = crashes.get(CRASHES - 1).map_or(end, |run| run.at);
+    let fifth = crashes.get(CRASHES - 1).or(crashes.last()).map_or(end, |run| run.at);
     let (late, early): (Vec<_>, Vec<_>) =
         sound_sent.into_iter().partition(|sent| sent.at > fifth + 2 * KNOWN_AFTER);
     let (bad, early, late) =
