tests: crashing parts at late, cut-off and restarted nodes, in pairs and among sessions

The cases of crashing requests, for parts, and those that only parts have: two crashing parts in different requests and in the same ones, parts that ran in crashing requests only, a part that worked before, and parts of sessions.

--- a/serving/tests/test_crashing_prompt_parts.rs
+++ b/serving/tests/test_crashing_prompt_parts.rs
@@ -11,6 +11,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
 use tokio::time::interval;
+use tokio::time::sleep;
 
 /// Number of crashes after which all nodes have to know of a part within `KNOWN_AFTER`.
 const CRASHES: usize = 5;
@@ -27,6 +28,9 @@
 /// Number of sound requests before the first one that crashes a replica.
 const EARLIER_REQUESTS: usize = 48;
 
+/// Maximum time until the requests with the part have to be refused by all nodes.
+const CRASH_TIMEOUT: Duration = Duration::from_secs(20);
+
 const FIRST: &str = "f1";
 const SESSION: &str = "5e55";
 const BAD: &str = "bad0";
@@ -139,3 +143,139 @@
     fleet.fake_platform.add_crashing_part(BAD);
     assert_served(&fleet, &[bad], &[FIRST, SESSION]).await;
 }
+
+/// Sends requests with the bad part to the nodes in turn until all nodes have to know of it.
+async fn crash_until_known(fleet: &Fleet, first: usize) -> usize {
+    let mut paced = interval(SEND_PERIOD);
+    let start = Instant::now();
+    let mut number = first;
+    loop {
+        paced.tick().await;
+        number += 1;
+        send(fleet, number, &[FIRST, BAD]);
+        send(fleet, number, &[FIRST, SESSION]);
+        let last = fleet.fake_platform.crash_runs().last().map(|run| run.at);
+        if last.is_some_and(|at| at.elapsed() > KNOWN_AFTER) {
+            return number;
+        }
+        assert!(start.elapsed() < CRASH_TIMEOUT, "requests with the part are sent on");
+    }
+}
+
+/// Returns the number of runs that a node begins with the bad part, and of sound requests that it answers.
+async fn runs_of_node(fleet: &Fleet, node: usize) -> (usize, usize) {
+    let before = runs(fleet, BAD).0;
+    let to = fleet.callers(node);
+    let mut answered = 0;
+    for number in 0..8 {
+        let own = format!("e{number}");
+        let call = Call::new(Method::POST, "/draft/x").with_body(&own);
+        call.with_parts(&[FIRST, BAD, &own]).status(to).await;
+        let call = Call::new(Method::POST, "/draft/x").with_body(&own);
+        answered += usize::from(call.with_parts(&[FIRST, SESSION, &own]).status(to).await == 200);
+        sleep(SEND_PERIOD).await;
+    }
+    (runs(fleet, BAD).0 - before, answered)
+}
+
+#[tokio::test]
+async fn crashing_part_is_sent_on_by_a_node_that_started_later() {
+    let mut fleet = start_fleet(3).await;
+    fleet.fake_platform.add_crashing_part(BAD);
+    crash_until_known(&fleet, 0).await;
+    fleet.add_node().await;
+    wait_for_groups(&fleet, 3).await;
+    sleep(KNOWN_AFTER).await;
+    assert_eq!(runs_of_node(&fleet, 3).await, (0, 8));
+}
+
+/// The node reaches the store, so the platform's rules apply to it.
+#[tokio::test]
+async fn crashing_part_is_sent_on_by_a_node_cut_off_from_the_others() {
+    let mut fleet = start_fleet(3).await;
+    fleet.fake_platform.add_crashing_part(BAD);
+    crash_until_known(&fleet, 0).await;
+    fleet.add_cut_off_node().await;
+    wait_for_groups(&fleet, 3).await;
+    sleep(KNOWN_AFTER).await;
+    assert_eq!(runs_of_node(&fleet, 3).await, (0, 8));
+}
+
+#[tokio::test]
+async fn crashing_part_is_sent_on_after_all_nodes_restarted() {
+    let mut fleet = start_fleet(3).await;
+    fleet.fake_platform.add_crashing_part(BAD);
+    crash_until_known(&fleet, 0).await;
+    let stopping = fleet.nodes.drain(..).map(|node| tokio::spawn(node.stop()));
+    for stopping in stopping.collect::<Vec<_>>() {
+        stopping.await.expect("a node that stops");
+    }
+    fleet.add_node().await;
+    wait_for_groups(&fleet, 0).await;
+    sleep(KNOWN_AFTER).await;
+    assert_eq!(runs_of_node(&fleet, 0).await, (0, 8));
+}
+
+/// The parts crash replicas in different requests, and in the same ones.
+#[rstest]
+#[case::apart([&[FIRST, BAD, SESSION][..], &[FIRST, SESSION, OTHER_BAD]])]
+#[case::together([&[FIRST, BAD, OTHER_BAD][..], &[FIRST, OTHER_BAD, BAD]])]
+#[tokio::test]
+async fn two_crashing_parts_at_once_are_sent_on(#[case] bad: [&[&str]; 2]) {
+    let fleet = start_fleet(3).await;
+    fleet.fake_platform.add_crashing_part(BAD);
+    fleet.fake_platform.add_crashing_part(OTHER_BAD);
+    assert_served(&fleet, &bad, &[FIRST, SESSION]).await;
+}
+
+/// No request with the first part has completed when the first crash comes, so all parts of the crashing
+/// requests have the same crashes.
+#[tokio::test]
+async fn parts_that_completed_nowhere_are_refused_beside_a_crashing_one() {
+    let fleet = start_fleet(3).await;
+    fleet.fake_platform.add_crashing_part(BAD);
+    for number in 0..12 {
+        send(&fleet, number, &[FIRST, BAD, SESSION]).status.await.expect("a response");
+    }
+    assert!(runs(&fleet, BAD).0 >= 3);
+    wait_for_groups(&fleet, 0).await;
+    sleep(KNOWN_AFTER).await;
+    let sound = (0..9).map(|number| send(&fleet, 100 + number, &[FIRST, SESSION])).collect();
+    assert_eq!(statuses(sound).await, BTreeMap::from([(200, 9)]));
+    let bad = (0..9).map(|number| send(&fleet, 200 + number, &[FIRST, BAD])).collect();
+    assert_eq!(statuses(bad).await, BTreeMap::from([(503, 9)]));
+    assert!(runs(&fleet, BAD).0 <= CRASHES, "{:?}", runs(&fleet, BAD));
+}
+
+/// The weights changed while callers went on.
+#[tokio::test]
+async fn part_that_begins_to_crash_replicas_is_sent_on() {
+    let fleet = start_fleet(3).await;
+    let earlier = (0..12).map(|number| send(&fleet, number, &[FIRST, BAD, SESSION])).collect();
+    assert_eq!(statuses(earlier).await, BTreeMap::from([(200, 12)]));
+    fleet.fake_platform.add_crashing_part(BAD);
+    assert_served(&fleet, &[&[FIRST, BAD, SESSION]], &[FIRST, SESSION]).await;
+}
+
+/// Each session has parts of its own, and all of its requests share them.
+#[tokio::test]
+async fn parts_of_sessions_are_refused_beside_a_crashing_one() {
+    let fleet = start_fleet(3).await;
+    fleet.fake_platform.add_crashing_part(BAD);
+    let sessions: Vec<String> = (0..40).map(|session| format!("5e{session:02x}")).collect();
+    let (mut sound, mut paced) = (vec![], interval(Duration::from_millis(40)));
+    for number in 0..240 {
+        paced.tick().await;
+        let session = sessions[number % sessions.len()].as_str();
+        if number % 4 == 0 {
+            send(&fleet, number, &[FIRST, session, BAD]);
+        }
+        sound.push(send(&fleet, 1000 + number, &[FIRST, session]));
+    }
+    let end = Instant::now() - KNOWN_AFTER;
+    let (late, early): (Vec<_>, Vec<_>) = sound.into_iter().partition(|sent| sent.at > end);
+    let late = statuses(late).await;
+    println!("{:?}; sound: early {:?}, late {late:?}", runs(&fleet, BAD), statuses(early).await);
+    assert!(runs(&fleet, BAD).0 <= CRASHES);
+    assert!(answered_share(&late) > 0.95, "{late:?}");
+}
