retry_budget: keep retries until they have left the window at the replicas

A bucket of half a second was dropped when its beginning was a window old, so that the retries at its end were forgotten up to half a second early, and the time from a withdrawal to the arrival at a replica was not counted. Two bursts of retries a window apart, as when replicas fall silent in series, each used the whole budget within one window.

A bucket is kept until its last retry is a window and the longest way to a replica old; requests still count for the window only, so that the budget errs on the low side.

retries_are_forgotten_before_they_have_left_the_window failed before and passes. budget_recovers_as_the_window_moves expected the budget back exactly a window after the withdrawal, which is what was wrong; it now expects none then, and all of it after the longest way to a replica.

--- a/serving/src/retry_budget.rs
+++ b/serving/src/retry_budget.rs
@@ -13,6 +13,9 @@
 
 /// Fraction of the budget that is used; the rest covers nodes that disagree about which nodes are live.
 const USABLE_RATIO: f64 = 0.8;
+/// Maximum time from the withdrawal of a retry until it arrives at a replica; it includes opening a
+/// connection. Retries count for that much longer, since the platform counts arrivals.
+pub const MAX_SEND_DELAY: Duration = Duration::from_millis(500);
 /// Number of buckets of the sliding window.
 const BUCKETS: u32 = 20;
 
@@ -44,6 +47,13 @@
     start: Instant,
     requests: u32,
     retries: u32,
+    last_retry: Instant,
+}
+
+impl Bucket {
+    fn new(start: Instant) -> Self {
+        Self { start, requests: 0, retries: 0, last_retry: start }
+    }
 }
 
 impl RetryBudgets {
@@ -63,13 +73,15 @@
     /// their number is not known, the slack is left to those that know it.
     pub fn withdraw(&self, service: &str, nodes: Option<usize>, now: Instant) -> bool {
         self.with_window(service, now, |window| {
-            let requests: u32 = window.buckets.iter().map(|bucket| bucket.requests).sum();
+            let requests = window.requests(now, self.bounds.window);
             let retries: u32 = window.buckets.iter().map(|bucket| bucket.retries).sum();
             let own_slack = nodes.map_or(0.0, |nodes| self.bounds.slack / nodes.max(1) as f64);
             let budget = USABLE_RATIO * (self.bounds.ratio * f64::from(requests) + own_slack);
             let has_left = f64::from(retries) + 1.0 <= budget;
             if has_left {
-                window.current_bucket(now, self.bucket_length()).retries += 1;
+                let bucket = window.current_bucket(now, self.bucket_length());
+                bucket.retries += 1;
+                bucket.last_retry = now;
             }
             has_left
         })
@@ -91,8 +103,9 @@
         }
         let mut unused = Window::default();
         let window = services.get_mut(service).unwrap_or(&mut unused);
-        let length = self.bounds.window;
-        while window.buckets.front().is_some_and(|bucket| now - bucket.start >= length) {
+        let retention = self.bounds.window + MAX_SEND_DELAY;
+        let is_expired = |bucket: &Bucket| now - bucket.last_retry >= retention;
+        while window.buckets.front().is_some_and(is_expired) {
             window.buckets.pop_front();
         }
         use_window(window)
@@ -100,10 +113,16 @@
 }
 
 impl Window {
+    /// Returns the number of requests within the last `length`.
+    fn requests(&self, now: Instant, length: Duration) -> u32 {
+        let recent = self.buckets.iter().filter(|bucket| now - bucket.start < length);
+        recent.map(|bucket| bucket.requests).sum()
+    }
+
     fn current_bucket(&mut self, now: Instant, length: Duration) -> &mut Bucket {
         let needs_bucket = self.buckets.back().is_none_or(|bucket| now - bucket.start >= length);
         if needs_bucket {
-            self.buckets.push_back(Bucket { start: now, requests: 0, retries: 0 });
+            self.buckets.push_back(Bucket::new(now));
         }
         let last = self.buckets.len() - 1;
         &mut self.buckets[last]
