--- a/serving/src/attempt.rs
+++ b/serving/src/attempt.rs
@@ -133,8 +133,8 @@
         self.last_error = Some(error);
     }
 
-    /// Returns whether the request may be sent again. A retry is withdrawn from the retry budget.
-    pub fn may_send(&self, cx: &ServingCx, task: &RequestTask) -> bool {
+    /// Checks whether the request may be sent again. A retry is withdrawn from the retry budget.
+    pub fn check_send(&self, cx: &ServingCx, task: &RequestTask) -> Result<(), Withheld> {
         let is_allowed = match task.kind {
             RouteKind::Idempotent | RouteKind::Streaming { is_resumable: true } => {
                 self.runs_at_live_replicas < task.max_attempts
@@ -144,11 +144,45 @@
             }
         };
         let now = Instant::now();
-        if !is_allowed || self.tried.len() >= MAX_SENDS || task.time_left(now).is_zero() {
-            return false;
+        if task.time_left(now).is_zero() {
+            return Err(Withheld::Deadline);
+        }
+        if !is_allowed || self.tried.len() >= MAX_SENDS {
+            return Err(Withheld::Attempts);
         }
         // Sending again is not a retry if no replica has received the request.
-        !self.has_reached_replica || cx.budgets.withdraw(&task.service, cx.budget_sharers(), now)
+        let may_send = !self.has_reached_replica
+            || cx.budgets.withdraw(&task.service, cx.budget_sharers(), now);
+        may_send.then_some(()).ok_or(Withheld::Budget)
+    }
+}
+
+/// Why a request is not sent to another replica.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+pub enum Withheld {
+    /// The deadline has passed.
+    #[error("the deadline has passed")]
+    Deadline,
+    /// The request was sent or has run as often as its route allows.
+    #[error("it may not be sent again")]
+    Attempts,
+    /// The retry budget is used up.
+    #[error("the retry budget is used up")]
+    Budget,
+    /// No other replica has capacity.
+    #[error("no other replica is available")]
+    NoReplica,
+}
+
+impl Withheld {
+    /// Returns the value of the metrics label for this reason.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::Deadline => "deadline",
+            Self::Attempts => "attempts",
+            Self::Budget => "budget",
+            Self::NoReplica => "no_replica",
+        }
     }
 }
 
--- a/serving/src/next_replica.rs
+++ b/serving/src/next_replica.rs
@@ -3,6 +3,7 @@
 
 use crate::attempt::AttemptError;
 use crate::attempt::Attempts;
+use crate::attempt::Withheld;
 use crate::candidates;
 use crate::local_response;
 use crate::placement;
@@ -36,7 +37,9 @@
     if let Some(crashes) = cx.crashes.refusal(task.fingerprint) {
         return NextStep::Respond(refuse_crashing_request(task, trace, attempts, crashes));
     }
-    if attempts.last_error.is_some() && !attempts.may_send(cx, task) {
+    let is_retry = attempts.last_error.is_some();
+    if is_retry && let Err(withheld) = attempts.check_send(cx, task) {
+        trace.record_withheld(&task.service, withheld);
         return NextStep::Respond(fail_request(task, trace, attempts));
     }
     let timeliness = task.timeliness(attempts.tried.len());
@@ -46,7 +49,10 @@
             attempts.tried.push(replica.key.clone());
             NextStep::Send(replica)
         }
-        Err(_) if attempts.runs > 0 => NextStep::Respond(fail_request(task, trace, attempts)),
+        Err(_) if attempts.runs > 0 => {
+            trace.record_withheld(&task.service, Withheld::NoReplica);
+            NextStep::Respond(fail_request(task, trace, attempts))
+        }
         Err((no_capacity, occupancy)) => {
             NextStep::Respond(refuse_request(task, trace, no_capacity.name(), occupancy))
         }
--- a/serving/src/request_task.rs
+++ b/serving/src/request_task.rs
@@ -2,6 +2,7 @@
 //! metrics.
 
 use crate::attempt::AttemptError;
+use crate::attempt::Withheld;
 use crate::crash_record;
 use crate::dialect::RequestHead;
 use crate::failed_attempts;
@@ -117,6 +118,8 @@
     is_recorded: bool,
     /// Attempt in progress.
     current: Option<CurrentAttempt>,
+    /// Last reason for which the request was not sent to another replica.
+    withheld: Option<&'static str>,
     /// Counts the request as running, so that a shutdown waits for it.
     _running: RunningRequestGuard,
 }
@@ -149,6 +152,7 @@
             time_to_first_byte: None,
             is_recorded: false,
             current: None,
+            withheld: None,
             _running: cx.running.begin_request(),
         }
     }
@@ -219,6 +223,22 @@
         })
     }
 
+    /// Records why the request is not sent to another replica, once for each reason.
+    pub fn record_withheld(&mut self, service: &str, withheld: Withheld) {
+        let reason = withheld.name();
+        if self.withheld.replace(reason) == Some(reason) {
+            return;
+        }
+        self.cx.metrics.retry_withheld(service, reason);
+        self.cx.log.record(Event::RetryWithheld {
+            request: self.request.clone(),
+            replica: self.replica.clone(),
+            reason: withheld.to_string(),
+            events: self.events,
+            after: self.received.elapsed(),
+        });
+    }
+
     /// Records that an attempt failed and the request may be tried on another replica.
     pub fn record_failover(&mut self, service: &str, cause: &str, name: &'static str) {
         self.current = None;
--- a/serving/src/serving_metrics.rs
+++ b/serving/src/serving_metrics.rs
@@ -20,12 +20,16 @@
 const QUANTILES: [f64; 4] = [0.5, 0.9, 0.95, 0.99];
 
 /// Names of all metrics with their help texts.
-pub const CATALOGUE: [(&str, &str); 14] = [
+pub const CATALOGUE: [(&str, &str); 15] = [
     ("requests_total", "Requests of callers, by route and outcome."),
     ("first_event_seconds", "Time to the first byte of an answer, by route, in seconds."),
     ("request_seconds", "Time to the end of an answer, by route, in seconds."),
     ("sends_total", "Sends to replicas, by service and outcome."),
     ("moves_total", "Sends beyond the first of a request, by service and cause."),
+    (
+        "retries_withheld_total",
+        "Requests that were not sent to another replica after a failed attempt, by service and reason.",
+    ),
     ("stream_events_total", "Stream events that were passed on, by service."),
     ("connections_opened_total", "New connections to replicas, by service."),
     ("store_calls_total", "Calls to the platform's store, by call and kind of object."),
@@ -83,6 +87,11 @@
         self.count("moves_total", &[("service", service), ("cause", cause)], 1);
     }
 
+    /// Counts a request that is not sent to another replica after a failed attempt.
+    pub fn retry_withheld(&self, service: &str, reason: &str) {
+        self.count("retries_withheld_total", &[("service", service), ("reason", reason)], 1);
+    }
+
     /// Counts stream events that were forwarded to callers.
     pub fn stream_events(&self, service: &str, events: u64) {
         self.count("stream_events_total", &[("service", service)], events);
--- a/serving/src/stream_forward.rs
+++ b/serving/src/stream_forward.rs
@@ -9,6 +9,7 @@
 use crate::attempt::AttemptError;
 use crate::attempt::Attempts;
 use crate::attempt::UpstreamResponse;
+use crate::attempt::Withheld;
 use crate::candidates;
 use crate::failed_attempts;
 use crate::fleet_config::RouteKind;
@@ -349,12 +350,17 @@
             failed_attempts::settle(&self.cx, self.task.fingerprint).await;
             let is_resumable = self.task.kind == RouteKind::Streaming { is_resumable: true };
             let is_refused = self.cx.crashes.refusal(self.task.fingerprint).is_some();
-            if !is_resumable || is_refused || !self.attempts.may_send(&self.cx, &self.task) {
+            if !is_resumable || is_refused {
+                return Err(RelayOutcome::Failed(cause));
+            }
+            if let Err(withheld) = self.attempts.check_send(&self.cx, &self.task) {
+                self.trace.record_withheld(&self.task.service, withheld);
                 return Err(RelayOutcome::Failed(cause));
             }
             let tried = &self.attempts.tried;
             let Ok(replica) = candidates::choose(&self.cx, &self.task, tried, Timeliness::Begun)
             else {
+                self.trace.record_withheld(&self.task.service, Withheld::NoReplica);
                 return Err(RelayOutcome::Failed(format!(
                     "{cause}; no other replica is available"
                 )));
