serving: keep the attempt at a silent replica open while another is tried

Callers saw streams cut, and requests answered with 504, although the replica that had them went on a second later. Cause: silence was taken for death. As soon as a member of a group gave no report for 110 ms, or a stream had no event for 1.3 s, each of its streams left the replica; where it could not go on elsewhere, since there was no other replica, no retry budget, or the route does not allow it, the caller's connection was aborted. Requests without a first event, and idempotent requests after 0.7 of the target latency, were failed the same way.

Now an attempt at a replica that falls silent stays open. The request is tried on another replica where that is allowed, and the first of the two that responds is used; otherwise the silent one is waited for until the deadline, and it is checked each 100 ms whether another replica can be had. A group that makes progress is no longer marked as down (GL0537 replica_returned, replicas_returned_total). A request that may run at two replicas counts both; an attempt before its first event is dropped before a third one. A retry is withdrawn from the budget only once a replica is chosen, so that a request that waits does not use the budget up. GL0525 request_moved is recorded when the request is sent elsewhere, no longer for the last failure.

Evidence: ten cases of test_silent_replicas with pauses of 1 s, of one or all members.

--- a/serving/src/attempt.rs
+++ b/serving/src/attempt.rs
@@ -7,6 +7,8 @@
 use crate::fleet_config::RouteKind;
 use crate::instance::InstanceId;
 use crate::instance::ResponseHead;
+use crate::placement::NoCapacity;
+use crate::placement::Occupancy;
 use crate::replica_set::Replica;
 use crate::replica_set::ReplicaKey;
 use crate::request_task::RequestTask;
@@ -64,9 +66,15 @@
     /// The response or its next event timed out; the request may have run.
     #[error("timed out: {0}")]
     TimedOut(&'static str),
+    /// No event of the stream arrived for a while; the replica may go on later.
+    #[error("timed out: no event on this stream for too long")]
+    Silent,
     /// The replica was marked as down during the attempt; the request may already have run there.
     #[error("the replica was found to be down")]
     Down,
+    /// Another replica responded first; the request may have run here as well.
+    #[error("another replica responded first")]
+    Superseded,
 }
 
 impl AttemptError {
@@ -77,8 +85,9 @@
             Self::NotRun { .. } => "not_run",
             Self::Failure { .. } => "failure",
             Self::Broken(_) => "broken",
-            Self::TimedOut(_) => "silent",
+            Self::TimedOut(_) | Self::Silent => "silent",
             Self::Down => "down",
+            Self::Superseded => "superseded",
         }
     }
 
@@ -87,6 +96,12 @@
         matches!(self, Self::NotSent(_) | Self::NotRun { .. })
     }
 
+    /// Returns whether the request is not running at the replica: it did not run, or the replica, a group,
+    /// has stalled before the response began.
+    pub fn cannot_be_running(&self) -> bool {
+        self.is_not_run() || *self == Self::Down
+    }
+
     /// Returns whether the request reached the replica, even if the replica refused it.
     pub fn has_reached_replica(&self) -> bool {
         !matches!(self, Self::NotSent(_))
@@ -118,9 +133,7 @@
     /// Records an attempt that failed before its response began.
     pub fn record_failure(&mut self, error: AttemptError) {
         self.runs += u32::from(!error.is_not_run());
-        // A group that is down has stalled, so a request without any event has not started there.
-        let cannot_be_running = error.is_not_run() || error == AttemptError::Down;
-        self.runs_at_live_replicas += u32::from(!cannot_be_running);
+        self.runs_at_live_replicas += u32::from(!error.cannot_be_running());
         self.has_reached_replica |= error.has_reached_replica();
         self.last_error = Some(error);
     }
@@ -133,8 +146,23 @@
         self.last_error = Some(error);
     }
 
-    /// Checks whether the request may be sent again. A retry is withdrawn from the retry budget.
-    pub fn check_send(&self, cx: &ServingCx, task: &RequestTask) -> Result<(), Withheld> {
+    /// Records the end of an attempt that was recorded before, when its replica fell silent; `is_counted`
+    /// tells whether it was counted as a run at a live replica then.
+    pub fn record_end_of_silent(&mut self, error: AttemptError, is_counted: bool) {
+        if error.is_not_run() {
+            self.runs = self.runs.saturating_sub(1);
+            self.runs_at_live_replicas -= u32::from(is_counted).min(self.runs_at_live_replicas);
+        }
+        self.last_error = Some(error);
+    }
+
+    /// Returns whether the request may run at two more replicas at the same time.
+    pub fn may_overlap(&self, task: &RequestTask) -> bool {
+        self.runs_at_live_replicas + 2 <= task.max_attempts
+    }
+
+    /// Returns why the request may not be sent again, apart from the retry budget.
+    pub fn limit(&self, task: &RequestTask) -> Option<Withheld> {
         let is_allowed = match task.kind {
             RouteKind::Idempotent | RouteKind::Streaming { is_resumable: true } => {
                 self.runs_at_live_replicas < task.max_attempts
@@ -143,17 +171,17 @@
                 self.runs == 0
             }
         };
-        let now = Instant::now();
-        if task.time_left(now).is_zero() {
-            return Err(Withheld::Deadline);
-        }
-        if !is_allowed || self.tried.len() >= MAX_SENDS {
-            return Err(Withheld::Attempts);
+        if task.time_left(Instant::now()).is_zero() {
+            return Some(Withheld::Deadline);
         }
-        // Sending again is not a retry if no replica has received the request.
-        let may_send = !self.has_reached_replica
-            || cx.budgets.withdraw(&task.service, cx.budget_sharers(), now);
-        may_send.then_some(()).ok_or(Withheld::Budget)
+        (!is_allowed || self.tried.len() >= MAX_SENDS).then_some(Withheld::Attempts)
+    }
+
+    /// Withdraws the next attempt from the retry budget; returns false if none is left. Sending again is
+    /// not a retry if no replica has received the request.
+    pub fn withdraw(&self, cx: &ServingCx, task: &RequestTask) -> bool {
+        !self.has_reached_replica
+            || cx.budgets.withdraw(&task.service, cx.budget_sharers(), Instant::now())
     }
 }
 
@@ -171,7 +199,7 @@
     Budget,
     /// No other replica has capacity.
     #[error("no other replica is available")]
-    NoReplica,
+    NoReplica(NoCapacity, Occupancy),
 }
 
 impl Withheld {
@@ -181,7 +209,7 @@
             Self::Deadline => "deadline",
             Self::Attempts => "attempts",
             Self::Budget => "budget",
-            Self::NoReplica => "no_replica",
+            Self::NoReplica(..) => "no_replica",
         }
     }
 }
--- /dev/null
+++ b/serving/src/attempt_loop.rs
@@ -0,0 +1,226 @@
+//! Attempts of one request at several replicas, until one of them responds.
+//!
+//! A replica that falls silent may go on a second later. So its attempt stays open while the request is
+//! tried on another replica, and the first of the two that responds is used. Where the request can't be
+//! sent to another replica, the silent one is waited for until the deadline.
+
+use crate::attempt::AttemptError;
+use crate::attempt::Attempts;
+use crate::failed_attempts;
+use crate::next_replica;
+use crate::next_replica::NextStep;
+use crate::replica_set::Replica;
+use crate::request_task::RequestTask;
+use crate::request_task::RequestTrace;
+use crate::response_body::ResponseBody;
+use crate::serving_cx::ServingCx;
+use http::Response;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::sleep;
+
+/// Interval at which it is checked whether a request that waits for a silent replica can be sent to
+/// another one.
+const RETRY_CHECK_PERIOD: Duration = Duration::from_millis(100);
+
+type BoxFuture<'a, T> = Pin<Box<dyn Future<Output = T> + Send + 'a>>;
+
+/// An attempt at a replica that has not responded yet.
+pub struct PendingAttempt<'a, T> {
+    /// Replica that the request was sent to.
+    pub replica: Arc<Replica>,
+    response: BoxFuture<'a, Result<T, AttemptError>>,
+    silence: BoxFuture<'a, AttemptError>,
+    /// Whether the attempt is counted as a run at a live replica.
+    is_counted: bool,
+}
+
+impl<'a, T> PendingAttempt<'a, T> {
+    /// Returns an attempt that ends with `response`; `silence` ends when the replica counts as silent.
+    pub fn new(
+        replica: Arc<Replica>,
+        response: impl Future<Output = Result<T, AttemptError>> + Send + 'a,
+        silence: impl Future<Output = AttemptError> + Send + 'a,
+    ) -> Self {
+        let (response, silence) = (Box::pin(response), Box::pin(silence));
+        Self { replica, response, silence, is_counted: false }
+    }
+
+    /// Returns an attempt whose response had begun before its replica fell silent.
+    pub fn with_silent_replica(
+        replica: Arc<Replica>,
+        response: impl Future<Output = Result<T, AttemptError>> + Send + 'a,
+    ) -> Self {
+        let attempt = Self::new(replica, response, std::future::pending());
+        Self { is_counted: true, ..attempt }
+    }
+}
+
+/// Result of waiting for an attempt and for the one at a silent replica.
+enum Raced<T> {
+    /// The attempt responded.
+    Responded(T),
+    /// The silent replica responded first.
+    Returned(T, Arc<Replica>),
+    /// The attempt failed.
+    Failed(AttemptError),
+    /// The replica of the attempt fell silent; the attempt may still respond.
+    Silent(AttemptError),
+}
+
+/// Reaction of the kind of request to the events of its attempts.
+pub trait AttemptKind {
+    /// Response of a replica.
+    type Response;
+
+    /// Sends the request to a replica.
+    fn start(
+        &self,
+        replica: &Arc<Replica>,
+        attempts: &Attempts,
+    ) -> PendingAttempt<'static, Self::Response>;
+
+    /// Updates the metrics and the replica's health after an attempt failed or fell silent.
+    fn record_failure(&self, trace: &RequestTrace, replica: &Arc<Replica>, error: &AttemptError);
+
+    /// Updates the replica's health after it responded although it was silent.
+    fn record_return(&self, replica: &Arc<Replica>);
+
+    /// Returns whether the caller has received a part of the response.
+    fn has_begun(&self) -> bool;
+}
+
+/// Why a request has no response of a replica.
+pub enum NoResponse {
+    /// The request ends with this response of the node.
+    Respond(Response<ResponseBody>),
+    /// The response had begun and can't go on.
+    Failed(String),
+}
+
+/// State of the attempts of one request.
+pub struct AttemptLoop<'a, K> {
+    /// Context of the node.
+    pub cx: &'a ServingCx,
+    /// Request.
+    pub task: &'a RequestTask,
+    /// Record of the request's progress.
+    pub trace: &'a mut RequestTrace,
+    /// Attempts made so far.
+    pub attempts: &'a mut Attempts,
+    /// Kind of the request.
+    pub kind: K,
+}
+
+impl<K: AttemptKind> AttemptLoop<'_, K> {
+    /// Sends the request to one replica after the other until one responds. `silent` is an attempt that
+    /// may still respond.
+    pub async fn run(
+        &mut self,
+        mut silent: Option<PendingAttempt<'static, K::Response>>,
+    ) -> Result<K::Response, NoResponse> {
+        loop {
+            failed_attempts::settle(self.cx, self.task.fingerprint).await;
+            let replica = match self.next_step(silent.is_some()) {
+                NextStep::Send(replica) => replica,
+                NextStep::Wait => match self.wait(&mut silent).await {
+                    Some(response) => return Ok(response),
+                    None => continue,
+                },
+                NextStep::Respond(response) => return Err(NoResponse::Respond(response)),
+                NextStep::Fail(cause) => return Err(NoResponse::Failed(cause)),
+            };
+            if silent.as_ref().is_some_and(|s| !s.is_counted)
+                && !self.attempts.may_overlap(self.task)
+            {
+                silent = None;
+            }
+            let mut attempt = self.kind.start(&replica, self.attempts);
+            match self.race(&mut attempt, &mut silent).await {
+                Raced::Responded(response) => return Ok(response),
+                Raced::Returned(response, returned) => {
+                    self.attempts.record_failure(AttemptError::Superseded);
+                    self.record_return(&returned);
+                    return Ok(response);
+                }
+                Raced::Failed(e) => self.record_failure(&replica, e),
+                Raced::Silent(e) => {
+                    attempt.is_counted = !e.cannot_be_running();
+                    self.record_failure(&replica, e);
+                    silent.get_or_insert(attempt);
+                }
+            }
+        }
+    }
+
+    fn next_step(&mut self, has_silent: bool) -> NextStep {
+        let has_begun = self.kind.has_begun();
+        let progress = next_replica::Progress { has_silent, has_begun };
+        next_replica::next_replica(self.cx, self.task, self.trace, self.attempts, progress)
+    }
+
+    /// Waits for an attempt and for the one at a silent replica.
+    async fn race(
+        &mut self,
+        attempt: &mut PendingAttempt<'static, K::Response>,
+        silent: &mut Option<PendingAttempt<'static, K::Response>>,
+    ) -> Raced<K::Response> {
+        loop {
+            let ended = tokio::select! {
+                response = &mut attempt.response => {
+                    return response.map_or_else(Raced::Failed, Raced::Responded);
+                }
+                ended = response_of(silent) => ended,
+                e = &mut attempt.silence => return Raced::Silent(e),
+            };
+            let Some(PendingAttempt { replica, is_counted, .. }) = silent.take() else { continue };
+            match ended {
+                Ok(response) => return Raced::Returned(response, replica),
+                Err(e) => self.attempts.record_end_of_silent(e, is_counted),
+            }
+        }
+    }
+
+    /// Waits for the attempt at a silent replica, until it is time to check again whether the request
+    /// can be sent to another replica.
+    async fn wait(
+        &mut self,
+        silent: &mut Option<PendingAttempt<'static, K::Response>>,
+    ) -> Option<K::Response> {
+        let ended = tokio::select! {
+            ended = response_of(silent) => ended,
+            () = sleep(RETRY_CHECK_PERIOD) => return None,
+        };
+        let PendingAttempt { replica, is_counted, .. } = silent.take()?;
+        match ended {
+            Ok(response) => {
+                self.record_return(&replica);
+                Some(response)
+            }
+            Err(e) => {
+                self.attempts.record_end_of_silent(e, is_counted);
+                None
+            }
+        }
+    }
+
+    fn record_failure(&mut self, replica: &Arc<Replica>, error: AttemptError) {
+        self.kind.record_failure(self.trace, replica, &error);
+        self.trace.end_attempt();
+        self.attempts.record_failure(error);
+    }
+
+    fn record_return(&mut self, replica: &Arc<Replica>) {
+        self.trace.record_return(replica);
+        self.kind.record_return(replica);
+    }
+}
+
+/// Waits for the response of an attempt; forever if there is none.
+async fn response_of<T>(attempt: &mut Option<PendingAttempt<'_, T>>) -> Result<T, AttemptError> {
+    match attempt {
+        Some(attempt) => (&mut attempt.response).await,
+        None => std::future::pending().await,
+    }
+}
--- a/serving/src/lib.rs
+++ b/serving/src/lib.rs
@@ -8,6 +8,7 @@
 //! trait.
 
 pub mod attempt;
+pub mod attempt_loop;
 pub mod candidates;
 pub mod config_sync;
 pub mod connection;
@@ -58,4 +59,6 @@
 pub mod sse;
 pub mod store;
 pub mod stream_forward;
+pub mod stream_relay;
 pub mod upstream_pool;
+pub mod upstream_stream;
--- a/serving/src/load_table.rs
+++ b/serving/src/load_table.rs
@@ -230,6 +230,15 @@
         !was_down
     }
 
+    /// Removes the mark of a replica that is marked as down; returns for how long it was marked.
+    pub fn clear_down(&self, hash: u64, now: Instant) -> Option<Duration> {
+        let mut inner = self.lock();
+        let entry = inner.entries.get_mut(&hash)?;
+        let until = (*entry.down.borrow()).filter(|until| *until > now)?;
+        entry.down.send_replace(None);
+        Some(DOWN_PERIOD.saturating_sub(until - now))
+    }
+
     /// Returns the hashes of the replicas that are marked as down, with the missing member of each.
     pub fn down_members(&self, now: Instant) -> HashMap<u64, String> {
         let inner = self.lock();
--- a/serving/src/next_replica.rs
+++ b/serving/src/next_replica.rs
@@ -8,6 +8,7 @@
 use crate::local_response;
 use crate::placement;
 use crate::placement::Occupancy;
+use crate::placement::Timeliness;
 use crate::replica_set::Replica;
 use crate::request_task::RequestTask;
 use crate::request_task::RequestTrace;
@@ -23,8 +24,21 @@
 pub enum NextStep {
     /// Send the request to a replica.
     Send(Arc<Replica>),
+    /// Wait for the silent replica that has the request.
+    Wait,
     /// Return the final response.
     Respond(Response<ResponseBody>),
+    /// End the response, which has begun, as incomplete.
+    Fail(String),
+}
+
+/// What has become of a request so far, apart from its attempts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Progress {
+    /// Whether an attempt at a silent replica may still respond.
+    pub has_silent: bool,
+    /// Whether the caller has received a part of the response.
+    pub has_begun: bool,
 }
 
 /// Returns the next step of a request; records the attempt if it is sent to a replica.
@@ -33,32 +47,65 @@
     task: &RequestTask,
     trace: &mut RequestTrace,
     attempts: &mut Attempts,
+    progress: Progress,
 ) -> NextStep {
     if let Some(crashes) = cx.crashes.refusal(task.fingerprint) {
-        return NextStep::Respond(refuse_crashing_request(task, trace, attempts, crashes));
-    }
-    let is_retry = attempts.last_error.is_some();
-    if is_retry && let Err(withheld) = attempts.check_send(cx, task) {
-        trace.record_withheld(&task.service, withheld);
-        return NextStep::Respond(fail_request(task, trace, attempts));
+        return match progress.has_begun {
+            true => NextStep::Fail("replicas crashed each time they ran this request".to_string()),
+            false => NextStep::Respond(refuse_crashing_request(task, trace, attempts, crashes)),
+        };
     }
-    let timeliness = task.timeliness(attempts.tried.len());
-    match candidates::choose(cx, task, &attempts.tried, timeliness) {
+    let withheld = match choose(cx, task, attempts, progress) {
         Ok(replica) => {
+            if let Some(e) = &attempts.last_error {
+                trace.record_failover(&task.service, &e.to_string(), e.name());
+            }
             trace.record_attempt(&replica);
             attempts.tried.push(replica.key.clone());
-            NextStep::Send(replica)
-        }
-        Err(_) if attempts.runs > 0 => {
-            trace.record_withheld(&task.service, Withheld::NoReplica);
-            NextStep::Respond(fail_request(task, trace, attempts))
+            return NextStep::Send(replica);
         }
-        Err((no_capacity, occupancy)) => {
+        Err(withheld) => withheld,
+    };
+    if attempts.last_error.is_some() {
+        trace.record_withheld(&task.service, withheld);
+    }
+    match withheld {
+        _ if progress.has_silent => NextStep::Wait,
+        _ if progress.has_begun => NextStep::Fail(format!("{}; {withheld}", last_error(attempts))),
+        Withheld::NoReplica(no_capacity, occupancy) if attempts.runs == 0 => {
             NextStep::Respond(refuse_request(task, trace, no_capacity.name(), occupancy))
         }
+        _ => NextStep::Respond(fail_request(task, trace, attempts)),
     }
 }
 
+/// Chooses the replica for the first or another attempt.
+fn choose(
+    cx: &ServingCx,
+    task: &RequestTask,
+    attempts: &Attempts,
+    progress: Progress,
+) -> Result<Arc<Replica>, Withheld> {
+    let is_retry = attempts.last_error.is_some();
+    if let Some(limit) = attempts.limit(task).filter(|_| is_retry) {
+        return Err(limit);
+    }
+    let timeliness = match progress.has_begun {
+        true => Timeliness::Begun,
+        false => task.timeliness(attempts.tried.len()),
+    };
+    let chosen = candidates::choose(cx, task, &attempts.tried, timeliness);
+    let replica = chosen.map_err(|(reason, occupancy)| Withheld::NoReplica(reason, occupancy))?;
+    match is_retry && !attempts.withdraw(cx, task) {
+        true => Err(Withheld::Budget),
+        false => Ok(replica),
+    }
+}
+
+fn last_error(attempts: &Attempts) -> String {
+    attempts.last_error.as_ref().map_or_else(String::new, ToString::to_string)
+}
+
 /// Returns the final response to a request that crashes replicas.
 fn refuse_crashing_request(
     task: &RequestTask,
@@ -80,13 +127,14 @@
     trace: &mut RequestTrace,
     attempts: &Attempts,
 ) -> Response<ResponseBody> {
-    let error = attempts.last_error.as_ref();
-    let reason = error.map_or_else(String::new, ToString::to_string);
+    let reason = last_error(attempts);
     if attempts.runs == 0 {
         return refuse_request(task, trace, &reason, Occupancy::default());
     }
-    let status = match error {
-        Some(AttemptError::TimedOut(_) | AttemptError::Down) => StatusCode::GATEWAY_TIMEOUT,
+    let status = match attempts.last_error {
+        Some(AttemptError::TimedOut(_) | AttemptError::Silent | AttemptError::Down) => {
+            StatusCode::GATEWAY_TIMEOUT
+        }
         _ => StatusCode::BAD_GATEWAY,
     };
     trace.record_lost(status.as_u16(), &reason);
--- a/serving/src/plain_forward.rs
+++ b/serving/src/plain_forward.rs
@@ -5,10 +5,12 @@
 use crate::attempt::AttemptError;
 use crate::attempt::Attempts;
 use crate::attempt::UpstreamResponse;
-use crate::failed_attempts;
+use crate::attempt_loop::AttemptKind;
+use crate::attempt_loop::AttemptLoop;
+use crate::attempt_loop::NoResponse;
+use crate::attempt_loop::PendingAttempt;
 use crate::fleet_config::RouteKind;
-use crate::next_replica::NextStep;
-use crate::next_replica::next_replica;
+use crate::local_response;
 use crate::replica_set::Replica;
 use crate::request_task::RequestTask;
 use crate::request_task::RequestTrace;
@@ -16,9 +18,12 @@
 use crate::serving_cx::ServingCx;
 use bytes::Bytes;
 use http::Response;
+use http::StatusCode;
 use http_body_util::BodyExt;
 use http_body_util::Limited;
+use std::sync::Arc;
 use tokio::time::Instant;
+use tokio::time::sleep_until;
 use tokio::time::timeout_at;
 
 /// Largest response body that is buffered, in bytes.
@@ -27,40 +32,80 @@
 /// replica.
 const ATTEMPT_TIMEOUT_FRACTION: f64 = 0.7;
 
+/// Attempts at one request with a single response.
+struct PlainAttempts {
+    cx: ServingCx,
+    task: Arc<RequestTask>,
+}
+
 /// Forwards a request and returns the response for the caller.
-pub async fn forward(cx: &ServingCx, task: &RequestTask) -> Response<ResponseBody> {
-    let mut trace = RequestTrace::new(cx, task);
+pub async fn forward(cx: &ServingCx, task: Arc<RequestTask>) -> Response<ResponseBody> {
+    let mut trace = RequestTrace::new(cx, &task);
     let mut attempts = Attempts::new();
-    loop {
-        failed_attempts::settle(cx, task.fingerprint).await;
-        let replica = match next_replica(cx, task, &mut trace, &mut attempts) {
-            NextStep::Send(replica) => replica,
-            NextStep::Respond(response) => return response,
-        };
-        match attempt_once(cx, task, &replica, &attempts).await {
-            Ok(response) => {
-                trace.record_response_start();
-                trace.record_response(response.status().as_u16());
-                return response;
-            }
-            Err(e) => {
-                trace.keep_failed_attempt(&e);
-                trace.record_failover(&task.service, &e.to_string(), e.name());
-                attempts.record_failure(e);
-            }
+    let kind = PlainAttempts { cx: cx.clone(), task: task.clone() };
+    let (trace_ref, attempts) = (&mut trace, &mut attempts);
+    let mut sending = AttemptLoop { cx, task: &task, trace: trace_ref, attempts, kind };
+    match sending.run(None).await {
+        Ok(response) => {
+            trace.record_response_start();
+            trace.record_response(response.status().as_u16());
+            response
+        }
+        Err(NoResponse::Respond(response)) => response,
+        Err(NoResponse::Failed(cause)) => {
+            trace.record_lost(StatusCode::BAD_GATEWAY.as_u16(), &cause);
+            local_response::text(StatusCode::BAD_GATEWAY, &cause)
         }
     }
 }
 
+impl AttemptKind for PlainAttempts {
+    type Response = Response<ResponseBody>;
+
+    fn start(
+        &self,
+        replica: &Arc<Replica>,
+        attempts: &Attempts,
+    ) -> PendingAttempt<'static, Self::Response> {
+        let is_idempotent = self.task.kind == RouteKind::Idempotent;
+        let can_retry = is_idempotent && attempts.runs + 1 < self.task.max_attempts;
+        let retry_at = Instant::now() + self.task.target_latency.mul_f64(ATTEMPT_TIMEOUT_FRACTION);
+        let silence = async move {
+            match can_retry {
+                true => sleep_until(retry_at).await,
+                false => std::future::pending().await,
+            }
+            AttemptError::TimedOut("no response within a fraction of the target latency")
+        };
+        let (cx, task, to) = (self.cx.clone(), self.task.clone(), replica.clone());
+        let response = async move { attempt_once(&cx, &task, &to, can_retry).await };
+        PendingAttempt::new(replica.clone(), response, silence)
+    }
+
+    fn record_failure(&self, trace: &RequestTrace, replica: &Arc<Replica>, error: &AttemptError) {
+        trace.keep_failed_attempt(error);
+        self.cx.metrics.send(&self.task.service, error.name());
+        self.cx.loads.record_failure(replica.hash, Instant::now());
+    }
+
+    fn record_return(&self, replica: &Arc<Replica>) {
+        self.cx.loads.record_success(replica.hash);
+    }
+
+    fn has_begun(&self) -> bool {
+        false
+    }
+}
+
+/// Sends a request to a replica and reads the whole response.
 async fn attempt_once(
     cx: &ServingCx,
     task: &RequestTask,
     replica: &Replica,
-    attempts: &Attempts,
+    can_retry: bool,
 ) -> Result<Response<ResponseBody>, AttemptError> {
     let is_idempotent = task.kind == RouteKind::Idempotent;
-    let can_retry = is_idempotent && attempts.runs + 1 < task.max_attempts;
-    let guard = cx.loads.begin_request(replica);
+    let _guard = cx.loads.begin_request(replica);
     let exchange = async {
         let upstream =
             attempt::send(cx, replica, task, task.head.last_event_id, !is_idempotent).await?;
@@ -70,33 +115,18 @@
         }
         read_response(cx, replica, upstream).await
     };
-    let retry_at = task.received + task.target_latency.mul_f64(ATTEMPT_TIMEOUT_FRACTION);
-    let (until, reason) = match can_retry {
-        true => {
-            (retry_at.min(task.deadline), "no response within a fraction of the target latency")
-        }
-        false => (task.deadline, "no response before the deadline"),
-    };
-    let result = timeout_at(until, exchange).await;
-    let result = result.unwrap_or(Err(AttemptError::TimedOut(reason)));
-    drop(guard);
-    if result.is_ok() {
-        cx.crashes.record_completion(task.fingerprint, Instant::now());
-    }
-    match &result {
-        Ok(response) if response.status().is_server_error() => {
-            cx.metrics.send(&task.service, "failure");
-        }
-        Ok(_) => {
+    let response = timeout_at(task.deadline, exchange).await;
+    let response =
+        response.unwrap_or(Err(AttemptError::TimedOut("no response before the deadline")))?;
+    cx.crashes.record_completion(task.fingerprint, Instant::now());
+    match response.status().is_server_error() {
+        true => cx.metrics.send(&task.service, "failure"),
+        false => {
             cx.metrics.send(&task.service, "answered");
             cx.loads.record_success(replica.hash);
         }
-        Err(e) => {
-            cx.metrics.send(&task.service, e.name());
-            cx.loads.record_failure(replica.hash, Instant::now());
-        }
     }
-    result
+    Ok(response)
 }
 
 /// Reads the whole response and returns the connection to the pool.
--- a/serving/src/replica_health.rs
+++ b/serving/src/replica_health.rs
@@ -224,6 +224,14 @@
     true
 }
 
+/// Records that a replica made progress although it had fallen silent, so that it is no longer down.
+pub fn record_return(cx: &ServingCx, replica: &Arc<Replica>) {
+    if let Some(silent_for) = cx.loads.clear_down(replica.hash, Instant::now()) {
+        cx.metrics.replica_returned();
+        cx.log.record(Event::ReplicaReturned { replica: replica.key.clone(), silent_for });
+    }
+}
+
 /// Returns a member that does not respond or does not serve in the group, with the reason.
 async fn missing_member(
     cx: &ServingCx,
--- a/serving/src/request_handler.rs
+++ b/serving/src/request_handler.rs
@@ -122,9 +122,10 @@
 
 async fn dispatch(cx: &ServingCx, task: RequestTask) -> Response<ResponseBody> {
     cx.budgets.count_request(&task.service, task.received);
+    let task = Arc::new(task);
     match task.kind {
-        RouteKind::Streaming { .. } => stream_forward::forward(cx, Arc::new(task)).await,
-        RouteKind::Idempotent | RouteKind::NonIdempotent => plain_forward::forward(cx, &task).await,
+        RouteKind::Streaming { .. } => stream_forward::forward(cx, task).await,
+        RouteKind::Idempotent | RouteKind::NonIdempotent => plain_forward::forward(cx, task).await,
     }
 }
 
--- a/serving/src/request_task.rs
+++ b/serving/src/request_task.rs
@@ -202,11 +202,12 @@
         let Some(attempt) = self.failed_attempt(&error.to_string()) else { return };
         match error {
             AttemptError::Broken(_) => failed_attempts::add_and_check(&self.cx, attempt),
-            AttemptError::TimedOut(_) | AttemptError::Down => {
+            AttemptError::TimedOut(_) | AttemptError::Silent | AttemptError::Down => {
                 failed_attempts::add(&self.cx, attempt)
             }
             // The replica has responded, or has not received the request.
-            AttemptError::NotSent(_)
+            AttemptError::Superseded
+            | AttemptError::NotSent(_)
             | AttemptError::NotRun { .. }
             | AttemptError::Failure { .. } => {}
         }
@@ -223,6 +224,22 @@
         })
     }
 
+    /// Records that the current attempt has ended.
+    pub fn end_attempt(&mut self) {
+        self.current = None;
+    }
+
+    /// Records that a silent replica responded to an earlier attempt, which is the current one again.
+    pub fn record_return(&mut self, replica: &Arc<Replica>) {
+        self.replica = replica.key.clone();
+        self.current = Some(CurrentAttempt {
+            replica: replica.clone(),
+            sent_at: Instant::now(),
+            has_others: false,
+            has_begun: true,
+        });
+    }
+
     /// Records why the request is not sent to another replica, once for each reason.
     pub fn record_withheld(&mut self, service: &str, withheld: Withheld) {
         let reason = withheld.name();
@@ -239,9 +256,8 @@
         });
     }
 
-    /// Records that an attempt failed and the request may be tried on another replica.
+    /// Records that an attempt failed and the request is sent to another replica.
     pub fn record_failover(&mut self, service: &str, cause: &str, name: &'static str) {
-        self.current = None;
         self.cx.metrics.failover(service, name);
         self.cx.log.record(Event::RequestMoved {
             request: self.request.clone(),
--- a/serving/src/serving_metrics.rs
+++ b/serving/src/serving_metrics.rs
@@ -20,7 +20,7 @@
 const QUANTILES: [f64; 4] = [0.5, 0.9, 0.95, 0.99];
 
 /// Names of all metrics with their help texts.
-pub const CATALOGUE: [(&str, &str); 15] = [
+pub const CATALOGUE: [(&str, &str); 16] = [
     ("requests_total", "Requests of callers, by route and outcome."),
     ("first_event_seconds", "Time to the first byte of an answer, by route, in seconds."),
     ("request_seconds", "Time to the end of an answer, by route, in seconds."),
@@ -30,6 +30,7 @@
         "retries_withheld_total",
         "Requests that were not sent to another replica after a failed attempt, by service and reason.",
     ),
+    ("replicas_returned_total", "Silent replicas that went on."),
     ("stream_events_total", "Stream events that were passed on, by service."),
     ("connections_opened_total", "New connections to replicas, by service."),
     ("store_calls_total", "Calls to the platform's store, by call and kind of object."),
@@ -92,6 +93,11 @@
         self.count("retries_withheld_total", &[("service", service), ("reason", reason)], 1);
     }
 
+    /// Counts a silent replica that went on.
+    pub fn replica_returned(&self) {
+        self.count("replicas_returned_total", &[], 1);
+    }
+
     /// Counts stream events that were forwarded to callers.
     pub fn stream_events(&self, service: &str, events: u64) {
         self.count("stream_events_total", &[("service", service)], events);
--- /dev/null
+++ b/serving/src/upstream_stream.rs
@@ -0,0 +1,137 @@
+//! Event stream that is being received from a replica.
+
+use crate::attempt;
+use crate::attempt::AttemptError;
+use crate::attempt::UpstreamResponse;
+use crate::load_table::RequestGuard;
+use crate::replica_set::Replica;
+use crate::request_task::RequestTask;
+use crate::serving_cx::ServingCx;
+use crate::sse::EventDecoder;
+use crate::sse::StreamEvent;
+use bytes::Bytes;
+use http::HeaderMap;
+use http::StatusCode;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::Instant;
+use tokio::time::timeout_at;
+
+/// An event stream being received from a replica.
+pub struct UpstreamStream {
+    /// Replica that runs the stream.
+    pub replica: Arc<Replica>,
+    guard: RequestGuard,
+    upstream: UpstreamResponse,
+    decoder: EventDecoder,
+    last_event_at: Instant,
+}
+
+/// Next item of an event stream.
+pub enum StreamItem {
+    /// A complete event.
+    Event(StreamEvent),
+    /// The end of a stream that is complete.
+    End,
+}
+
+impl UpstreamStream {
+    /// Sends a request and waits for the first event, or for the end of a stream without events.
+    pub async fn open(
+        cx: &ServingCx,
+        task: &RequestTask,
+        replica: &Arc<Replica>,
+        last_event_id: Option<u64>,
+    ) -> Result<(Self, StreamItem), AttemptError> {
+        let guard = cx.loads.begin_request(replica);
+        let upstream = attempt::send(cx, replica, task, last_event_id, false).await?;
+        let decoder = EventDecoder::new();
+        let last_event_at = Instant::now();
+        cx.loads.record_activity(replica.hash, last_event_at);
+        let replica = replica.clone();
+        let mut stream = Self { replica, guard, upstream, decoder, last_event_at };
+        if stream.status().is_server_error() {
+            return Err(AttemptError::Failure { status: stream.status().as_u16() });
+        }
+        let next = stream.next(cx).await?;
+        stream.guard.mark_answered();
+        Ok((stream, next))
+    }
+
+    /// Waits for the next event. May be cancelled and called again.
+    pub async fn next(&mut self, cx: &ServingCx) -> Result<StreamItem, AttemptError> {
+        loop {
+            if let Some(event) = self.decoder.next_event() {
+                let now = Instant::now();
+                let interval = now - self.last_event_at;
+                self.last_event_at = now;
+                let expected = expected_event_interval(cx, &self.replica);
+                cx.loads.record_event_interval(self.replica.hash, interval, expected, now);
+                return Ok(StreamItem::Event(event));
+            }
+            match next_frame(self.upstream.response.body_mut()).await? {
+                Some(bytes) => {
+                    self.decoder.push(&bytes).map_err(|e| AttemptError::Broken(e.to_string()))?;
+                }
+                None => {
+                    let truncated =
+                        |e: crate::sse::StreamError| AttemptError::Broken(e.to_string());
+                    self.decoder.finish().map_err(truncated)?;
+                    return Ok(StreamItem::End);
+                }
+            }
+        }
+    }
+
+    /// Waits for the next event until the request's deadline.
+    pub async fn next_until_deadline(
+        &mut self,
+        cx: &ServingCx,
+        task: &RequestTask,
+    ) -> Result<StreamItem, AttemptError> {
+        let next = timeout_at(task.deadline, self.next(cx)).await;
+        next.unwrap_or(Err(AttemptError::TimedOut("no event before the deadline")))
+    }
+
+    /// Returns the status of the response.
+    pub fn status(&self) -> StatusCode {
+        self.upstream.response.status()
+    }
+
+    /// Returns the headers of the response as received.
+    pub fn headers(&self) -> &HeaderMap {
+        self.upstream.response.headers()
+    }
+
+    /// Returns the connection of a completed stream to the pool.
+    pub async fn return_connection(self, cx: &ServingCx) {
+        let UpstreamResponse { mut connection, head, is_reusable, .. } = self.upstream;
+        if is_reusable && connection.ready().await {
+            cx.pool.put(&self.replica, connection, head.keep_alive);
+        }
+    }
+}
+
+/// Returns the next data frame of a body, or `None` at its end.
+async fn next_frame(body: &mut Incoming) -> Result<Option<Bytes>, AttemptError> {
+    loop {
+        match body.frame().await {
+            None => return Ok(None),
+            Some(Ok(frame)) => {
+                if let Ok(bytes) = frame.into_data() {
+                    return Ok(Some(bytes));
+                }
+            }
+            Some(Err(e)) => return Err(AttemptError::Broken(format!("the stream failed: {e}"))),
+        }
+    }
+}
+
+fn expected_event_interval(cx: &ServingCx, replica: &Replica) -> Duration {
+    let Some(table) = cx.config.get() else { return Duration::ZERO };
+    let Some(engine) = table.config.engine(&replica.service) else { return Duration::ZERO };
+    let running = cx.loads.state(replica, Instant::now()).requests();
+    engine.pass_time_of(replica.model.as_deref(), running).unwrap_or_default()
+}
--- a/serving/tests/fleet.rs
+++ b/serving/tests/fleet.rs
@@ -35,6 +35,8 @@
     pub store: FakeStore,
     pub fake_platform: FakePlatform,
     pub nodes: Vec<ServingNode>,
+    /// Retries beyond the ratio that the nodes started from now on may make together.
+    pub retry_slack: u64,
 }
 
 impl Fleet {
@@ -61,7 +63,7 @@
         for id in ["p-00", "p-01"] {
             spawn_instance(&fake_platform, spec(id, "orders", None)).await;
         }
-        Self { store, fake_platform, nodes: vec![] }
+        Self { store, fake_platform, nodes: vec![], retry_slack: 100 }
     }
 
     /// Starts a node and waits until it knows `replicas` replicas of a service.
@@ -89,7 +91,7 @@
             "listen": {
                 "callers": listen(7001), "readiness": listen(7002), "directory": listen(7003),
             },
-            "bounds": {"shutdown_s": 2, "retry_slack": 100},
+            "bounds": {"shutdown_s": 2, "retry_slack": self.retry_slack},
         });
         let settings = serving_settings::parse(&settings.to_string()).expect("valid settings");
         let dialect = Arc::new(PlatformDialect::new());
--- a/serving/tests/runner.rs
+++ b/serving/tests/runner.rs
@@ -25,6 +25,7 @@
 mod test_route_match;
 mod test_serving_path;
 mod test_serving_settings;
+mod test_silent_replicas;
 mod test_sse;
 mod test_store;
 mod util;
