node_stop: answer requests at silent replicas before the node exits

Around SIGTERM, callers of streams with a deadline of 8 s saw their connection end without a byte of a response. Such a request waited for the first event until its own deadline, which lies behind the end of the shutdown time; at 7.6 s of 8 the process exited and dropped it. Requests with shorter deadlines got 504 before that.

The end of a request is now the earlier of its deadline and a time of the shutdown: 1 s before its end (at most a quarter of it) for a request without a response, 0.4 s for a stream that has begun. The deadline that a replica receives follows. The times are kept in one place, node_stop.

The test runs the daemon with a shutdown time of 3 s and silent replicas. Now each caller receives 504, also for a request accepted after SIGTERM.

--- a/daemon/tests/process.rs
+++ b/daemon/tests/process.rs
@@ -175,6 +175,13 @@
         Self { child }
     }
 
+    /// Sends a signal to the daemon, for example `TERM`.
+    pub fn signal(&self, name: &str) {
+        let pid = self.child.id().to_string();
+        let status = Command::new("kill").args([&format!("-{name}"), &pid]).status();
+        assert!(status.unwrap().success());
+    }
+
     /// Closes the read end of the daemon's standard output.
     pub fn close_stdout(&mut self) {
         drop(self.child.stdout.take());
--- a/daemon/tests/runner.rs
+++ b/daemon/tests/runner.rs
@@ -3,4 +3,5 @@
 mod process;
 mod test_lifecycle;
 mod test_serving_log;
+mod test_serving_stop;
 mod test_start;
--- a/serving/src/lib.rs
+++ b/serving/src/lib.rs
@@ -36,6 +36,7 @@
 pub mod network;
 pub mod next_replica;
 pub mod node_registry;
+pub mod node_stop;
 pub mod node_table;
 pub mod order_client;
 pub mod peer_codec;
--- a/serving/src/plain_forward.rs
+++ b/serving/src/plain_forward.rs
@@ -77,8 +77,13 @@
         }
         false => (task.deadline, "no response before the deadline"),
     };
-    let result = timeout_at(until, exchange).await;
-    let result = result.unwrap_or(Err(AttemptError::TimedOut(reason)));
+    let result = tokio::select! {
+        biased;
+        result = timeout_at(until, exchange) => {
+            result.unwrap_or(Err(AttemptError::TimedOut(reason)))
+        }
+        reason = task.wait_until_due() => Err(AttemptError::TimedOut(reason)),
+    };
     drop(guard);
     if result.is_ok() {
         cx.crashes.record_completion(task.fingerprint, Instant::now());
--- a/serving/src/request_handler.rs
+++ b/serving/src/request_handler.rs
@@ -28,6 +28,7 @@
 use hyper::body::Body;
 use hyper::body::Incoming;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 use tokio::time::Instant;
 use tokio::time::timeout_at;
@@ -172,6 +173,8 @@
         received,
         deadline,
         fingerprint,
+        has_begun: AtomicBool::new(false),
+        stop: incoming.cx.stop.clone(),
         head,
     })
 }
--- a/serving/src/request_task.rs
+++ b/serving/src/request_task.rs
@@ -10,6 +10,8 @@
 use crate::fleet_config::RouteKind;
 use crate::key_hash::key_hash;
 use crate::listeners::RunningRequestGuard;
+use crate::node_stop::NodeStop;
+use crate::node_stop::StopTimes;
 use crate::placement::Occupancy;
 use crate::placement::Timeliness;
 use crate::replica_set::Replica;
@@ -20,8 +22,11 @@
 use http::Method;
 use http::Uri;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::time::Instant;
+use tokio::time::sleep_until;
 
 /// A request of a caller whose body has been read and whose route is known.
 #[derive(Debug)]
@@ -61,12 +66,43 @@
     pub deadline: Instant,
     /// Hash of method, URI, customer and body, which is the same each time the request is retried.
     pub fingerprint: u64,
+    /// Whether the caller has received the start of a stream.
+    pub has_begun: AtomicBool,
+    /// Whether and when this node stops.
+    pub stop: NodeStop,
 }
 
 impl RequestTask {
-    /// Returns the time left until the deadline.
+    /// Returns the time by which the request ends: its deadline, or earlier if this node stops before.
+    pub fn due(&self) -> Instant {
+        self.deadline.min(self.stop.times().map_or(self.deadline, |times| self.stop_time(&times)))
+    }
+
+    /// Returns the time left until the request ends.
     pub fn time_left(&self, now: Instant) -> Duration {
-        self.deadline.saturating_duration_since(now)
+        self.due().saturating_duration_since(now)
+    }
+
+    /// Waits until the request ends and returns the reason.
+    pub async fn wait_until_due(&self) -> &'static str {
+        tokio::select! {
+            () = sleep_until(self.deadline) => "no response before the deadline",
+            () = self.stop.wait_until(|times| self.stop_time(times)) => {
+                "no response before this node stopped"
+            }
+        }
+    }
+
+    /// Records that the caller receives the start of a stream.
+    pub fn record_begun(&self) {
+        self.has_begun.store(true, Ordering::Relaxed);
+    }
+
+    fn stop_time(&self, times: &StopTimes) -> Instant {
+        match self.has_begun.load(Ordering::Relaxed) {
+            true => times.streams_end,
+            false => times.answers_due,
+        }
     }
 
     /// Returns whether the response can still meet the target latency, given the number of attempts.
@@ -77,10 +113,14 @@
         }
     }
 
-    /// Returns the deadline to send to a replica: the time left until the request's own deadline, at
-    /// least 1 ms.
+    /// Returns the deadline to send to a replica: the time left until the request ends, at least 1 ms. A
+    /// stream that begins may run for longer than a request is waited for.
     pub fn upstream_deadline(&self, now: Instant) -> Duration {
-        self.time_left(now).max(Duration::from_millis(1))
+        let until = match (self.kind, self.stop.times()) {
+            (RouteKind::Streaming { .. }, Some(times)) => self.deadline.min(times.streams_end),
+            _ => self.due(),
+        };
+        until.saturating_duration_since(now).max(Duration::from_millis(1))
     }
 }
 
--- a/serving/src/serving_cx.rs
+++ b/serving/src/serving_cx.rs
@@ -9,6 +9,7 @@
 use crate::listeners::RunningRequests;
 use crate::load_table::LoadTable;
 use crate::network::Network;
+use crate::node_stop::NodeStop;
 use crate::node_table::NodeTable;
 use crate::rate_limited_log::RateLimitedLog;
 use crate::replica_health::Suspects;
@@ -86,6 +87,8 @@
     pub pool: UpstreamPool,
     /// Number of running requests.
     pub running: RunningRequests,
+    /// Whether and when the node stops.
+    pub stop: NodeStop,
     /// Whether the node accepts requests of callers.
     pub phase: Arc<watch::Sender<NodePhase>>,
 }
@@ -126,6 +129,7 @@
             lease: LeaseState::new(clock.clone()),
             pool: UpstreamPool::new(network.clone(), metrics.clone()),
             running: RunningRequests::new(),
+            stop: NodeStop::new(),
             phase: Arc::new(watch::channel(NodePhase::Starting).0),
             settings: Arc::new(settings),
             dialect,
--- a/serving/src/serving_node.rs
+++ b/serving/src/serving_node.rs
@@ -11,6 +11,7 @@
 use crate::listeners::ListenerRole;
 use crate::network::Network;
 use crate::node_registry;
+use crate::node_stop::StopTimes;
 use crate::peer_exchange::PeerExchange;
 use crate::replica_health;
 use crate::serving_cx::ServingCx;
@@ -25,13 +26,9 @@
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 use tokio::time::sleep;
+use tokio::time::sleep_until;
 use tokio_util::sync::CancellationToken;
 
-/// Time for which a stopping node still accepts requests of callers that have cached an earlier
-/// response of the directory: three times the TTL of such a response.
-const DRAIN_GRACE: Duration = Duration::from_millis(3000);
-/// Part of the shutdown time that is reserved for the exit of the process.
-const STOP_RESERVE: Duration = Duration::from_millis(400);
 /// Capacity of the queue of instance list changes that wait to be sent to the other nodes.
 const DELTA_QUEUE_LEN: usize = 16;
 /// Interval at which a stopping node checks whether its requests have finished.
@@ -118,28 +115,30 @@
     /// Shuts down within the time that the platform allows.
     ///
     /// The node is first left out of the directory's responses but still accepts requests. It then
-    /// refuses new requests and waits for the running ones to finish.
+    /// refuses new requests and waits for the running ones to finish. A request without a response by
+    /// `StopTimes::answers_due` is answered with an error while its caller can still receive it.
     pub async fn stop(self) {
         let started = Instant::now();
         let cx = &self.cx;
         let running = cx.running.get() as u64;
+        let times = StopTimes::new(started, cx.settings.shutdown);
+        cx.stop.begin(times);
         cx.phase.send_replace(NodePhase::Leaving);
         cx.log.record(Event::ServingStopping { node: cx.node().to_string(), running });
         let exchange = self.exchange.borrow().clone();
         if let Some(exchange) = &exchange {
             exchange.send_heartbeat().await;
         }
-        let end = started + cx.settings.shutdown.saturating_sub(STOP_RESERVE);
         let unregistered = tokio::spawn({
             let cx = cx.clone();
             async move { node_registry::unregister(&cx).await }
         });
-        sleep(DRAIN_GRACE.min(cx.settings.shutdown / 3)).await;
+        sleep_until(times.refusing_from).await;
         self.closing_callers.cancel();
-        while cx.running.get() > 0 && Instant::now() < end {
+        while cx.running.get() > 0 && Instant::now() < times.exit {
             sleep(STOP_POLL_PERIOD).await;
         }
-        if tokio::time::timeout_at(end, unregistered).await.is_err() {
+        if tokio::time::timeout_at(times.exit, unregistered).await.is_err() {
             log::info!("stopped before the store confirmed that this node is unregistered");
         }
         self.stopping.cancel();
--- a/serving/src/stream_forward.rs
+++ b/serving/src/stream_forward.rs
@@ -110,14 +110,14 @@
     Ok((stream, next))
 }
 
-/// Waits until a replica is marked as down or the request's deadline has passed.
+/// Waits until a replica is marked as down or the request ends.
 async fn wait_for_loss(
     down: &mut watch::Receiver<Option<Instant>>,
     task: &RequestTask,
 ) -> AttemptError {
     tokio::select! {
         () = wait_until_down(down) => AttemptError::Down,
-        () = sleep_until(task.deadline) => AttemptError::TimedOut("no event before the deadline"),
+        reason = task.wait_until_due() => AttemptError::TimedOut(reason),
     }
 }
 
@@ -210,6 +210,7 @@
 ) -> Response<ResponseBody> {
     trace.record_response_start();
     trace.record_begun();
+    task.record_begun();
     let status = stream.upstream.response.status();
     let headers = cx.dialect.caller_headers(stream.upstream.response.headers());
     let (tx, rx) = mpsc::channel(EVENT_QUEUE_LEN);
