listeners: wait for callers' connections to close before the node exits

A caller that reads slowly got part of an answer around SIGTERM. A request counts as running until its handler or relay has handed over the last bytes, which are then still in the relay's queue or in hyper's buffer; the node exited once no request was running, up to 50 ms later.

The node now waits, after the running requests, until all connections of callers have closed, at most until 0.2 s before the end of the shutdown time.

The test reads an answer of 3,000,000 bytes from 1.5 s after SIGTERM.

--- a/daemon/tests/test_serving_stop.rs
+++ b/daemon/tests/test_serving_stop.rs
@@ -18,6 +18,7 @@
 use std::time::Instant;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
+use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
 use tokio::task::JoinSet;
 use tokio::time::sleep;
@@ -28,6 +29,10 @@
 const ACCEPT_TIME: Duration = Duration::from_secs(1);
 /// Timeout for conditions that a test waits for.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(20);
+/// Receive buffer of a caller that reads slowly, in bytes.
+const SMALL_BUFFER: u32 = 4096;
+/// Length of a body that is larger than the buffers of a connection, in bytes.
+const LARGE_BODY: usize = 3_000_000;
 
 /// A daemon with one open group and one plain instance.
 struct Stand {
@@ -169,3 +174,18 @@
     }
     assert!(stopped_at.elapsed() < SHUTDOWN, "{:?}", stopped_at.elapsed());
 }
+
+#[tokio::test]
+async fn caller_that_reads_slowly_gets_whole_answer() {
+    let mut stand = Stand::new("stop-slow", Duration::from_millis(15)).await;
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.set_recv_buffer_size(SMALL_BUFFER).unwrap();
+    let mut stream = socket.connect(stand.callers).await.unwrap();
+    stream.write_all(&request("POST", "/book/a", &vec![b'a'; LARGE_BODY])).await.unwrap();
+    sleep(Duration::from_millis(300)).await;
+    let stopped_at = Instant::now();
+    stand.daemon.signal("TERM");
+    sleep(ACCEPT_TIME + Duration::from_millis(500)).await;
+    receive(stream).await.assert_complete("/book/a");
+    stand.wait_for_exit(stopped_at).await;
+}
--- a/serving/src/listeners.rs
+++ b/serving/src/listeners.rs
@@ -26,6 +26,7 @@
 use tokio::net::TcpStream;
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
 
 /// Maximum number of connections that wait to be accepted.
 const ACCEPT_BACKLOG: i32 = 1024;
@@ -100,7 +101,8 @@
     try_bind().map_err(|source| BindError { address, source })
 }
 
-/// Accepts connections until `shutdown` is cancelled, then shuts the open ones down gracefully.
+/// Accepts connections until `shutdown` is cancelled, then shuts the open ones down gracefully and waits
+/// until they have closed.
 pub async fn serve(
     cx: ServingCx,
     listener: TcpListener,
@@ -108,12 +110,8 @@
     shutdown: CancellationToken,
 ) {
     let max_connections = cx.settings.max_descriptors / 2;
-    let connections = Arc::new(AtomicUsize::new(0));
-    loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            () = shutdown.cancelled() => return,
-        };
+    let connections = TaskTracker::new();
+    while let Some(accepted) = shutdown.run_until_cancelled(listener.accept()).await {
         let stream = match accepted {
             Ok((stream, _)) => stream,
             Err(e) => {
@@ -122,19 +120,17 @@
                 continue;
             }
         };
-        if connections.load(Ordering::Relaxed) >= max_connections {
+        if connections.len() >= max_connections {
             log::debug!(
                 "closed a new connection: the limit of {max_connections} open connections is reached"
             );
             continue;
         }
-        connections.fetch_add(1, Ordering::Relaxed);
-        let (cx, shutdown, connections) = (cx.clone(), shutdown.clone(), connections.clone());
-        tokio::spawn(async move {
-            serve_connection(cx, stream, role, shutdown).await;
-            connections.fetch_sub(1, Ordering::Relaxed);
-        });
+        connections.spawn(serve_connection(cx.clone(), stream, role, shutdown.clone()));
     }
+    drop(listener);
+    connections.close();
+    connections.wait().await;
 }
 
 /// Serves a connection until it closes.
--- a/serving/src/serving_node.rs
+++ b/serving/src/serving_node.rs
@@ -24,9 +24,11 @@
 use std::time::Duration;
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
+use tokio::task::JoinHandle;
 use tokio::time::Instant;
 use tokio::time::sleep;
 use tokio::time::sleep_until;
+use tokio::time::timeout_at;
 use tokio_util::sync::CancellationToken;
 
 /// Capacity of the queue of instance list changes that wait to be sent to the other nodes.
@@ -55,6 +57,8 @@
     /// Context that the tasks of the node share.
     pub cx: ServingCx,
     exchange: tokio::sync::watch::Receiver<Option<PeerExchange>>,
+    /// Serves callers until `closing_callers` is cancelled and all of their connections have closed.
+    callers: JoinHandle<()>,
     closing_callers: CancellationToken,
     stopping: CancellationToken,
 }
@@ -75,9 +79,9 @@
         let (closing_callers, stopping) = (CancellationToken::new(), CancellationToken::new());
         let (exchange_tx, exchange) = tokio::sync::watch::channel(None);
         let serve = |listener, role, closing: &CancellationToken| {
-            tokio::spawn(listeners::serve(cx.clone(), listener, role, closing.clone()));
+            tokio::spawn(listeners::serve(cx.clone(), listener, role, closing.clone()))
         };
-        serve(callers, ListenerRole::Callers, &closing_callers);
+        let callers = serve(callers, ListenerRole::Callers, &closing_callers);
         serve(directory, ListenerRole::Directory, &stopping);
         serve(readiness, ListenerRole::Directory, &stopping);
         if let Some(metrics) = metrics {
@@ -109,7 +113,7 @@
             spawn_until(&peers_stopping, exchange.clone().instance_delta_loop(deltas));
             exchange_tx.send_replace(Some(exchange));
         });
-        Ok(Self { cx, exchange, closing_callers, stopping })
+        Ok(Self { cx, exchange, callers, closing_callers, stopping })
     }
 
     /// Shuts down within the time that the platform allows.
@@ -138,7 +142,12 @@
         while cx.running.get() > 0 && Instant::now() < times.exit {
             sleep(STOP_POLL_PERIOD).await;
         }
-        if tokio::time::timeout_at(times.exit, unregistered).await.is_err() {
+        match timeout_at(times.exit, self.callers).await {
+            Ok(Ok(())) => {}
+            Ok(Err(e)) => log::warn!("the listener for callers failed: {e}"),
+            Err(_) => log::info!("stopped before all callers had received their responses"),
+        }
+        if timeout_at(times.exit, unregistered).await.is_err() {
             log::info!("stopped before the store confirmed that this node is unregistered");
         }
         self.stopping.cancel();
