--- a/serving/src/listeners.rs
+++ b/serving/src/listeners.rs
@@ -26,11 +26,15 @@
 use tokio::net::TcpStream;
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
 
 /// Maximum number of connections that wait to be accepted.
 const ACCEPT_BACKLOG: i32 = 1024;
 /// Delay after a failed `accept`, for example when no file descriptors are left.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
+/// Time for which a connection is still served once it is to be closed, so that a request that has already
+/// arrived is answered.
+const CLOSE_DELAY: Duration = Duration::from_millis(50);
 /// Time added to the idle timeout of callers, so that the caller closes an idle connection first.
 const IDLE_TIMEOUT_MARGIN: Duration = Duration::from_secs(2);
 
@@ -100,7 +104,8 @@
     try_bind().map_err(|source| BindError { address, source })
 }
 
-/// Accepts connections until `shutdown` is cancelled, then shuts the open ones down gracefully.
+/// Accepts connections until `shutdown` is cancelled, then shuts the open ones down gracefully and waits
+/// until they have closed.
 pub async fn serve(
     cx: ServingCx,
     listener: TcpListener,
@@ -108,11 +113,18 @@
     shutdown: CancellationToken,
 ) {
     let max_connections = cx.settings.max_descriptors / 2;
-    let connections = Arc::new(AtomicUsize::new(0));
+    let connections = TaskTracker::new();
+    // The connections that wait to be accepted are served like the others before the listener closes.
+    let closed = async {
+        shutdown.cancelled().await;
+        sleep(CLOSE_DELAY).await;
+    };
+    let mut closed = std::pin::pin!(closed);
     loop {
         let accepted = tokio::select! {
+            biased;
             accepted = listener.accept() => accepted,
-            () = shutdown.cancelled() => return,
+            () = &mut closed => break,
         };
         let stream = match accepted {
             Ok((stream, _)) => stream,
@@ -122,19 +134,17 @@
                 continue;
             }
         };
-        if connections.load(Ordering::Relaxed) >= max_connections {
+        if connections.len() >= max_connections {
             log::debug!(
                 "closed a new connection: the limit of {max_connections} open connections is reached"
             );
             continue;
         }
-        connections.fetch_add(1, Ordering::Relaxed);
-        let (cx, shutdown, connections) = (cx.clone(), shutdown.clone(), connections.clone());
-        tokio::spawn(async move {
-            serve_connection(cx, stream, role, shutdown).await;
-            connections.fetch_sub(1, Ordering::Relaxed);
-        });
+        connections.spawn(serve_connection(cx.clone(), stream, role, shutdown.clone()));
     }
+    drop(listener);
+    connections.close();
+    connections.wait().await;
 }
 
 /// Serves a connection until it closes.
@@ -159,9 +169,14 @@
         .max_buf_size((limits.max_header_bytes + 1024).max(8192));
     let connection = builder.serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
+    let closing = async {
+        shutdown.cancelled().await;
+        sleep(CLOSE_DELAY).await;
+    };
     let ended = tokio::select! {
+        biased;
         ended = connection.as_mut() => ended,
-        () = shutdown.cancelled() => {
+        () = closing => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
--- a/serving/src/plain_forward.rs
+++ b/serving/src/plain_forward.rs
@@ -24,7 +24,6 @@
 use std::sync::Arc;
 use tokio::time::Instant;
 use tokio::time::sleep_until;
-use tokio::time::timeout_at;
 
 /// Largest response body that is buffered, in bytes.
 const MAX_RESPONSE_BYTES: usize = 8 << 20;
@@ -115,9 +114,7 @@
         }
         read_response(cx, replica, upstream).await
     };
-    let response = timeout_at(task.deadline, exchange).await;
-    let response =
-        response.unwrap_or(Err(AttemptError::TimedOut("no response before the deadline")))?;
+    let response = task.run_until_due(exchange).await?;
     cx.crashes.record_completion(task.fingerprint, Instant::now());
     match response.status().is_server_error() {
         true => cx.metrics.send(&task.service, "failure"),
--- a/serving/src/stream_forward.rs
+++ b/serving/src/stream_forward.rs
@@ -27,7 +27,6 @@
 use std::sync::Arc;
 use tokio::sync::watch;
 use tokio::time::Instant;
-use tokio::time::timeout_at;
 
 /// A stream with its next item.
 pub type OpenStream = (UpstreamStream, StreamItem);
@@ -73,8 +72,7 @@
         let to = replica.clone();
         let response = async move {
             let opened = UpstreamStream::open(&cx, &task, &to, last_event_id);
-            let opened = timeout_at(task.deadline, opened).await;
-            opened.unwrap_or(Err(AttemptError::TimedOut("no event before the deadline")))
+            task.run_until_due(opened).await
         };
         PendingAttempt::new(replica.clone(), response, wait_until_down(down))
     }
--- a/serving/src/stream_relay.rs
+++ b/serving/src/stream_relay.rs
@@ -43,6 +43,7 @@
 ) -> Response<ResponseBody> {
     trace.record_response_start();
     trace.record_begun();
+    task.record_begun();
     let status = stream.status();
     let headers = cx.dialect.caller_headers(stream.headers());
     let (tx, rx) = mpsc::channel(EVENT_QUEUE_LEN);
@@ -140,7 +141,7 @@
         let until = Instant::now() + MAX_EVENT_GAP;
         let down = self.cx.loads.watch_down(stream.replica.hash);
         tokio::select! {
-            next = stream.next_until_deadline(&self.cx, &self.task) => Some(next),
+            next = stream.next_until_due(&self.cx, &self.task) => Some(next),
             e = stream_forward::wait_until_down(down) => Some(Err(e)),
             () = sleep_until(until) => Some(Err(AttemptError::Silent)),
             () = self.tx.closed() => None,
@@ -215,7 +216,7 @@
     fn wait_for(&self, mut stream: UpstreamStream) -> PendingAttempt<'static, OpenStream> {
         let (cx, task, replica) = (self.cx.clone(), self.task.clone(), stream.replica.clone());
         let next = async move {
-            let next = stream.next_until_deadline(&cx, &task).await?;
+            let next = stream.next_until_due(&cx, &task).await?;
             Ok((stream, next))
         };
         PendingAttempt::with_silent_replica(replica, next)
--- a/serving/src/upstream_stream.rs
+++ b/serving/src/upstream_stream.rs
@@ -17,7 +17,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
-use tokio::time::timeout_at;
 
 /// An event stream being received from a replica.
 pub struct UpstreamStream {
@@ -85,14 +84,13 @@
         }
     }
 
-    /// Waits for the next event until the request's deadline.
-    pub async fn next_until_deadline(
+    /// Waits for the next event until the request ends.
+    pub async fn next_until_due(
         &mut self,
         cx: &ServingCx,
         task: &RequestTask,
     ) -> Result<StreamItem, AttemptError> {
-        let next = timeout_at(task.deadline, self.next(cx)).await;
-        next.unwrap_or(Err(AttemptError::TimedOut("no event before the deadline")))
+        task.run_until_due(self.next(cx)).await
     }
 
     /// Returns the status of the response.
