stream_forward: a caller that doesn't read can't hold a stream past its deadline

What was seen: while a caller doesn't read, the relay waits for room in its queue of 32 events and looks at no clock. The connection to the replica, and the replica's slot, stay taken until the caller closes.

Cause: the deadline is checked only while the relay waits for the replica. The queue's `send` had no time limit, and events that were already decoded were relayed without a look at the clock.

The relay now waits for the caller until the deadline, and looks at the clock before each event. What the caller finds when it reads at last is aborted, so that it can't look complete. The replica isn't counted as failed for it.

--- a/serving/src/stream_forward.rs
+++ b/serving/src/stream_forward.rs
@@ -39,12 +39,15 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 use tokio::time::sleep_until;
+use tokio::time::timeout_at;
 
 /// Maximum number of events buffered for a caller that reads slowly.
 const EVENT_QUEUE_LEN: usize = 32;
 /// Maximum time without an event before a stream is resumed on another replica, even if its replica
 /// still responds: the connection may have failed without an error. Callers give up after two seconds.
 const MAX_EVENT_GAP: Duration = Duration::from_millis(1300);
+/// Error of a stream whose caller reads too slowly.
+const CALLER_NOT_READING: &str = "the caller did not read the events before the deadline";
 
 /// An event stream being received from a replica.
 struct UpstreamStream {
@@ -139,6 +142,10 @@
         until: Instant,
     ) -> Result<StreamItem, AttemptError> {
         loop {
+            // Bytes that keep arriving would otherwise never let this wait for the deadline.
+            if Instant::now() >= task.deadline {
+                return Err(AttemptError::TimedOut("no end of the stream before the deadline"));
+            }
             if let Some(event) = self.decoder.next_event().map_err(to_broken)? {
                 let now = Instant::now();
                 let interval = now - self.last_event_at;
@@ -329,7 +336,8 @@
         }
         self.trace.events += 1;
         self.cx.metrics.stream_events(&self.task.service, 1);
-        Ok(self.tx.send(Ok(event.bytes)).await.is_ok())
+        let sent = timeout_at(self.task.deadline, self.tx.send(Ok(event.bytes))).await;
+        sent.map(|sent| sent.is_ok()).map_err(|_| AttemptError::TimedOut(CALLER_NOT_READING))
     }
 
     /// Resumes a stream on another replica after the last event that was relayed.
@@ -393,7 +401,7 @@
 ) {
     let now = Instant::now();
     cx.metrics.send(&task.service, e.name());
-    if matches!(e, AttemptError::TimedOut("the caller disconnected")) {
+    if matches!(e, AttemptError::TimedOut("the caller disconnected" | CALLER_NOT_READING)) {
         return;
     }
     trace.keep_failed_attempt(e);
--- a/serving/tests/test_endless_bytes.rs
+++ b/serving/tests/test_endless_bytes.rs
@@ -13,6 +13,7 @@
 use std::io::Read;
 use std::io::Write;
 use std::net::SocketAddr;
+use std::thread;
 use std::time::Duration;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
@@ -63,6 +64,7 @@
         "decreasing_then_repeated" => body("\r\nid: 9\ndata: x\n\n", "id: 1\ndata: x\n\n"),
         "one_event" => body("\r\nid: 1\ndata: ", "x"),
         "one_event_of_many_lines" => body("\r\nid: 1\n", "data: x\n"),
+        "events" => body("\r\n", "id: {n}\ndata: x\n\n"),
         other => panic!("no answer named {other}"),
     }
 }
@@ -127,8 +129,8 @@
     latency: Duration,
 }
 
-/// Sends a request and returns the status of its response; 0 if the response is incomplete.
-fn call_blocking(to: SocketAddr, path: &str) -> u16 {
+/// Sends a request, reads after a pause, and returns the status of its response; 0 if the response is incomplete.
+fn call_blocking(to: SocketAddr, path: &str, pause: Duration) -> u16 {
     let head = format!("POST {path} HTTP/1.1\r\nHost: a.example\r\nApi-Key: key-1\r\n");
     let deadline = DEADLINE.as_millis();
     let request = format!(
@@ -137,6 +139,7 @@
     );
     let mut stream = std::net::TcpStream::connect(to).expect("a connection");
     stream.write_all(request.as_bytes()).expect("a request sent");
+    thread::sleep(pause);
     let mut response = vec![];
     // A reset ends an incomplete response.
     let _ = stream.read_to_end(&mut response);
@@ -157,8 +160,8 @@
     let (worst, latency) = watch::channel(Duration::ZERO);
     let beside = tokio::spawn(send_sound_requests(to, worst));
     let (begin, used) = (Instant::now(), processor_time());
-    let status = tokio::task::spawn_blocking(move || call_blocking(to, path)).await;
-    let status = status.expect("a status");
+    let status = tokio::task::spawn_blocking(move || call_blocking(to, path, Duration::ZERO));
+    let status = status.await.expect("a status");
     let elapsed = begin.elapsed();
     sleep(Duration::from_millis(100)).await;
     let latency = *latency.borrow();
@@ -292,3 +295,16 @@
     assert!(server.requests() > 0, "no request was sent to the endless replica");
     eventually(|| server.open_answers() == 0).await;
 }
+
+#[tokio::test]
+async fn stream_to_a_caller_that_does_not_read_ends_at_its_deadline() {
+    let unit = format!("id: {{n}}\ndata: {}\n\n", "x".repeat(8000));
+    let (fleet, server) = fleet_with(body("\r\n", &unit)).await;
+    let to = fleet.callers(0);
+    let pause = DEADLINE + DEADLINE_MARGIN + Duration::from_secs(1);
+    let status = tokio::task::spawn_blocking(move || call_blocking(to, "/feed/x", pause));
+    eventually(|| server.open_answers() == 1).await;
+    sleep(DEADLINE + DEADLINE_MARGIN).await;
+    assert_eq!(server.open_answers(), 0, "the connection to the replica is still open");
+    assert_eq!(status.await.expect("a status"), 0, "the answer looked complete");
+}
