--- a/serving/src/stream_relay.rs
+++ b/serving/src/stream_relay.rs
@@ -26,12 +26,15 @@
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 use tokio::time::sleep_until;
+use tokio::time::timeout_at;
 
 /// Maximum number of events buffered for a caller that reads slowly.
 const EVENT_QUEUE_LEN: usize = 32;
 /// Maximum time without an event before a stream is resumed on another replica, even if its replica
 /// still responds: the connection may have failed without an error. Callers give up after two seconds.
 const MAX_EVENT_GAP: Duration = Duration::from_millis(1300);
+/// Error of a stream whose caller reads too slowly.
+const CALLER_NOT_READING: &str = "the caller did not read the events before the deadline";
 
 /// Starts the task that relays events to the caller and returns the response that it writes to.
 pub fn start(
@@ -103,6 +106,9 @@
                 Ok(StreamItem::Event(event)) => match self.relay_event(event).await {
                     Ok(true) => None,
                     Ok(false) => return RelayOutcome::CallerDisconnected,
+                    Err(AttemptError::TimedOut(cause)) => {
+                        return RelayOutcome::Failed(cause.to_string());
+                    }
                     Err(e) => Some(e),
                 },
                 Ok(StreamItem::End) => {
@@ -166,7 +172,8 @@
         }
         self.trace.events += 1;
         self.cx.metrics.stream_events(&self.task.service, 1);
-        Ok(self.tx.send(Ok(event.bytes)).await.is_ok())
+        let sent = timeout_at(self.task.due(), self.tx.send(Ok(event.bytes))).await;
+        sent.map(|sent| sent.is_ok()).map_err(|_| AttemptError::TimedOut(CALLER_NOT_READING))
     }
 
     /// Resumes a stream on another replica after the last event that was relayed, or goes on with it if
--- a/serving/src/upstream_stream.rs
+++ b/serving/src/upstream_stream.rs
@@ -8,6 +8,7 @@
 use crate::request_task::RequestTask;
 use crate::serving_cx::ServingCx;
 use crate::sse::EventDecoder;
+use crate::sse::StreamError;
 use crate::sse::StreamEvent;
 use bytes::Bytes;
 use http::HeaderMap;
@@ -54,15 +55,23 @@
         if stream.status().is_server_error() {
             return Err(AttemptError::Failure { status: stream.status().as_u16() });
         }
-        let next = stream.next(cx).await?;
+        let next = stream.next(cx, task).await?;
         stream.guard.mark_answered();
         Ok((stream, next))
     }
 
     /// Waits for the next event. May be cancelled and called again.
-    pub async fn next(&mut self, cx: &ServingCx) -> Result<StreamItem, AttemptError> {
+    pub async fn next(
+        &mut self,
+        cx: &ServingCx,
+        task: &RequestTask,
+    ) -> Result<StreamItem, AttemptError> {
         loop {
-            if let Some(event) = self.decoder.next_event() {
+            // Bytes that keep arriving would otherwise never let this wait for the deadline.
+            if task.time_left(Instant::now()).is_zero() {
+                return Err(AttemptError::TimedOut("no end of the stream before the deadline"));
+            }
+            if let Some(event) = self.decoder.next_event().map_err(to_broken)? {
                 let now = Instant::now();
                 let interval = now - self.last_event_at;
                 self.last_event_at = now;
@@ -72,13 +81,11 @@
             }
             match next_frame(self.upstream.response.body_mut()).await? {
                 Some(bytes) => {
-                    self.decoder.push(&bytes).map_err(|e| AttemptError::Broken(e.to_string()))?;
+                    self.decoder.push(&bytes).map_err(to_broken)?;
                 }
                 None => {
-                    let truncated =
-                        |e: crate::sse::StreamError| AttemptError::Broken(e.to_string());
-                    self.decoder.finish().map_err(truncated)?;
-                    return Ok(StreamItem::End);
+                    let rest = self.decoder.finish().map_err(to_broken)?;
+                    return Ok(rest.map_or(StreamItem::End, StreamItem::Event));
                 }
             }
         }
@@ -90,7 +97,7 @@
         cx: &ServingCx,
         task: &RequestTask,
     ) -> Result<StreamItem, AttemptError> {
-        task.run_until_due(self.next(cx)).await
+        task.run_until_due(self.next(cx, task)).await
     }
 
     /// Returns the status of the response.
@@ -112,6 +119,11 @@
     }
 }
 
+/// Converts an error of the stream's events; the replica may have run the request.
+fn to_broken(e: StreamError) -> AttemptError {
+    AttemptError::Broken(e.to_string())
+}
+
 /// Returns the next data frame of a body, or `None` at its end.
 async fn next_frame(body: &mut Incoming) -> Result<Option<Bytes>, AttemptError> {
     loop {
