listeners: ask callers of a stopping node to leave their connections

A caller with a kept connection was not told that the node stops. It sent requests on the connection until the node closed it, and the next one could cross the close.

From the moment at which a node is asked to stop, its responses carry 'Connection: close', and the connection ends with the response.

Now it has the header and the connection ends within the time for accepting requests.

--- a/daemon/tests/test_serving_stop.rs
+++ b/daemon/tests/test_serving_stop.rs
@@ -128,6 +128,10 @@
     fn status(&self) -> &str {
         self.head.get(9..12).unwrap_or("none")
     }
+
+    fn has_header(&self, line: &str) -> bool {
+        self.head.lines().any(|l| l.eq_ignore_ascii_case(line))
+    }
 }
 
 /// Reads until the connection ends.
@@ -229,3 +233,18 @@
     let incomplete = received.iter().filter(|r| !r.is_complete).count();
     assert_eq!(incomplete, 0, "of {}: {received:?}", received.len());
 }
+
+#[tokio::test]
+async fn stopping_node_asks_callers_to_leave_their_connections() {
+    let mut stand = Stand::new("stop-close", Duration::from_millis(15)).await;
+    let mut stream = send_and_keep(stand.callers).await;
+    let stopped_at = Instant::now();
+    stand.daemon.signal("TERM");
+    sleep(ACCEPT_TIME / 2).await;
+    stream.write_all(&request("GET", "/look/b", b"")).await.unwrap();
+    let received = receive(stream).await;
+    assert_eq!((received.status(), received.is_complete), ("200", true), "{received:?}");
+    assert!(received.has_header("connection: close"), "{received:?}");
+    assert!(stopped_at.elapsed() < ACCEPT_TIME, "{:?}", stopped_at.elapsed());
+    stand.wait_for_exit(stopped_at).await;
+}
--- a/serving/src/listeners.rs
+++ b/serving/src/listeners.rs
@@ -5,8 +5,10 @@
 use crate::request_handler;
 use crate::response_body::ResponseBody;
 use crate::serving_cx::ServingCx;
+use http::HeaderValue;
 use http::Request;
 use http::Response;
+use http::header;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -192,7 +194,14 @@
     req: Request<Incoming>,
 ) -> Response<ResponseBody> {
     match role {
-        ListenerRole::Callers => request_handler::handle(cx, req).await,
+        ListenerRole::Callers => {
+            let mut response = request_handler::handle(cx, req).await;
+            if cx.stop.times().is_some() {
+                let close = HeaderValue::from_static("close");
+                response.headers_mut().insert(header::CONNECTION, close);
+            }
+            response
+        }
         ListenerRole::Directory => directory::handle(cx, &req),
         ListenerRole::Metrics => {
             local_response::text(http::StatusCode::OK, cx.metrics.render().trim_end())
