listeners: read until the caller closes before a connection is closed

Callers lost the rest of a complete response to a reset. The node closed the connection after the response while bytes from the caller were unread; the system then resets the connection and discards what the caller has not received. This needs a body that the node does not read (413, or 503 before the body), or a request behind the last response on a connection that a stopping node closes.

The node now shuts down its write side, and reads and discards bytes until the caller has closed the connection, for at most 1 s.

--- a/daemon/tests/test_serving_stop.rs
+++ b/daemon/tests/test_serving_stop.rs
@@ -34,6 +34,12 @@
 /// Length of a body that is larger than the buffers of a connection, in bytes.
 const LARGE_BODY: usize = 3_000_000;
 
+/// Length of a body that a node does not read while it writes a response, in bytes.
+const NEXT_BODY: usize = 100_000;
+
+/// Length of a body above the limit of a node, in bytes.
+const TOO_LARGE_BODY: usize = 5_000_000;
+
 /// A daemon with one open group and one plain instance.
 struct Stand {
     fake_platform: FakePlatform,
@@ -248,3 +254,35 @@
     assert!(stopped_at.elapsed() < ACCEPT_TIME, "{:?}", stopped_at.elapsed());
     stand.wait_for_exit(stopped_at).await;
 }
+
+/// The node answers without reading the body.
+#[tokio::test]
+async fn answer_to_body_that_is_too_large_reaches_caller() {
+    let stand = Stand::new("stop-large", Duration::from_millis(15)).await;
+    let mut stream = TcpStream::connect(stand.callers).await.unwrap();
+    stream.write_all(&request("POST", "/book/a", &vec![b'a'; TOO_LARGE_BODY])).await.unwrap();
+    let received = receive(stream).await;
+    assert_eq!((received.status(), received.is_complete), ("413", true), "{received:?}");
+}
+
+/// A stream keeps the node running, while another caller reads a large answer slowly and has sent a
+/// second request behind the first one.
+#[tokio::test]
+async fn request_behind_last_answer_does_not_reset_connection() {
+    let mut stand = Stand::new("stop-reset", Duration::from_millis(100)).await;
+    let stopped_at = Instant::now();
+    stand.daemon.signal("TERM");
+    let mut running = TcpStream::connect(stand.callers).await.unwrap();
+    running.write_all(&request("POST", "/draft/a", b"")).await.unwrap();
+    let running = tokio::spawn(receive(running));
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.set_recv_buffer_size(SMALL_BUFFER).unwrap();
+    let mut stream = socket.connect(stand.callers).await.unwrap();
+    stream.write_all(&request("POST", "/book/a", &vec![b'a'; LARGE_BODY])).await.unwrap();
+    sleep(ACCEPT_TIME / 2).await;
+    stream.write_all(&request("POST", "/book/b", &vec![b'b'; NEXT_BODY])).await.unwrap();
+    sleep(ACCEPT_TIME).await;
+    receive(stream).await.assert_complete("/book/a");
+    running.await.unwrap().assert_complete("/draft/a");
+    stand.wait_for_exit(stopped_at).await;
+}
--- a/serving/src/lib.rs
+++ b/serving/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod key_hash;
 pub mod lease_manager;
 pub mod lease_state;
+pub mod lingering_stream;
 pub mod listeners;
 pub mod load_table;
 pub mod local_response;
--- /dev/null
+++ b/serving/src/lingering_stream.rs
@@ -0,0 +1,97 @@
+//! TCP stream of a caller that is closed only after the caller has closed its side, or after a short
+//! time. If it were closed with unread received bytes, the system would reset the connection, and the
+//! caller would lose the part of the response that it has not received yet.
+
+use std::io;
+use std::io::IoSlice;
+use std::pin::Pin;
+use std::task::Context;
+use std::task::Poll;
+use std::task::ready;
+use std::time::Duration;
+use tokio::io::AsyncRead;
+use tokio::io::AsyncWrite;
+use tokio::io::ReadBuf;
+use tokio::net::TcpStream;
+use tokio::time::Sleep;
+use tokio::time::sleep;
+
+/// Maximum time for which received bytes are discarded after the write side has been shut down.
+const LINGER_TIMEOUT: Duration = Duration::from_secs(1);
+/// Size of the buffer for discarded bytes.
+const DISCARD_BUFFER: usize = 4096;
+
+/// A TCP stream whose shutdown reads and discards what the peer still sends.
+#[derive(Debug)]
+pub struct LingeringStream {
+    stream: TcpStream,
+    /// End of the shutdown; set once the write side has been shut down.
+    linger: Option<Pin<Box<Sleep>>>,
+}
+
+impl LingeringStream {
+    /// Wraps a connected stream.
+    pub fn new(stream: TcpStream) -> Self {
+        Self { stream, linger: None }
+    }
+
+    /// Reads and discards bytes until the peer has closed its side.
+    fn poll_discard(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        loop {
+            let mut bytes = [0; DISCARD_BUFFER];
+            let mut buf = ReadBuf::new(&mut bytes);
+            ready!(Pin::new(&mut self.stream).poll_read(cx, &mut buf))?;
+            if buf.filled().is_empty() {
+                return Poll::Ready(Ok(()));
+            }
+        }
+    }
+}
+
+impl AsyncRead for LingeringStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_read(cx, buf)
+    }
+}
+
+impl AsyncWrite for LingeringStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, buf)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if self.linger.is_none() {
+            ready!(Pin::new(&mut self.stream).poll_shutdown(cx))?;
+            self.linger = Some(Box::pin(sleep(LINGER_TIMEOUT)));
+        }
+        let is_over = self.linger.as_mut().is_some_and(|end| end.as_mut().poll(cx).is_ready());
+        if is_over {
+            return Poll::Ready(Ok(()));
+        }
+        self.poll_discard(cx)
+    }
+}
--- a/serving/src/listeners.rs
+++ b/serving/src/listeners.rs
@@ -1,6 +1,7 @@
 //! HTTP listeners of a node, with limits on connections, header size and idle time.
 
 use crate::directory;
+use crate::lingering_stream::LingeringStream;
 use crate::local_response;
 use crate::request_handler;
 use crate::response_body::ResponseBody;
@@ -169,7 +170,7 @@
         .timer(TokioTimer::new())
         .header_read_timeout(limits.idle_timeout + IDLE_TIMEOUT_MARGIN)
         .max_buf_size((limits.max_header_bytes + 1024).max(8192));
-    let connection = builder.serve_connection(TokioIo::new(stream), service);
+    let connection = builder.serve_connection(TokioIo::new(LingeringStream::new(stream)), service);
     let mut connection = std::pin::pin!(connection);
     let closing = async {
         shutdown.cancelled().await;
