--- a/serving/src/request_task.rs
+++ b/serving/src/request_task.rs
@@ -2,6 +2,7 @@
 //! metrics.
 
 use crate::attempt::AttemptError;
+use crate::attempt::Withheld;
 use crate::crash_record;
 use crate::dialect::RequestHead;
 use crate::failed_attempts;
@@ -93,6 +94,18 @@
         }
     }
 
+    /// Runs an attempt until the request ends.
+    pub async fn run_until_due<T>(
+        &self,
+        attempt: impl Future<Output = Result<T, AttemptError>>,
+    ) -> Result<T, AttemptError> {
+        tokio::select! {
+            biased;
+            result = attempt => result,
+            reason = self.wait_until_due() => Err(AttemptError::TimedOut(reason)),
+        }
+    }
+
     /// Records that the caller receives the start of a stream.
     pub fn record_begun(&self) {
         self.has_begun.store(true, Ordering::Relaxed);
@@ -157,6 +170,8 @@
     is_recorded: bool,
     /// Attempt in progress.
     current: Option<CurrentAttempt>,
+    /// Last reason for which the request was not sent to another replica.
+    withheld: Option<&'static str>,
     /// Counts the request as running, so that a shutdown waits for it.
     _running: RunningRequestGuard,
 }
@@ -189,6 +204,7 @@
             time_to_first_byte: None,
             is_recorded: false,
             current: None,
+            withheld: None,
             _running: cx.running.begin_request(),
         }
     }
@@ -238,11 +254,12 @@
         let Some(attempt) = self.failed_attempt(&error.to_string()) else { return };
         match error {
             AttemptError::Broken(_) => failed_attempts::add_and_check(&self.cx, attempt),
-            AttemptError::TimedOut(_) | AttemptError::Down => {
+            AttemptError::TimedOut(_) | AttemptError::Silent | AttemptError::Down => {
                 failed_attempts::add(&self.cx, attempt)
             }
             // The replica has responded, or has not received the request.
-            AttemptError::NotSent(_)
+            AttemptError::Superseded
+            | AttemptError::NotSent(_)
             | AttemptError::NotRun { .. }
             | AttemptError::Failure { .. } => {}
         }
@@ -259,9 +276,40 @@
         })
     }
 
-    /// Records that an attempt failed and the request may be tried on another replica.
-    pub fn record_failover(&mut self, service: &str, cause: &str, name: &'static str) {
+    /// Records that the current attempt has ended.
+    pub fn end_attempt(&mut self) {
         self.current = None;
+    }
+
+    /// Records that a silent replica responded to an earlier attempt, which is the current one again.
+    pub fn record_return(&mut self, replica: &Arc<Replica>) {
+        self.replica = replica.key.clone();
+        self.current = Some(CurrentAttempt {
+            replica: replica.clone(),
+            sent_at: Instant::now(),
+            has_others: false,
+            has_begun: true,
+        });
+    }
+
+    /// Records why the request is not sent to another replica, once for each reason.
+    pub fn record_withheld(&mut self, service: &str, withheld: Withheld) {
+        let reason = withheld.name();
+        if self.withheld.replace(reason) == Some(reason) {
+            return;
+        }
+        self.cx.metrics.retry_withheld(service, reason);
+        self.cx.log.record(Event::RetryWithheld {
+            request: self.request.clone(),
+            replica: self.replica.clone(),
+            reason: withheld.to_string(),
+            events: self.events,
+            after: self.received.elapsed(),
+        });
+    }
+
+    /// Records that an attempt failed and the request is sent to another replica.
+    pub fn record_failover(&mut self, service: &str, cause: &str, name: &'static str) {
         self.cx.metrics.failover(service, name);
         self.cx.log.record(Event::RequestMoved {
             request: self.request.clone(),
