--- a/serving/src/listeners.rs
+++ b/serving/src/listeners.rs
@@ -1,12 +1,15 @@
 //! HTTP listeners of a node, with limits on connections, header size and idle time.
 
 use crate::directory;
+use crate::lingering_stream::LingeringStream;
 use crate::local_response;
 use crate::request_handler;
 use crate::response_body::ResponseBody;
 use crate::serving_cx::ServingCx;
+use http::HeaderValue;
 use http::Request;
 use http::Response;
+use http::header;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -167,7 +170,7 @@
         .timer(TokioTimer::new())
         .header_read_timeout(limits.idle_timeout + IDLE_TIMEOUT_MARGIN)
         .max_buf_size((limits.max_header_bytes + 1024).max(8192));
-    let connection = builder.serve_connection(TokioIo::new(stream), service);
+    let connection = builder.serve_connection(TokioIo::new(LingeringStream::new(stream)), service);
     let mut connection = std::pin::pin!(connection);
     let closing = async {
         shutdown.cancelled().await;
@@ -192,7 +195,14 @@
     req: Request<Incoming>,
 ) -> Response<ResponseBody> {
     match role {
-        ListenerRole::Callers => request_handler::handle(cx, req).await,
+        ListenerRole::Callers => {
+            let mut response = request_handler::handle(cx, req).await;
+            if cx.stop.times().is_some() {
+                let close = HeaderValue::from_static("close");
+                response.headers_mut().insert(header::CONNECTION, close);
+            }
+            response
+        }
         ListenerRole::Directory => directory::handle(cx, &req),
         ListenerRole::Metrics => {
             local_response::text(http::StatusCode::OK, cx.metrics.render().trim_end())
