failed_attempts: a stream that ends with its connection is no proof of a completed run

Callers would have seen answers broken off on and on: a stream may come with neither a length nor chunks and end with its connection, and a replica that crashes between two events ends it in the same way. The run counted as completed and cleared the part, or the request, that had crashed the replica.

Such an attempt is now kept like a failed one. It counts as running at a crash if its replica ends within 2 s, and as completed otherwise. A stream of this kind without any event has failed. Plain responses without a length are treated alike.

--- a/serving/src/attempt.rs
+++ b/serving/src/attempt.rs
@@ -17,6 +17,7 @@
 use http::Request;
 use http::Response;
 use http::StatusCode;
+use http::header;
 use http_body_util::Full;
 use hyper::body::Incoming;
 use tokio::time::Instant;
@@ -40,6 +41,16 @@
     pub is_reusable: bool,
 }
 
+impl UpstreamResponse {
+    /// Returns whether the body ends with the connection, so that a crash of the replica may look like its
+    /// end.
+    pub fn is_unframed(&self) -> bool {
+        let headers = self.response.headers();
+        !headers.contains_key(header::CONTENT_LENGTH)
+            && !headers.contains_key(header::TRANSFER_ENCODING)
+    }
+}
+
 /// Errors of an attempt, classified by whether the request may have run.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 pub enum AttemptError {
--- a/serving/src/failed_attempts.rs
+++ b/serving/src/failed_attempts.rs
@@ -7,6 +7,9 @@
 //! complete response is kept for a while, and is recorded as running at a crash once an instance of its
 //! replica turns out to have ended: its address refuses connections or belongs to another run, or its
 //! entry is gone or shows another run.
+//!
+//! A response without a length ends with its connection, as does one that a crash cuts off between two
+//! events. Its attempt is kept likewise, and counts as a completed run if its replica goes on.
 
 use crate::connection::ConnectError;
 use crate::connection::Connection;
@@ -17,6 +20,7 @@
 use crate::instance::InstanceId;
 use crate::replica_health;
 use crate::replica_set::Replica;
+use crate::request_task::RequestTask;
 use crate::serving_cx::ServingCx;
 use guavaladder_lib::generated::events::Event;
 use guavaladder_lib::generated::serving_peer::CrashMark;
@@ -35,6 +39,8 @@
 /// Time for which an attempt is kept: within it the entry of an instance that ended is removed or
 /// replaced, after three missed heartbeats and the delay of the instance list.
 const RETENTION: Duration = Duration::from_secs(6);
+/// Time after which a response that ended with its connection is complete, unless its replica has ended.
+const UNFRAMED_RETENTION: Duration = Duration::from_secs(2);
 /// Maximum number of attempts that are kept.
 const MAX_ATTEMPTS: usize = 4096;
 /// Time within which a live instance accepts a connection or reports its state.
@@ -83,6 +89,8 @@
     members: Vec<(InstanceId, u64)>,
     /// Whether the check of the replica that the failure started is still running.
     is_being_checked: bool,
+    /// Whether the response ended with its connection and may be complete.
+    is_unframed: bool,
 }
 
 impl FailedAttempts {
@@ -113,6 +121,20 @@
         ended
     }
 
+    /// Removes the attempts whose response ended with its connection while their replica went on, and
+    /// returns their keys.
+    fn take_completed(&self, now: Instant) -> Vec<CrashKeys> {
+        let mut completed = vec![];
+        self.lock().attempts.retain(|kept| {
+            let is_completed = kept.is_unframed && now - kept.failed_at >= UNFRAMED_RETENTION;
+            if is_completed {
+                completed.push(kept.attempt.crash_keys.clone());
+            }
+            !is_completed
+        });
+        completed
+    }
+
     /// Returns the number of replicas at which attempts with a key failed just now and whose check is still
     /// running.
     fn count_being_checked(&self, fingerprint: u64, now: Instant) -> usize {
@@ -149,7 +171,7 @@
 pub fn add(cx: &ServingCx, attempt: FailedAttempt) {
     let replica = attempt.replica.clone();
     let missing = cx.loads.down_members(Instant::now()).remove(&replica.hash);
-    keep(cx, attempt, missing.is_some());
+    keep(cx, attempt, missing.is_some(), false);
     if let Some(member) = missing {
         check_member(cx, &replica, &member);
     }
@@ -159,12 +181,24 @@
 /// `replica_health`.
 pub fn add_and_check(cx: &ServingCx, attempt: FailedAttempt) {
     let replica = attempt.replica.clone();
-    keep(cx, attempt, true);
+    keep(cx, attempt, true, false);
     if replica.model.is_none() && cx.failed_attempts.lock().checking.insert(replica.hash) {
         tokio::spawn(connect(cx.clone(), replica));
     }
 }
 
+/// Keeps an attempt whose response ended with its connection and is complete unless its replica crashed.
+pub fn add_unframed(cx: &ServingCx, task: &RequestTask, replica: &Arc<Replica>) {
+    let attempt = FailedAttempt {
+        request: task.head.id.clone(),
+        crash_keys: task.crash_keys.clone(),
+        replica: replica.clone(),
+        cause: "the response ended with its connection".to_string(),
+        sent_beside_others: None,
+    };
+    keep(cx, attempt, false, true);
+}
+
 /// Checks the missing member of a group that was marked as down, if attempts at the group are kept.
 pub fn replica_down(cx: &ServingCx, replica: &Arc<Replica>, member: &str) {
     let is_kept = {
@@ -188,9 +222,12 @@
     for attempt in cx.failed_attempts.take_ended(now, has_ended) {
         record(cx, attempt, now);
     }
+    for crash_keys in cx.failed_attempts.take_completed(now) {
+        cx.crashes.record_completion(&crash_keys, now);
+    }
 }
 
-fn keep(cx: &ServingCx, attempt: FailedAttempt, is_being_checked: bool) {
+fn keep(cx: &ServingCx, attempt: FailedAttempt, is_being_checked: bool, is_unframed: bool) {
     let now = Instant::now();
     let registered = |(id, _): &(InstanceId, SocketAddr)| {
         let instance = cx.fleet.instance(id).filter(|instance| !instance.is_draining)?;
@@ -202,7 +239,8 @@
         drop(inner);
         return record(cx, attempt, now);
     }
-    inner.attempts.push_back(KeptAttempt { attempt, failed_at: now, members, is_being_checked });
+    let kept = KeptAttempt { attempt, failed_at: now, members, is_being_checked, is_unframed };
+    inner.attempts.push_back(kept);
     if inner.attempts.len() > MAX_ATTEMPTS {
         inner.attempts.pop_front();
     }
--- a/serving/src/plain_forward.rs
+++ b/serving/src/plain_forward.rs
@@ -9,6 +9,7 @@
 use crate::attempt_loop::AttemptLoop;
 use crate::attempt_loop::NoResponse;
 use crate::attempt_loop::PendingAttempt;
+use crate::failed_attempts;
 use crate::fleet_config::RouteKind;
 use crate::local_response;
 use crate::replica_set::Replica;
@@ -100,7 +101,7 @@
 async fn attempt_once(
     cx: &ServingCx,
     task: &RequestTask,
-    replica: &Replica,
+    replica: &Arc<Replica>,
     can_retry: bool,
 ) -> Result<Response<ResponseBody>, AttemptError> {
     let is_idempotent = task.kind == RouteKind::Idempotent;
@@ -112,10 +113,14 @@
         if can_retry && status.is_server_error() {
             return Err(AttemptError::Failure { status: status.as_u16() });
         }
-        read_response(cx, replica, upstream).await
+        let is_unframed = upstream.is_unframed();
+        Ok((read_response(cx, replica, upstream).await?, is_unframed))
     };
-    let response = task.run_until_due(exchange).await?;
-    cx.crashes.record_completion(&task.crash_keys, Instant::now());
+    let (response, is_unframed) = task.run_until_due(exchange).await?;
+    match is_unframed {
+        true => failed_attempts::add_unframed(cx, task, replica),
+        false => cx.crashes.record_completion(&task.crash_keys, Instant::now()),
+    }
     match response.status().is_server_error() {
         true => cx.metrics.send(&task.service, "failure"),
         false => {
--- a/serving/src/stream_relay.rs
+++ b/serving/src/stream_relay.rs
@@ -6,6 +6,7 @@
 use crate::attempt_loop::AttemptLoop;
 use crate::attempt_loop::NoResponse;
 use crate::attempt_loop::PendingAttempt;
+use crate::failed_attempts;
 use crate::request_task::RequestTask;
 use crate::request_task::RequestTrace;
 use crate::response_body::ResponseBody;
@@ -142,7 +143,12 @@
     /// Clears the request and the parts of its prompt of crashes, unless the replica has not begun an
     /// answer.
     fn record_completed_run(&self, stream: &UpstreamStream) {
-        if stream.status().is_success() && self.trace.events > 0 {
+        if !stream.status().is_success() || self.trace.events == 0 {
+            return;
+        }
+        if stream.is_unframed() {
+            failed_attempts::add_unframed(&self.cx, &self.task, &stream.replica);
+        } else {
             self.cx.crashes.record_completion(&self.task.crash_keys, Instant::now());
         }
     }
--- a/serving/src/upstream_stream.rs
+++ b/serving/src/upstream_stream.rs
@@ -56,6 +56,11 @@
             return Err(AttemptError::Failure { status: stream.status().as_u16() });
         }
         let next = stream.next(cx, task).await?;
+        let is_resumed = last_event_id.is_some();
+        if matches!(next, StreamItem::End) && stream.upstream.is_unframed() && !is_resumed {
+            let cause = "the connection was closed before the first event";
+            return Err(AttemptError::Broken(cause.to_string()));
+        }
         stream.guard.mark_answered();
         Ok((stream, next))
     }
@@ -105,6 +110,11 @@
         self.upstream.response.status()
     }
 
+    /// Returns whether the end of the connection is the only sign that the stream is complete.
+    pub fn is_unframed(&self) -> bool {
+        self.upstream.is_unframed()
+    }
+
     /// Returns the headers of the response as received.
     pub fn headers(&self) -> &HeaderMap {
         self.upstream.response.headers()
--- a/serving/tests/runner.rs
+++ b/serving/tests/runner.rs
@@ -30,4 +30,5 @@
 mod test_silent_replicas;
 mod test_sse;
 mod test_store;
+mod test_unframed_streams;
 mod util;
