suspects: a prefix that crashes replicas is refused in every request

On our own interface too, requests of which no two are alike crashed one replica after the other when they shared a prefix that does so: the record knew whole requests only.

A prompt longer than the 256 bytes of its cache prefix has a second key in the same record for that prefix, its service and its adapter. A completed run clears it, and crashes that another suspect explains do not count, so that requests beside it and other prefixes go on. What crashes replicas further on in a prompt is still recognised in whole requests only.

--- a/lib/src/generation.rs
+++ b/lib/src/generation.rs
@@ -280,6 +280,9 @@
             }
         }
         self.path.suspects().clear(self.req.fingerprint);
+        if let Some(prefix) = self.req.prefix_key() {
+            self.path.suspects().clear(prefix);
+        }
         // The replica has already ended the attempt, so there is nothing to cancel.
         self.is_finished = true;
         self.attempt = None;
--- a/lib/src/generation_recovery.rs
+++ b/lib/src/generation_recovery.rs
@@ -137,6 +137,9 @@
     async fn record_crash(&mut self, replica: &Replica, group: &str) -> Result<(), RequestError> {
         let suspects = self.path.suspects().clone();
         let crashes = suspects.record_crash(self.req.fingerprint, replica.crash_id());
+        if let Some(prefix) = self.req.prefix_key() {
+            suspects.record_crash(prefix, replica.crash_id());
+        }
         self.path.cx().record(Event::RequestSuspected {
             request: self.req.id.clone(),
             fingerprint: format!("{:016x}", self.req.fingerprint),
@@ -177,17 +180,33 @@
     /// Refuses a request that is convicted of crashing replicas.
     pub(crate) fn refuse_convicted(&self) -> Result<(), RequestError> {
         let suspects = self.path.suspects();
-        if suspects.verdict(self.req.fingerprint, self.limits.crash_limit) != Verdict::Convicted {
-            return Ok(());
+        let fingerprint = self.req.fingerprint;
+        if self.verdict() == Verdict::Convicted {
+            let crashes = suspects.crashes(fingerprint);
+            return Err(self.conviction("request", fingerprint, crashes));
+        }
+        let Some(prefix) = self.req.prefix_key() else { return Ok(()) };
+        match suspects.convicted_prefix(fingerprint, prefix) {
+            Some(crashes) => Err(self.conviction("prefix", prefix, crashes)),
+            None => Ok(()),
         }
-        let crashes = suspects.crashes(self.req.fingerprint);
+    }
+
+    /// Returns the error of a request that is refused because it, or the prefix of its prompt, is convicted.
+    fn conviction(&self, kind: &str, fingerprint: u64, crashes: usize) -> RequestError {
         self.path.cx().record(Event::RequestConvicted {
             request: self.req.id.clone(),
-            fingerprint: format!("{:016x}", self.req.fingerprint),
+            fingerprint: format!("{fingerprint:016x}"),
+            kind: kind.to_string(),
             crashes: crashes as u64,
         });
-        let message = format!("{crashes} replicas crashed while running this request");
-        Err(RequestError::not_run(ErrorCode::Poisonous, message))
+        let message = format!("{crashes} replicas crashed while running this {kind}");
+        RequestError::not_run(ErrorCode::Poisonous, message)
+    }
+
+    fn verdict(&self) -> Verdict {
+        let (fingerprint, prefix) = (self.req.fingerprint, self.req.prefix_key());
+        self.path.suspects().verdict_beside_prefix(fingerprint, prefix, self.limits.crash_limit)
     }
 
     /// Ends a request that runs at most once if a retry could run it a second time.
@@ -229,8 +248,7 @@
     }
 
     pub(crate) async fn acquire(&mut self) -> Result<Slot, RequestError> {
-        let suspects = self.path.suspects();
-        let suspicion = match suspects.verdict(self.req.fingerprint, self.limits.crash_limit) {
+        let suspicion = match self.verdict() {
             Verdict::Clear => Suspicion::None,
             Verdict::Suspect => Suspicion::Suspect,
             Verdict::Isolate | Verdict::Convicted => Suspicion::Isolated,
--- a/lib/src/request.rs
+++ b/lib/src/request.rs
@@ -7,9 +7,13 @@
 use crate::ids::CustomerId;
 use crate::ids::RequestId;
 use crate::ids::ServiceId;
+use crate::prefix_hash::PREFIX_BYTES;
 use std::time::Duration;
 use tokio::time::Instant;
 
+/// Stands for the path of a request where its prefix is hashed; no path has a space.
+const PREFIX_PATH: &str = "prompt prefix";
+
 /// Whether a request without a complete response may have been executed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RunStatus {
@@ -135,6 +139,16 @@
     pub prefix: u64,
 }
 
+impl Request {
+    /// Returns the key under which crashes are recorded for the prefix of the prompt; `None` if the prefix
+    /// is the whole prompt.
+    pub fn prefix_key(&self) -> Option<u64> {
+        let prefix = format!("{:016x}", self.prefix);
+        let key = || fingerprint(&self.service_id, self.adapter.as_deref(), PREFIX_PATH, &prefix);
+        (self.prompt.len() > PREFIX_BYTES).then(key)
+    }
+}
+
 /// Hashes the content of a request.
 pub fn fingerprint(service: &str, adapter: Option<&str>, path: &str, prompt: &str) -> u64 {
     let mut hasher = blake3::Hasher::new();
--- a/lib/src/suspects.rs
+++ b/lib/src/suspects.rs
@@ -5,6 +5,9 @@
 //! `crash_limit` crashes is convicted unless another request was running at all of them. In that
 //! case it is isolated from other suspects, and its third crash convicts it regardless of other
 //! requests.
+//!
+//! Requests that are not alike may share a prefix that crashes replicas. Crashes are recorded for the prefix
+//! too, and it is convicted once three of them are not explained by another suspect.
 
 use crate::crash_history::CrashHistory;
 use crate::crash_history::CrashedRequest;
@@ -78,8 +81,26 @@
         }
     }
 
+    /// Returns whether a request is convicted because of its prefix, with the number of crashes that count
+    /// against the prefix.
+    pub fn convicted_prefix(&self, fingerprint: u64, prefix: u64) -> Option<usize> {
+        let refusal = self.lock().history.refusal(&[prefix, fingerprint]);
+        refusal.filter(|(key, _)| *key == prefix).map(|(_, crashes)| crashes)
+    }
+
     /// Returns the current assessment of a request.
     pub fn verdict(&self, fingerprint: u64, crash_limit: u32) -> Verdict {
+        self.verdict_beside_prefix(fingerprint, None, crash_limit)
+    }
+
+    /// Like `verdict`, for a request whose prefix has crashes of its own: it was running at all of the same
+    /// ones, which does not make the request less of a suspect.
+    pub fn verdict_beside_prefix(
+        &self,
+        fingerprint: u64,
+        prefix: Option<u64>,
+        crash_limit: u32,
+    ) -> Verdict {
         let inner = self.lock();
         if inner.history.crash_count(fingerprint) == 0 {
             return Verdict::Clear;
@@ -88,7 +109,8 @@
         let Some(crashes) = counted.get(&fingerprint) else { return Verdict::Clear };
         let limit = (crash_limit as usize).clamp(1, MAX_CRASHES);
         let is_shared = || {
-            let mut others = counted.iter().filter(|(other, _)| **other != fingerprint);
+            let is_own = |other: u64| other == fingerprint || Some(other) == prefix;
+            let mut others = counted.iter().filter(|(other, _)| !is_own(**other));
             others.any(|(_, other)| other.is_superset(crashes))
         };
         match crashes.len() {
--- a/lib/tests/test_suspects.rs
+++ b/lib/tests/test_suspects.rs
@@ -9,6 +9,7 @@
 use guavaladder_lib::generation::GenerationEvent;
 use guavaladder_lib::gossip_build::MAX_FACT_BYTES;
 use guavaladder_lib::metrics::Metrics;
+use guavaladder_lib::prefix_hash::PREFIX_BYTES;
 use guavaladder_lib::request_path::RequestPath;
 use guavaladder_lib::suspects::Suspects;
 use guavaladder_lib::suspects::Verdict;
@@ -84,6 +85,38 @@
     assert_eq!(rig.fake_instances.violations(), vec![]);
 }
 
+/// No two requests are alike, and all have the same prefix.
+#[tokio::test(start_paused = true)]
+async fn requests_that_share_a_prefix_which_crashes_replicas_are_sent_on() {
+    const REPLICAS: u32 = 12;
+    let rig = RequestRig::new(3, REPLICAS, 2, EngineOptions::new()).await;
+    let mut bystanders = vec![];
+    let shared = "-".repeat(PREFIX_BYTES);
+    for index in 0..60 {
+        let path = rig.nodes[index % 3].path.clone();
+        bystanders.push(tokio::spawn(bystander(path, format!("{shared} {index} length:150"))));
+    }
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    for round in 0..16 {
+        let path = rig.nodes[round % 3].path.clone();
+        let prompt = format!("{POISON_MARKER}{shared} {round}");
+        let req = drafting(&format!("p{round}"), "c0", &prompt, 50);
+        let sent = tokio::spawn(async move { generate_text(&path, req).await });
+        while !sent.is_finished() {
+            tokio::time::sleep(Duration::from_millis(200)).await;
+            rig.gossip();
+        }
+        sent.await.unwrap().unwrap_err();
+    }
+    for bystander in bystanders {
+        bystander.await.unwrap();
+    }
+    let crashes = count_crashed(&rig, REPLICAS);
+    println!("{crashes} replicas crashed");
+    assert!(crashes <= MAX_CRASHES + 2, "{crashes} replicas crashed");
+    bystander(rig.nodes[0].path.clone(), format!("{shared} later length:20")).await;
+}
+
 #[tokio::test(start_paused = true)]
 async fn completed_request_is_cleared() {
     let rig = RequestRig::new(1, 3, 1, EngineOptions::new()).await;
