limited_body: a body in tiny chunks occupies no more than its size

Cause: bodies were collected as the frames that they arrive in. A frame of one byte costs its handle of 32 bytes and keeps the block alive that it was received in, so that a limit of 8 MiB for a body allowed 8 million handles and 48 MB of blocks for one request. This held for answers of replicas, of the store, reports and orders, for requests of callers, and for all calls of our own interface.

Bodies are now copied into one buffer. A body that announces a length beyond its limit is refused before any of it is read; until now answers were read up to the limit first.

--- a/lib/src/caller_api.rs
+++ b/lib/src/caller_api.rs
@@ -18,6 +18,8 @@
 use crate::keyed_generation;
 use crate::keyed_generation::KeyedGeneration;
 use crate::ledger_peer;
+use crate::limited_body;
+use crate::limited_body::BodyError;
 use crate::metric_names;
 use crate::prefix_hash::prefix_hash;
 use crate::request::Request;
@@ -28,8 +30,6 @@
 use crate::request_path::no_config;
 use bytes::Bytes;
 use futures_util::stream::unfold;
-use http_body_util::BodyExt;
-use http_body_util::Limited;
 use salvo::Router;
 use salvo::handler;
 use salvo::http::HeaderValue;
@@ -238,14 +238,14 @@
 ) -> Result<Bytes, RequestError> {
     let record = path.cx().config.get();
     let max = record.map_or(DEFAULT_MAX_BODY_BYTES, |r| r.config.defaults.max_prompt_bytes);
-    let body = Limited::new(req.take_body(), max as usize);
-    match tokio::time::timeout(BODY_TIMEOUT, body.collect()).await {
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(e)) if e.is::<http_body_util::LengthLimitError>() => {
+    let body = limited_body::read(req.take_body(), max as usize);
+    match tokio::time::timeout(BODY_TIMEOUT, body).await {
+        Ok(Ok(body)) => Ok(body),
+        Ok(Err(BodyError::TooLarge { .. })) => {
             let message = format!("the body is larger than {max} bytes");
             Err(RequestError::not_run(ErrorCode::TooLarge, message))
         }
-        Ok(Err(_)) => Err(RequestError::not_run(
+        Ok(Err(BodyError::Failed(_))) => Err(RequestError::not_run(
             ErrorCode::Malformed,
             "the body could not be read completely",
         )),
--- a/lib/src/caller_calls.rs
+++ b/lib/src/caller_calls.rs
@@ -12,6 +12,7 @@
 use crate::generated::requests::ErrorCode;
 use crate::ids::CustomerId;
 use crate::ledger_peer;
+use crate::limited_body;
 use crate::metric_names;
 use crate::plain_call;
 use crate::request::Request;
@@ -19,8 +20,6 @@
 use crate::request::fingerprint;
 use crate::request_path::RequestPath;
 use bytes::Bytes;
-use http_body_util::BodyExt;
-use http_body_util::Limited;
 use salvo::handler;
 use salvo::http::Response;
 use salvo::http::StatusCode;
@@ -158,8 +157,8 @@
     async fn reply(&self, req: &mut salvo::Request) -> Option<Vec<u8>> {
         let ledger = self.path.ledger();
         let key = ledger.key()?;
-        let body = Limited::new(req.take_body(), ledger_peer::MAX_MESSAGE_BYTES);
-        let message: Bytes = body.collect().await.ok()?.to_bytes();
+        let body = limited_body::read(req.take_body(), ledger_peer::MAX_MESSAGE_BYTES);
+        let message: Bytes = body.await.ok()?;
         let call = ledger_peer::receive(self.path.cx(), key, &message)?;
         let answer = ledger.execute_locally(call.shard, call.op).await;
         Some(ledger_peer::reply(key, &answer))
--- a/lib/src/http_client.rs
+++ b/lib/src/http_client.rs
@@ -2,15 +2,14 @@
 //! may have been sent.
 
 use crate::ids::Address;
+use crate::limited_body;
+use crate::limited_body::BodyError;
 use bytes::Bytes;
 use http::Request;
 use http::Response;
 use http::StatusCode;
 use http::header::HeaderName;
-use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::LengthLimitError;
-use http_body_util::Limited;
 use hyper::body::Incoming;
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
@@ -318,9 +317,8 @@
 }
 
 async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, HttpError> {
-    match Limited::new(body, limit).collect().await {
-        Ok(collected) => Ok(collected.to_bytes()),
-        Err(e) if e.is::<LengthLimitError>() => Err(HttpError::TooLarge { limit }),
-        Err(e) => Err(HttpError::IncompleteResponse { reason: describe_chain(&*e) }),
-    }
+    limited_body::read(body, limit).await.map_err(|e| match e {
+        BodyError::TooLarge { limit } => HttpError::TooLarge { limit },
+        BodyError::Failed(e) => HttpError::IncompleteResponse { reason: describe_chain(&e) },
+    })
 }
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -65,6 +65,7 @@
 pub mod ledger_shard;
 pub mod ledger_writer;
 pub mod level_sampler;
+pub mod limited_body;
 pub mod load_schedule;
 pub mod log_explain;
 pub mod log_queue;
--- a/lib/src/operator_client.rs
+++ b/lib/src/operator_client.rs
@@ -2,6 +2,7 @@
 
 use crate::generated::operator::OperatorError;
 use crate::ids::Address;
+use crate::limited_body;
 use crate::operator_api::BASE_PATH;
 use bytes::Bytes;
 use http::Method;
@@ -10,9 +11,7 @@
 use http::header::AUTHORIZATION;
 use http::header::CONTENT_TYPE;
 use http::header::HOST;
-use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::Limited;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use serde::Serialize;
@@ -159,7 +158,7 @@
     let driver = tokio::spawn(connection);
     let response = sender.send_request(req).await?;
     let status = response.status();
-    let body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES).collect().await?.to_bytes();
+    let body = limited_body::read(response.into_body(), MAX_RESPONSE_BYTES).await?;
     driver.abort();
     Ok(RawResponse { status, body })
 }
--- a/serving/src/connection.rs
+++ b/serving/src/connection.rs
@@ -2,11 +2,10 @@
 
 use crate::network::Network;
 use bytes::Bytes;
+use guavaladder_lib::limited_body;
 use http::Request;
 use http::Response;
-use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::Limited;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
@@ -175,9 +174,9 @@
 ) -> Result<Response<Bytes>, CallError> {
     let exchange = async {
         let (parts, body) = connection.send(req).await?.into_parts();
-        let body = Limited::new(body, max_bytes).collect().await;
+        let body = limited_body::read(body, max_bytes).await;
         let body = body.map_err(|e| CallError::NoResponse(e.to_string()))?;
-        Ok(Response::from_parts(parts, body.to_bytes()))
+        Ok(Response::from_parts(parts, body))
     };
     let timed_out =
         || CallError::NoResponse(format!("timed out after {} ms", time_limit.as_millis()));
--- a/serving/src/plain_forward.rs
+++ b/serving/src/plain_forward.rs
@@ -14,10 +14,8 @@
 use crate::request_task::RequestTrace;
 use crate::response_body::ResponseBody;
 use crate::serving_cx::ServingCx;
-use bytes::Bytes;
+use guavaladder_lib::limited_body;
 use http::Response;
-use http_body_util::BodyExt;
-use http_body_util::Limited;
 use tokio::time::Instant;
 use tokio::time::timeout_at;
 
@@ -107,12 +105,11 @@
 ) -> Result<Response<ResponseBody>, AttemptError> {
     let UpstreamResponse { response, head, mut connection, is_reusable } = upstream;
     let (parts, body) = response.into_parts();
-    let body = Limited::new(body, MAX_RESPONSE_BYTES).collect().await;
-    let body = body.map_err(|e| AttemptError::Broken(format!("the response body failed: {e}")))?;
+    let body = limited_body::read(body, MAX_RESPONSE_BYTES).await;
+    let body = body.map_err(|e| AttemptError::Broken(e.to_string()))?;
     if is_reusable && connection.ready().await {
         cx.pool.put(replica, connection, head.keep_alive);
     }
-    let body: Bytes = body.to_bytes();
     let mut response = Response::new(ResponseBody::complete(body));
     *response.status_mut() = parts.status;
     *response.headers_mut() = cx.dialect.caller_headers(&parts.headers);
--- a/serving/src/request_handler.rs
+++ b/serving/src/request_handler.rs
@@ -15,6 +15,8 @@
 use crate::stream_forward;
 use bytes::Bytes;
 use guavaladder_lib::generated::events::Event;
+use guavaladder_lib::limited_body;
+use guavaladder_lib::limited_body::BodyError;
 use http::HeaderMap;
 use http::Request;
 use http::Response;
@@ -22,10 +24,6 @@
 use http::Uri;
 use http::header;
 use http::request::Parts;
-use http_body_util::BodyExt;
-use http_body_util::LengthLimitError;
-use http_body_util::Limited;
-use hyper::body::Body;
 use hyper::body::Incoming;
 use std::sync::Arc;
 use std::time::Duration;
@@ -181,14 +179,10 @@
     max_bytes: usize,
     deadline: Instant,
 ) -> Result<Bytes, Rejection> {
-    // Reject a body whose announced length exceeds the limit before reading it.
-    if body.size_hint().lower() > max_bytes as u64 {
-        return Err(Rejection::BodyTooLarge);
-    }
-    match timeout_at(deadline, Limited::new(body, max_bytes).collect()).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(e)) if e.is::<LengthLimitError>() => Err(Rejection::BodyTooLarge),
-        Ok(Err(_)) => Err(Rejection::BodyIncomplete),
+    match timeout_at(deadline, limited_body::read(body, max_bytes)).await {
+        Ok(Ok(body)) => Ok(body),
+        Ok(Err(BodyError::TooLarge { .. })) => Err(Rejection::BodyTooLarge),
+        Ok(Err(BodyError::Failed(_))) => Err(Rejection::BodyIncomplete),
         Err(_) => Err(Rejection::BodyTimedOut),
     }
 }
