group_control: keep a group with a silent member while requests wait for it

Callers saw streams cut that had nowhere else to go, although the silent member of their group went on a second later: the holder of the lease dissolved the group as soon as a member gave no report for 110 ms, and the order to leave ended the streams.

A group that was found to be down is kept for at most 1.2 s, as long as requests of any node wait for it and no instance of it is known to have ended.

--- a/serving/src/failed_attempts.rs
+++ b/serving/src/failed_attempts.rs
@@ -89,6 +89,11 @@
         Self::default()
     }
 
+    /// Returns whether an instance of a replica is known to have ended.
+    pub fn has_ended(&self, hash: u64) -> bool {
+        self.lock().ended.contains_key(&hash)
+    }
+
     /// Removes and returns the attempts at replicas that ended; drops those that are too old.
     fn take_ended(
         &self,
@@ -148,8 +153,8 @@
     let replica = attempt.replica.clone();
     let missing = cx.loads.down_members(Instant::now()).remove(&replica.hash);
     keep(cx, attempt, missing.is_some());
-    if let Some(member) = missing {
-        check_member(cx, &replica, &member);
+    if let Some(down) = missing {
+        check_member(cx, &replica, &down.member);
     }
 }
 
--- a/serving/src/group_control.rs
+++ b/serving/src/group_control.rs
@@ -20,6 +20,7 @@
 use crate::instance::Membership;
 use crate::instance::MembershipState;
 use crate::key_hash::key_hash;
+use crate::load_table::DownMember;
 use crate::order_client;
 use crate::order_client::AcceptedOrders;
 use crate::registration_tracker::RegistrationTracker;
@@ -37,6 +38,9 @@
 const PLAN_PERIOD: Duration = Duration::from_millis(100);
 /// Time for which an instance that did not respond is not assigned to a group.
 const SUSPECT_PERIOD: Duration = Duration::from_secs(5);
+/// Time for which a group that was found to be down is kept while requests wait for it: a live instance may
+/// be silent for a second or so.
+const SILENCE_GRACE: Duration = Duration::from_millis(1200);
 /// Time for which a reported status is still compared with an entry that changed after the report.
 const REPORTED_STATUS_TTL: Duration = Duration::from_secs(6);
 /// Maximum number of dissolved groups that are remembered.
@@ -296,15 +300,26 @@
         for instance in instances {
             let Some(membership) = &instance.engine.membership else { continue };
             let key = group_key(&membership.group, membership.epoch);
-            let Some(member) = found.get(&key_hash(key.as_bytes())) else { continue };
+            let hash = key_hash(key.as_bytes());
+            let Some(found) = found.get(&hash).filter(|found| !self.may_return(hash, found)) else {
+                continue;
+            };
             down.insert(membership.group_and_epoch());
-            if !member.is_empty() {
-                self.suspects.entry(member.clone()).or_insert(now + SUSPECT_PERIOD);
+            if !found.member.is_empty() {
+                self.suspects.entry(found.member.clone()).or_insert(now + SUSPECT_PERIOD);
             }
         }
         down
     }
 
+    /// Returns whether a group that was found to be down is kept for now: its member may only be silent,
+    /// and requests wait for it that can't go on elsewhere.
+    fn may_return(&self, hash: u64, down: &DownMember) -> bool {
+        down.down_for < SILENCE_GRACE
+            && !self.cx.failed_attempts.has_ended(hash)
+            && self.cx.loads.requests(hash) > 0
+    }
+
     fn start_step(&mut self, engine: &Engine, step: PlanStep, instances: &[Instance]) {
         let ids = step.instances();
         let involved: Vec<Instance> = ids
--- a/serving/src/load_table.rs
+++ b/serving/src/load_table.rs
@@ -121,6 +121,15 @@
     remote_sums: HashMap<u64, u32>,
 }
 
+/// Why a replica is marked as down, and since when.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct DownMember {
+    /// Member that is missing; empty if it is not known.
+    pub member: String,
+    /// Time since the mark.
+    pub down_for: Duration,
+}
+
 /// Counts a request at a replica until it is dropped.
 #[derive(Debug)]
 pub struct RequestGuard {
@@ -239,11 +248,22 @@
         Some(DOWN_PERIOD.saturating_sub(until - now))
     }
 
-    /// Returns the hashes of the replicas that are marked as down, with the missing member of each.
-    pub fn down_members(&self, now: Instant) -> HashMap<u64, String> {
+    /// Returns the replicas that are marked as down, by their hashes.
+    pub fn down_members(&self, now: Instant) -> HashMap<u64, DownMember> {
+        let inner = self.lock();
+        let down = inner.entries.iter().filter_map(|(hash, entry)| {
+            let until = (*entry.down.borrow()).filter(|until| *until > now)?;
+            let down_for = DOWN_PERIOD.saturating_sub(until - now);
+            Some((*hash, DownMember { member: entry.missing_member.clone(), down_for }))
+        });
+        down.collect()
+    }
+
+    /// Returns the number of requests of all nodes at a replica, as far as it is known.
+    pub fn requests(&self, hash: u64) -> u32 {
         let inner = self.lock();
-        let down = inner.entries.iter().filter(|(_, entry)| entry.is_down(now));
-        down.map(|(hash, entry)| (*hash, entry.missing_member.clone())).collect()
+        let own = inner.entries.get(&hash).map_or(0, |entry| entry.own);
+        own + inner.remote_sums.get(&hash).copied().unwrap_or(0)
     }
 
     /// Returns a receiver that is notified when a replica is marked as down.
--- a/serving/tests/test_load_table.rs
+++ b/serving/tests/test_load_table.rs
@@ -66,7 +66,7 @@
     assert!(!table.mark_down(replica.hash, "m", Instant::now()));
     assert!(waiting.await.unwrap());
     assert!(table.state(&replica, Instant::now()).is_down);
-    assert_eq!(table.down_members(Instant::now())[&replica.hash], "m");
+    assert_eq!(table.down_members(Instant::now())[&replica.hash].member, "m");
     tokio::time::advance(Duration::from_secs(4)).await;
     assert!(table.state(&replica, Instant::now()).is_down);
     tokio::time::advance(Duration::from_secs(3)).await;
--- a/serving/tests/test_silent_replicas.rs
+++ b/serving/tests/test_silent_replicas.rs
@@ -82,6 +82,29 @@
     assert_eq!(cut, 0, "streams of {STREAMS}");
 }
 
+/// The node that sends the streams also plans the groups, and finds the group of the silent member down.
+#[rstest]
+#[case::whole_group(0)]
+#[case::member(1)]
+#[tokio::test]
+async fn group_is_dissolved_under_its_streams_since_a_member_is_silent(#[case] from_rank: usize) {
+    let fleet = start_fleet(Obstacle::OnlyReplica).await;
+    let streams = start_streams(fleet.callers(0), STREAMS);
+    sleep(Duration::from_millis(200)).await;
+    let group = fleet.fake_platform.open_groups()[0].clone();
+    for member in &group[from_rank..] {
+        fleet.fake_platform.pause(member, PAUSE);
+    }
+    let mut cut = 0;
+    for stream in streams {
+        let response = stream.await.expect("a task that ends");
+        let is_complete = response.is_some_and(|r| event_ids(&r).len() == EVENTS as usize);
+        cut += usize::from(!is_complete);
+    }
+    assert_eq!(cut, 0, "streams of {STREAMS}");
+    assert_eq!(fleet.fake_platform.open_groups(), [group]);
+}
+
 /// The replica has the request and has not begun to respond.
 #[rstest]
 #[case::only_replica(Obstacle::OnlyReplica)]
