--- a/serving/src/attempt_loop.rs
+++ b/serving/src/attempt_loop.rs
@@ -121,7 +121,7 @@
         mut silent: Option<PendingAttempt<'static, K::Response>>,
     ) -> Result<K::Response, NoResponse> {
         loop {
-            failed_attempts::settle(self.cx, self.task.fingerprint).await;
+            failed_attempts::settle(self.cx, &self.task.crash_keys).await;
             let replica = match self.next_step(silent.is_some()) {
                 NextStep::Send(replica) => replica,
                 NextStep::Wait => match self.wait(&mut silent).await {
--- a/serving/src/plain_forward.rs
+++ b/serving/src/plain_forward.rs
@@ -113,7 +113,7 @@
         read_response(cx, replica, upstream).await
     };
     let response = task.run_until_due(exchange).await?;
-    cx.crashes.record_completion(task.fingerprint, Instant::now());
+    cx.crashes.record_completion(&task.crash_keys, Instant::now());
     match response.status().is_server_error() {
         true => cx.metrics.send(&task.service, "failure"),
         false => {
--- a/serving/src/stream_relay.rs
+++ b/serving/src/stream_relay.rs
@@ -113,7 +113,7 @@
                 },
                 Ok(StreamItem::End) => {
                     self.cx.loads.record_success(stream.replica.hash);
-                    self.cx.crashes.record_completion(self.task.fingerprint, Instant::now());
+                    self.record_completed_run(&stream);
                     self.cx.metrics.send(&self.task.service, "answered");
                     stream.return_connection(&self.cx).await;
                     return RelayOutcome::Complete;
@@ -139,6 +139,14 @@
         }
     }
 
+    /// Clears the request and the parts of its prompt of crashes, unless the replica has not begun an
+    /// answer.
+    fn record_completed_run(&self, stream: &UpstreamStream) {
+        if stream.status().is_success() && self.trace.events > 0 {
+            self.cx.crashes.record_completion(&self.task.crash_keys, Instant::now());
+        }
+    }
+
     /// Waits for the next item until the replica counts as silent; `None` if the caller has disconnected.
     async fn next_item(
         &self,
