--- a/serving/src/lib.rs
+++ b/serving/src/lib.rs
@@ -8,6 +8,7 @@
 //! trait.
 
 pub mod attempt;
+pub mod attempt_loop;
 pub mod candidates;
 pub mod config_sync;
 pub mod connection;
@@ -36,6 +37,7 @@
 pub mod network;
 pub mod next_replica;
 pub mod node_registry;
+pub mod node_stop;
 pub mod node_table;
 pub mod order_client;
 pub mod peer_codec;
@@ -58,4 +60,6 @@
 pub mod sse;
 pub mod store;
 pub mod stream_forward;
+pub mod stream_relay;
 pub mod upstream_pool;
+pub mod upstream_stream;
--- a/serving/src/request_task.rs
+++ b/serving/src/request_task.rs
@@ -2,6 +2,7 @@
 //! metrics.
 
 use crate::attempt::AttemptError;
+use crate::attempt::Withheld;
 use crate::crash_record;
 use crate::dialect::RequestHead;
 use crate::failed_attempts;
@@ -10,6 +11,8 @@
 use crate::fleet_config::RouteKind;
 use crate::key_hash::key_hash;
 use crate::listeners::RunningRequestGuard;
+use crate::node_stop::NodeStop;
+use crate::node_stop::StopTimes;
 use crate::placement::Occupancy;
 use crate::placement::Timeliness;
 use crate::replica_set::Replica;
@@ -20,8 +23,11 @@
 use http::Method;
 use http::Uri;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::time::Instant;
+use tokio::time::sleep_until;
 
 /// A request of a caller whose body has been read and whose route is known.
 #[derive(Debug)]
@@ -61,12 +67,55 @@
     pub deadline: Instant,
     /// Hash of method, URI, customer and body, which is the same each time the request is retried.
     pub fingerprint: u64,
+    /// Whether the caller has received the start of a stream.
+    pub has_begun: AtomicBool,
+    /// Whether and when this node stops.
+    pub stop: NodeStop,
 }
 
 impl RequestTask {
-    /// Returns the time left until the deadline.
+    /// Returns the time by which the request ends: its deadline, or earlier if this node stops before.
+    pub fn due(&self) -> Instant {
+        self.deadline.min(self.stop.times().map_or(self.deadline, |times| self.stop_time(&times)))
+    }
+
+    /// Returns the time left until the request ends.
     pub fn time_left(&self, now: Instant) -> Duration {
-        self.deadline.saturating_duration_since(now)
+        self.due().saturating_duration_since(now)
+    }
+
+    /// Waits until the request ends and returns the reason.
+    pub async fn wait_until_due(&self) -> &'static str {
+        tokio::select! {
+            () = sleep_until(self.deadline) => "no response before the deadline",
+            () = self.stop.wait_until(|times| self.stop_time(times)) => {
+                "no response before this node stopped"
+            }
+        }
+    }
+
+    /// Runs an attempt until the request ends.
+    pub async fn run_until_due<T>(
+        &self,
+        attempt: impl Future<Output = Result<T, AttemptError>>,
+    ) -> Result<T, AttemptError> {
+        tokio::select! {
+            biased;
+            result = attempt => result,
+            reason = self.wait_until_due() => Err(AttemptError::TimedOut(reason)),
+        }
+    }
+
+    /// Records that the caller receives the start of a stream.
+    pub fn record_begun(&self) {
+        self.has_begun.store(true, Ordering::Relaxed);
+    }
+
+    fn stop_time(&self, times: &StopTimes) -> Instant {
+        match self.has_begun.load(Ordering::Relaxed) {
+            true => times.streams_end,
+            false => times.answers_due,
+        }
     }
 
     /// Returns whether the response can still meet the target latency, given the number of attempts.
@@ -77,10 +126,14 @@
         }
     }
 
-    /// Returns the deadline to send to a replica: the time left until the request's own deadline, at
-    /// least 1 ms.
+    /// Returns the deadline to send to a replica: the time left until the request ends, at least 1 ms. A
+    /// stream that begins may run for longer than a request is waited for.
     pub fn upstream_deadline(&self, now: Instant) -> Duration {
-        self.time_left(now).max(Duration::from_millis(1))
+        let until = match (self.kind, self.stop.times()) {
+            (RouteKind::Streaming { .. }, Some(times)) => self.deadline.min(times.streams_end),
+            _ => self.due(),
+        };
+        until.saturating_duration_since(now).max(Duration::from_millis(1))
     }
 }
 
@@ -117,6 +170,8 @@
     is_recorded: bool,
     /// Attempt in progress.
     current: Option<CurrentAttempt>,
+    /// Last reason for which the request was not sent to another replica.
+    withheld: Option<&'static str>,
     /// Counts the request as running, so that a shutdown waits for it.
     _running: RunningRequestGuard,
 }
@@ -149,6 +204,7 @@
             time_to_first_byte: None,
             is_recorded: false,
             current: None,
+            withheld: None,
             _running: cx.running.begin_request(),
         }
     }
@@ -198,11 +254,12 @@
         let Some(attempt) = self.failed_attempt(&error.to_string()) else { return };
         match error {
             AttemptError::Broken(_) => failed_attempts::add_and_check(&self.cx, attempt),
-            AttemptError::TimedOut(_) | AttemptError::Down => {
+            AttemptError::TimedOut(_) | AttemptError::Silent | AttemptError::Down => {
                 failed_attempts::add(&self.cx, attempt)
             }
             // The replica has responded, or has not received the request.
-            AttemptError::NotSent(_)
+            AttemptError::Superseded
+            | AttemptError::NotSent(_)
             | AttemptError::NotRun { .. }
             | AttemptError::Failure { .. } => {}
         }
@@ -219,9 +276,40 @@
         })
     }
 
-    /// Records that an attempt failed and the request may be tried on another replica.
-    pub fn record_failover(&mut self, service: &str, cause: &str, name: &'static str) {
+    /// Records that the current attempt has ended.
+    pub fn end_attempt(&mut self) {
         self.current = None;
+    }
+
+    /// Records that a silent replica responded to an earlier attempt, which is the current one again.
+    pub fn record_return(&mut self, replica: &Arc<Replica>) {
+        self.replica = replica.key.clone();
+        self.current = Some(CurrentAttempt {
+            replica: replica.clone(),
+            sent_at: Instant::now(),
+            has_others: false,
+            has_begun: true,
+        });
+    }
+
+    /// Records why the request is not sent to another replica, once for each reason.
+    pub fn record_withheld(&mut self, service: &str, withheld: Withheld) {
+        let reason = withheld.name();
+        if self.withheld.replace(reason) == Some(reason) {
+            return;
+        }
+        self.cx.metrics.retry_withheld(service, reason);
+        self.cx.log.record(Event::RetryWithheld {
+            request: self.request.clone(),
+            replica: self.replica.clone(),
+            reason: withheld.to_string(),
+            events: self.events,
+            after: self.received.elapsed(),
+        });
+    }
+
+    /// Records that an attempt failed and the request is sent to another replica.
+    pub fn record_failover(&mut self, service: &str, cause: &str, name: &'static str) {
         self.cx.metrics.failover(service, name);
         self.cx.log.record(Event::RequestMoved {
             request: self.request.clone(),
