attempts: a silence does not count as a run of its own

A stream whose replica was silent and went on was cut when the replica failed later, although only that replica had run it and another one was ready. The attempt was counted against the route's max_attempts when it fell silent, and once more when it ended: with two attempts allowed, none was left.

An attempt that returns is in progress again, and its run is taken back until it ends.

stream_is_not_resumed_since_its_replica_was_silent_before failed before (1 of 1 stream cut, at a pause of 0.6 s and a member that ended later) and passes. The 194 tests of serving pass.

--- a/serving/src/attempt.rs
+++ b/serving/src/attempt.rs
@@ -156,6 +156,13 @@
         self.last_error = Some(error);
     }
 
+    /// Records that a silent replica responded to an attempt that was recorded when it fell silent. The
+    /// attempt is in progress again, and does not count until it ends.
+    pub fn record_return(&mut self, is_counted: bool) {
+        self.runs = self.runs.saturating_sub(1);
+        self.runs_at_live_replicas -= u32::from(is_counted).min(self.runs_at_live_replicas);
+    }
+
     /// Returns whether the request may run at two more replicas at the same time.
     pub fn may_overlap(&self, task: &RequestTask) -> bool {
         self.runs_at_live_replicas + 2 <= task.max_attempts
--- a/serving/src/attempt_loop.rs
+++ b/serving/src/attempt_loop.rs
@@ -62,7 +62,7 @@
     /// The attempt responded.
     Responded(T),
     /// The silent replica responded first.
-    Returned(T, Arc<Replica>),
+    Returned(T),
     /// The attempt failed.
     Failed(AttemptError),
     /// The replica of the attempt fell silent; the attempt may still respond.
@@ -139,9 +139,8 @@
             let mut attempt = self.kind.start(&replica, self.attempts);
             match self.race(&mut attempt, &mut silent).await {
                 Raced::Responded(response) => return Ok(response),
-                Raced::Returned(response, returned) => {
+                Raced::Returned(response) => {
                     self.attempts.record_failure(AttemptError::Superseded);
-                    self.record_return(&returned);
                     return Ok(response);
                 }
                 Raced::Failed(e) => self.record_failure(&replica, e),
@@ -176,7 +175,10 @@
             };
             let Some(PendingAttempt { replica, is_counted, .. }) = silent.take() else { continue };
             match ended {
-                Ok(response) => return Raced::Returned(response, replica),
+                Ok(response) => {
+                    self.record_return(&replica, is_counted);
+                    return Raced::Returned(response);
+                }
                 Err(e) => self.attempts.record_end_of_silent(e, is_counted),
             }
         }
@@ -195,7 +197,7 @@
         let PendingAttempt { replica, is_counted, .. } = silent.take()?;
         match ended {
             Ok(response) => {
-                self.record_return(&replica);
+                self.record_return(&replica, is_counted);
                 Some(response)
             }
             Err(e) => {
@@ -211,7 +213,8 @@
         self.attempts.record_failure(error);
     }
 
-    fn record_return(&mut self, replica: &Arc<Replica>) {
+    fn record_return(&mut self, replica: &Arc<Replica>, is_counted: bool) {
+        self.attempts.record_return(is_counted);
         self.trace.record_return(replica);
         self.kind.record_return(replica);
     }
--- /dev/null
+++ b/serving/tests/test_returned_replicas.rs
@@ -0,0 +1,77 @@
+//! End-to-end tests of what remains of a silence after the replica has gone on.
+
+use crate::fleet::Fleet;
+use crate::fleet::spec;
+use guavaladder_platform_testutils::Call;
+use guavaladder_platform_testutils::FakePlatform;
+use guavaladder_platform_testutils::config;
+use guavaladder_platform_testutils::event_ids;
+use guavaladder_platform_testutils::spawn_instance;
+use http::Method;
+use serde_json::Value;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::task::JoinHandle;
+use tokio::time::sleep;
+
+/// Length of a pause that replicas survive.
+const PAUSE: Duration = Duration::from_millis(600);
+/// Delay of orders; a group is not dissolved within it.
+const ORDER_DELAY: Duration = Duration::from_secs(20);
+/// Number of events of the streams, which take 2.7 s without a pause.
+const EVENTS: usize = 180;
+/// Deadline of the requests.
+const DEADLINE: Duration = Duration::from_secs(8);
+
+/// Sends a streaming request and returns the number of its events, 0 if the response was cut.
+fn start_stream(to: SocketAddr) -> JoinHandle<usize> {
+    let call = Call::new(Method::POST, "/draft/x").with_deadline(DEADLINE);
+    tokio::spawn(async move { call.send(to).await.map_or(0, |r| event_ids(&r).len()) })
+}
+
+/// Waits for streams and returns the number of those that were cut.
+async fn count_cut(streams: Vec<JoinHandle<usize>>) -> usize {
+    let mut cut = 0;
+    for stream in streams {
+        cut += usize::from(stream.await.expect("a task that ends") != EVENTS);
+    }
+    cut
+}
+
+/// Starts a node before groups of two, with a changed route for streams.
+async fn start_fleet(groups: usize, change: impl FnOnce(&mut Value)) -> Fleet {
+    let mut fleet = Fleet::with_events(groups * 2, EVENTS as u64).await;
+    let mut changed = config(6);
+    changed["routes"][0]["timeoutMs"] = 10_000.into();
+    change(&mut changed["routes"][0]);
+    fleet.store.put("config", "main", changed);
+    fleet.add_first_node("drafting", groups).await;
+    fleet
+}
+
+/// Pauses the second member of each open group, and delays the orders to the groups.
+fn pause_groups(fake_platform: &FakePlatform, length: Duration) {
+    for group in fake_platform.open_groups() {
+        for member in &group {
+            fake_platform.delay_orders(member, ORDER_DELAY);
+        }
+        fake_platform.pause(&group[1], length);
+    }
+}
+
+/// The silence must not count as a run at a replica of its own.
+#[tokio::test]
+async fn stream_is_not_resumed_since_its_replica_was_silent_before() {
+    let fleet = start_fleet(1, |_| {}).await;
+    let streams = vec![start_stream(fleet.callers(0))];
+    sleep(Duration::from_millis(200)).await;
+    let member = fleet.fake_platform.open_groups()[0][1].clone();
+    pause_groups(&fleet.fake_platform, PAUSE);
+    sleep(PAUSE).await;
+    for id in ["i-02", "i-03"] {
+        spawn_instance(&fleet.fake_platform, spec(id, "drafting", Some("d0"))).await;
+    }
+    fleet.wait_for_replicas(0, "drafting", 2).await;
+    fleet.fake_platform.kill(&member);
+    assert_eq!(count_cut(streams).await, 0);
+}
