--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -24,7 +24,7 @@
   load       compares one daemon under load with direct streams [--seconds N] [--json]
   soak       runs daemons under traffic with seeded faults [--seed N] [--seconds S] [--json]
   serving-soak  runs daemons with `--serve` and fake instances, with seeded faults
-             [--seed N] [--seconds S] [--nodes N]
+             [--seed N] [--seconds S] [--nodes N] [--logs DIR] [--stops]
   standins   runs a fake platform and upstreams on loopback until interrupted
 ";
 
--- a/bench/src/serving_soak.rs
+++ b/bench/src/serving_soak.rs
@@ -4,7 +4,7 @@
 //! Callers keep a connection until the daemon closes it or is gone. The run fails if a fake saw a
 //! violation, if a request that was refused has been executed, if the events of a stream are wrong, if
 //! an undisturbed daemon sends on a request that has crashed three replicas, if daemons that were only
-//! asked to stop leave requests unanswered that they had passed on, or if a kind of request gets no
+//! asked to stop leave requests unanswered that have begun or that they had time to read, or if a kind of request gets no
 //! response during the recovery at the end.
 
 use crate::daemon_process;
@@ -60,9 +60,9 @@
 const MAX_CRASHES: usize = 3;
 /// Maximum number of later runs by undisturbed daemons, according to the platform's rules.
 const MAX_LATER_RUNS: usize = 3;
-/// Maximum number of requests that stopping daemons pass on and leave unanswered, according to the
-/// platform's rules.
-const MAX_UNANSWERED: usize = 3;
+/// Time after which a request whose connection ends counts as read, whether it has been passed on or not:
+/// the platform's `lossSlackMs`.
+const LOSS_SLACK: Duration = Duration::from_millis(200);
 /// Paths of the requests of callers; every other one differs from all others.
 const KINDS: [(Method, &str); 3] =
     [(Method::POST, "/draft/"), (Method::POST, "/book/"), (Method::GET, "/look/")];
@@ -80,8 +80,21 @@
     pub violations: Vec<String>,
     /// Daemon that each request was sent to.
     sent_to: BTreeMap<String, usize>,
-    /// Requests without a response: the daemon, the id and the time at which the connection ended.
-    unanswered: Vec<(usize, String, Instant)>,
+    /// Requests without a complete response.
+    unanswered: Vec<Unanswered>,
+    /// Requests of `unanswered` that are not counted, since their instance ended the stream while the
+    /// daemon was stopping.
+    pub broken_off: Vec<String>,
+}
+
+/// A request without a complete response.
+#[derive(Debug)]
+struct Unanswered {
+    node: usize,
+    request: String,
+    sent: Instant,
+    /// Time at which the connection ended.
+    ended: Instant,
 }
 
 /// Handle to the results of a run in progress.
@@ -107,15 +120,19 @@
     options.optopt("", "seconds", "duration of the traffic", "S");
     options.optopt("", "nodes", "number of daemons", "N");
     options.optopt("", "logs", "directory in which the daemons' logs are kept", "DIR");
+    options.optflag("", "stops", "inject only stops of daemons, and silence of instances");
     let matches = options.parse(args)?;
+    let only_stops = matches.opt_present("stops");
     let seed: u64 = matches.opt_get_default("seed", 1)?;
     let seconds: u64 = matches.opt_get_default("seconds", 40)?;
     let nodes: u8 = matches.opt_get_default("nodes", 3)?;
     let logs = matches.opt_str("logs").map(PathBuf::from);
-    let tally = soak(seed, Duration::from_secs(seconds), nodes, logs.as_deref()).await?;
+    let tally =
+        soak(seed, Duration::from_secs(seconds), nodes, logs.as_deref(), only_stops).await?;
     println!("seed {seed}, {seconds} s, {nodes} daemons: {:?}", tally.outcomes);
     println!("runs that crashed replicas: {}", tally.crash_runs);
     println!("responses during recovery: {:?}", tally.recovered);
+    println!("streams that an instance broke off at a stop: {:?}", tally.broken_off);
     for violation in &tally.violations {
         println!("violation: {violation}");
     }
@@ -124,8 +141,14 @@
 }
 
 /// Runs `count` daemons for `length` with the faults of a seed. Their logs are kept in `logs`, if it is
-/// given.
-pub async fn soak(seed: u64, length: Duration, count: u8, logs: Option<&Path>) -> Result<Tally> {
+/// given. With `only_stops`, the faults are stops of daemons and silence of instances.
+pub async fn soak(
+    seed: u64,
+    length: Duration,
+    count: u8,
+    logs: Option<&Path>,
+    only_stops: bool,
+) -> Result<Tally> {
     let store = FakeStore::start().await;
     store.put("config", "main", config(1));
     let mut fake_platform = FakePlatform::new(store.clone());
@@ -178,6 +201,7 @@
         next_instance: ENGINES,
         next_crashing: 0,
         version: 1,
+        only_stops,
     };
     faults.inject_until(start + length.saturating_sub(RECOVERY)).await?;
     proxy.send_replace(ProxyMode::Forward);
@@ -216,18 +240,27 @@
             found.push(format!("{path}: {late} runs after the third crash was known"));
         }
     }
-    let is_lost = |(node, request, at): &&(usize, String, Instant)| {
-        fake_platform.execution_count(request) > 0
-            && !fake_platform.was_broken_off(request)
-            && disturbances.is_only_stopping(*node, *at - STABLE_WINDOW, *at)
+    let is_unanswered_at_stop = |unanswered: &&Unanswered| {
+        let Unanswered { node, request, sent, ended } = *unanswered;
+        let has_begun = fake_platform.execution_count(request) > 0;
+        (has_begun || *ended - *sent > LOSS_SLACK)
+            && disturbances.is_only_stopping(*node, *ended - STABLE_WINDOW, *ended)
     };
-    let describe = |(node, request, at): &(usize, String, Instant)| {
-        let after = disturbances.last_begin(*node, *at).map(|begin| *at - begin);
-        format!("{request} at n{node}, {after:?} after the first signal")
+    let describe = |Unanswered { node, request, sent, ended }: &Unanswered| {
+        let after = disturbances.last_begin(*node, *ended).map(|begin| *ended - begin);
+        let waited = *ended - *sent;
+        format!("{request} at n{node}, after {waited:?}, {after:?} after the first signal")
     };
-    let lost: Vec<String> = tally.unanswered.iter().filter(is_lost).map(describe).collect();
-    if lost.len() > MAX_UNANSWERED {
-        found.push(format!("passed on and left unanswered by stopping daemons: {lost:?}"));
+    let (broken_off, lost): (Vec<&Unanswered>, Vec<&Unanswered>) = tally
+        .unanswered
+        .iter()
+        .filter(is_unanswered_at_stop)
+        .partition(|unanswered| fake_platform.was_broken_off(&unanswered.request));
+    let broken_off: Vec<String> = broken_off.into_iter().map(describe).collect();
+    let lost: Vec<String> = lost.into_iter().map(describe).collect();
+    tally.broken_off = broken_off;
+    if !lost.is_empty() {
+        found.push(format!("left unanswered by stopping daemons: {lost:?}"));
     }
     for (_, kind) in &KINDS {
         if !tally.recovered.contains_key(kind) {
@@ -272,8 +305,9 @@
                 }
             };
             self.tally.record_sent(&call, node);
+            let sent = Instant::now();
             let response = connection.send(&call).await;
-            self.record(&call, kind, node, response.as_ref());
+            self.record(&call, kind, (node, sent), response.as_ref());
             if response.is_some() {
                 kept = Some((node, connection));
             }
@@ -286,7 +320,7 @@
         &self,
         call: &Call,
         kind: &'static str,
-        node: usize,
+        (node, sent): (usize, Instant),
         response: Option<&Response<bytes::Bytes>>,
     ) {
         let is_stream = kind == KINDS[0].1;
@@ -310,7 +344,8 @@
         *tally.outcomes.entry(outcome).or_default() += 1;
         tally.violations.extend(violation);
         if outcome == "no response" {
-            tally.unanswered.push((node, call.id.clone(), Instant::now()));
+            let (request, ended) = (call.id.clone(), Instant::now());
+            tally.unanswered.push(Unanswered { node, request, sent, ended });
         }
         if outcome == "answered" && Instant::now() + RECOVERY / 2 >= self.end {
             *tally.recovered.entry(kind).or_default() += 1;
--- a/bench/src/serving_soak_faults.rs
+++ b/bench/src/serving_soak_faults.rs
@@ -43,6 +43,8 @@
 const FAULT_INTERVAL_MS: std::ops::Range<u64> = 200..1500;
 /// Range of the number of copies of a crashing request.
 const CRASHING_COPIES: std::ops::Range<usize> = 8..24;
+/// Time for which instances ignore requests, in milliseconds.
+const SILENCE_MS: std::ops::Range<u64> = 500..5000;
 /// Range of the time between two copies, in milliseconds.
 const COPY_INTERVAL_MS: std::ops::Range<u64> = 100..900;
 /// UDP port of the messages between the daemons.
@@ -235,6 +237,8 @@
     pub next_crashing: usize,
     /// Version of the configuration.
     pub version: u64,
+    /// Whether only daemons are stopped and instances fall silent.
+    pub only_stops: bool,
 }
 
 impl Faults {
@@ -242,7 +246,10 @@
     pub async fn inject_until(&mut self, end: Instant) -> Result<()> {
         let mut running = JoinSet::new();
         while Instant::now() < end {
-            self.inject(&mut running).await;
+            match self.only_stops {
+                true => self.inject_stop(&mut running),
+                false => self.inject(&mut running).await,
+            }
             sleep(Duration::from_millis(self.rng.random_range(FAULT_INTERVAL_MS))).await;
         }
         while let Some(ended) = running.join_next().await {
@@ -284,6 +291,35 @@
         }
     }
 
+    /// Stops a daemon, and lets some of the instances ignore the requests that they receive meanwhile.
+    fn inject_stop(&mut self, running: &mut JoinSet<Result<()>>) {
+        let victim = self.rng.random_range(0..self.nodes.len());
+        let rng = StdRng::seed_from_u64(self.rng.next_u64());
+        if self.rng.random_bool(0.5) {
+            running.spawn(self.signals(victim, SignalSeries::Stop, rng));
+            return;
+        }
+        let mut silent: Vec<String> = self
+            .fake_platform
+            .open_groups()
+            .into_iter()
+            .filter_map(|g| g.first().cloned())
+            .collect();
+        silent.push(plain_spec(0).id);
+        let length = Duration::from_millis(self.rng.random_range(SILENCE_MS));
+        let fake_platform = self.fake_platform.clone();
+        running.spawn(async move {
+            for id in &silent {
+                fake_platform.set_mode(id, InstanceMode::IgnoresRequests);
+            }
+            sleep(length).await;
+            for id in &silent {
+                fake_platform.set_mode(id, InstanceMode::Up);
+            }
+            Ok(())
+        });
+    }
+
     fn signals(
         &self,
         number: usize,
--- a/bench/tests/test_serving_soak.rs
+++ b/bench/tests/test_serving_soak.rs
@@ -10,7 +10,8 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn serving_soak_short() {
-    let tally = serving_soak::soak(SEED, LENGTH, NODES, None).await.expect("a run of the soak");
+    let tally =
+        serving_soak::soak(SEED, LENGTH, NODES, None, false).await.expect("a run of the soak");
     assert_eq!(tally.violations, Vec::<String>::new(), "{tally:?}");
     assert!(tally.outcomes["answered"] > 0, "{tally:?}");
 }
