--- a/daemon/tests/test_serving_stop.rs
+++ b/daemon/tests/test_serving_stop.rs
@@ -8,6 +8,7 @@
 use guavaladder_platform_testutils::FakeStore;
 use guavaladder_platform_testutils::InstanceMode;
 use guavaladder_platform_testutils::InstanceSpec;
+use guavaladder_platform_testutils::StoreMode;
 use guavaladder_platform_testutils::config;
 use guavaladder_platform_testutils::spawn_instance;
 use http::Method;
@@ -286,3 +287,35 @@
     running.await.unwrap().assert_complete("/draft/a");
     stand.wait_for_exit(stopped_at).await;
 }
+
+#[tokio::test]
+async fn second_sigterm_does_not_end_running_requests() {
+    let mut stand = Stand::new("stop-twice", Duration::from_millis(60)).await;
+    let mut stream = TcpStream::connect(stand.callers).await.unwrap();
+    stream.write_all(&request("POST", "/draft/a", b"")).await.unwrap();
+    let running = tokio::spawn(receive(stream));
+    sleep(Duration::from_millis(100)).await;
+    let stopped_at = Instant::now();
+    for _ in 0..3 {
+        stand.daemon.signal("TERM");
+        sleep(Duration::from_millis(200)).await;
+    }
+    running.await.unwrap().assert_complete("/draft/a");
+    stand.wait_for_exit(stopped_at).await;
+    assert!(stopped_at.elapsed() < SHUTDOWN, "{:?}", stopped_at.elapsed());
+}
+
+/// The store accepts connections and does not respond, so the node can't delete its object.
+#[tokio::test]
+async fn node_exits_in_time_when_store_does_not_respond() {
+    let mut stand = Stand::new("stop-store", Duration::from_millis(60)).await;
+    stand.fake_platform.store.set_mode(StoreMode::Unresponsive);
+    let mut stream = TcpStream::connect(stand.callers).await.unwrap();
+    stream.write_all(&request("POST", "/draft/a", b"")).await.unwrap();
+    let running = tokio::spawn(receive(stream));
+    let stopped_at = Instant::now();
+    stand.daemon.signal("TERM");
+    running.await.unwrap().assert_complete("/draft/a");
+    stand.wait_for_exit(stopped_at).await;
+    assert!(stopped_at.elapsed() < SHUTDOWN, "{:?}", stopped_at.elapsed());
+}
