--- a/serving/src/next_replica.rs
+++ b/serving/src/next_replica.rs
@@ -5,6 +5,8 @@
 use crate::attempt::Attempts;
 use crate::attempt::Withheld;
 use crate::candidates;
+use crate::crash_keys::CrashSubject;
+use crate::crash_record::CrashRefusal;
 use crate::local_response;
 use crate::placement;
 use crate::placement::Occupancy;
@@ -49,10 +51,10 @@
     attempts: &mut Attempts,
     progress: Progress,
 ) -> NextStep {
-    if let Some(crashes) = cx.crashes.refusal(task.fingerprint) {
+    if let Some(refusal) = cx.crashes.refusal(&task.crash_keys) {
         return match progress.has_begun {
-            true => NextStep::Fail("replicas crashed each time they ran this request".to_string()),
-            false => NextStep::Respond(refuse_crashing_request(task, trace, attempts, crashes)),
+            true => NextStep::Fail(crash_reason(refusal).to_string()),
+            false => NextStep::Respond(refuse_crashing_request(task, trace, attempts, refusal)),
         };
     }
     let withheld = match choose(cx, task, attempts, progress) {
@@ -111,14 +113,20 @@
     task: &RequestTask,
     trace: &mut RequestTrace,
     attempts: &Attempts,
-    crashes: usize,
+    refusal: CrashRefusal,
 ) -> Response<ResponseBody> {
     if attempts.runs > 0 {
         return fail_request(task, trace, attempts);
     }
-    trace.record_refused_as_crashing(crashes);
-    let reason = "replicas crashed each time they ran this request";
-    local_response::not_run(reason, task.time_left(Instant::now()))
+    trace.record_refused_as_crashing(refusal);
+    local_response::not_run(crash_reason(refusal), task.time_left(Instant::now()))
+}
+
+fn crash_reason(refusal: CrashRefusal) -> &'static str {
+    match refusal.subject {
+        CrashSubject::Request => "replicas crashed each time they ran this request",
+        CrashSubject::Part(_) => "replicas crashed each time they ran a part of this prompt",
+    }
 }
 
 /// Returns the final response to a request whose attempts failed.
--- a/serving/src/request_handler.rs
+++ b/serving/src/request_handler.rs
@@ -1,6 +1,7 @@
 //! Entry point for requests of callers: matches a request to a route and a customer, reads its body and
 //! dispatches it to the forwarder for the kind of the route.
 
+use crate::crash_keys::CrashKeys;
 use crate::dialect::RequestHead;
 use crate::fleet_config::Route;
 use crate::fleet_config::RouteKind;
@@ -16,6 +17,8 @@
 use crate::stream_forward;
 use bytes::Bytes;
 use guavaladder_lib::generated::events::Event;
+use guavaladder_lib::limited_body;
+use guavaladder_lib::limited_body::BodyError;
 use http::HeaderMap;
 use http::Request;
 use http::Response;
@@ -23,10 +26,6 @@
 use http::Uri;
 use http::header;
 use http::request::Parts;
-use http_body_util::BodyExt;
-use http_body_util::LengthLimitError;
-use http_body_util::Limited;
-use hyper::body::Body;
 use hyper::body::Incoming;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
@@ -165,6 +164,7 @@
     let urgency = customer.and_then(|customer| customer.priority).unwrap_or(route.priority);
     let customer = customer.map(|customer| customer.name.as_str());
     let fingerprint = request_task::fingerprint(&parts.method, &uri, customer, &body);
+    let crash_keys = CrashKeys::new(fingerprint, head.model.as_deref(), &head.prompt_parts);
     Ok(RequestTask {
         method: parts.method,
         uri,
@@ -181,7 +181,7 @@
         is_likely_retry: head.deadline.is_some_and(|d| d + route.target_latency < route.timeout),
         received,
         deadline,
-        fingerprint,
+        crash_keys,
         has_begun: AtomicBool::new(false),
         stop: incoming.cx.stop.clone(),
         head,
@@ -194,19 +194,15 @@
     deadline: Instant,
     stop: &NodeStop,
 ) -> Result<Bytes, Rejection> {
-    // Reject a body whose announced length exceeds the limit before reading it.
-    if body.size_hint().lower() > max_bytes as u64 {
-        return Err(Rejection::BodyTooLarge);
-    }
-    let body = Limited::new(body, max_bytes).collect();
+    let body = limited_body::read(body, max_bytes);
     let body = tokio::select! {
         body = timeout_at(deadline, body) => body,
         () = stop.wait_until(|times| times.answers_due) => return Err(Rejection::Stopping),
     };
     match body {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(e)) if e.is::<LengthLimitError>() => Err(Rejection::BodyTooLarge),
-        Ok(Err(_)) => Err(Rejection::BodyIncomplete),
+        Ok(Ok(body)) => Ok(body),
+        Ok(Err(BodyError::TooLarge { .. })) => Err(Rejection::BodyTooLarge),
+        Ok(Err(BodyError::Failed(_))) => Err(Rejection::BodyIncomplete),
         Err(_) => Err(Rejection::BodyTimedOut),
     }
 }
