replica_health: a mark gives way to the progress of a node's own streams

Streams were moved, each at the cost of a retry and of a second run, although their replica sent events all the while. A mark as down counted on every node, whatever the node itself saw. Two cases: a node that can't reach a member marks the replica for all nodes; and the nodes that had found a replica to be down announced it for 1.5 s, also after it had returned, so that each of their heartbeats marked it again on the other nodes.

A stream leaves its replica only once it has had no event for 160 ms itself. An event that arrives that long after the mark removes it, and ends its announcement. A report of another node is ignored while own streams make progress.

--- a/serving/src/down_reports.rs
+++ b/serving/src/down_reports.rs
@@ -33,6 +33,12 @@
         self.report_added.notify_one();
     }
 
+    /// Removes a replica that is not down any more.
+    pub fn remove(&self, replica: u64) {
+        let mut reports = self.reports.lock().unwrap_or_else(PoisonError::into_inner);
+        reports.retain(|(_, report)| report.replica != replica);
+    }
+
     /// Returns the replicas that are currently announced.
     pub fn announced(&self, now: Instant) -> Vec<DownReplica> {
         let mut reports = self.reports.lock().unwrap_or_else(PoisonError::into_inner);
--- a/serving/src/load_table.rs
+++ b/serving/src/load_table.rs
@@ -1,6 +1,7 @@
 //! Load and health of each replica as known to this node: its own requests, the last reported requests
 //! of the other nodes, the last activity, failures, and whether the replica was marked as down.
 
+use crate::replica_health::MIN_SILENCE;
 use crate::replica_set::Replica;
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -183,22 +184,25 @@
         }
     }
 
-    /// Records the interval between two events of a stream, to be compared with the expected one.
+    /// Records the interval between two events of a stream, to be compared with the expected one. Returns
+    /// whether the replica is marked as down and the event was sent after that.
     pub fn record_event_interval(
         &self,
         hash: u64,
         interval: Duration,
         expected: Duration,
         now: Instant,
-    ) {
-        if let Some(entry) = self.lock().entries.get_mut(&hash) {
-            entry.last_activity = Some(now);
-            entry.last_event = Some(now);
-            if !expected.is_zero() {
-                let factor = interval.as_secs_f64() / expected.as_secs_f64();
-                entry.slowness += NEWEST_WEIGHT * (factor - entry.slowness);
-            }
+    ) -> bool {
+        let mut inner = self.lock();
+        let Some(entry) = inner.entries.get_mut(&hash) else { return false };
+        entry.last_activity = Some(now);
+        entry.last_event = Some(now);
+        if !expected.is_zero() {
+            let factor = interval.as_secs_f64() / expected.as_secs_f64();
+            entry.slowness += NEWEST_WEIGHT * (factor - entry.slowness);
         }
+        let until = (*entry.down.borrow()).filter(|until| *until > now);
+        until.is_some_and(|until| until - now + MIN_SILENCE <= DOWN_PERIOD)
     }
 
     /// Records a successful request, which also ends an ejection.
--- a/serving/src/peer_exchange.rs
+++ b/serving/src/peer_exchange.rs
@@ -198,8 +198,7 @@
         let replicas = self.cx.fleet.replicas();
         for down in &heartbeat.downs {
             let Some(replica) = replicas.all().find(|r| r.hash == down.replica) else { continue };
-            let reason = format!("reported by {}", heartbeat.node);
-            replica_health::mark_replica_down(&self.cx, replica, &down.member, &reason, "peer");
+            replica_health::mark_reported_down(&self.cx, replica, &down.member, &heartbeat.node);
         }
     }
 
--- a/serving/src/replica_health.rs
+++ b/serving/src/replica_health.rs
@@ -36,7 +36,7 @@
 /// Number of passes without any event after which a replica with running streams is suspected.
 const SILENT_PASSES: u32 = 4;
 /// Minimum silence after which a replica with running streams is suspected.
-const MIN_SILENCE: Duration = Duration::from_millis(160);
+pub const MIN_SILENCE: Duration = Duration::from_millis(160);
 /// Silence after which a replica is suspected while all its requests still wait for their first event.
 const FIRST_EVENT_SILENCE: Duration = Duration::from_millis(320);
 /// Time for which a replica is not suspected again after its members proved to be healthy.
@@ -201,6 +201,16 @@
     }
 }
 
+/// Marks a replica as down that another node found to be down, unless streams of this node make progress
+/// there.
+pub fn mark_reported_down(cx: &ServingCx, replica: &Arc<Replica>, member: &str, node: &str) {
+    let now = Instant::now();
+    let last_event = cx.loads.state(replica, now).last_event;
+    if last_event.is_none_or(|at| now - at >= MIN_SILENCE) {
+        mark_replica_down(cx, replica, member, &format!("reported by {node}"), "peer");
+    }
+}
+
 /// Marks a replica as down on this node; returns false if it was already marked.
 pub fn mark_replica_down(
     cx: &ServingCx,
@@ -227,6 +237,7 @@
 /// Records that a replica made progress although it had fallen silent, so that it is no longer down.
 pub fn record_return(cx: &ServingCx, replica: &Arc<Replica>) {
     if let Some(silent_for) = cx.loads.clear_down(replica.hash, Instant::now()) {
+        cx.down_reports.remove(replica.hash);
         cx.metrics.replica_returned();
         cx.log.record(Event::ReplicaReturned { replica: replica.key.clone(), silent_for });
     }
--- a/serving/src/stream_relay.rs
+++ b/serving/src/stream_relay.rs
@@ -6,6 +6,7 @@
 use crate::attempt_loop::AttemptLoop;
 use crate::attempt_loop::NoResponse;
 use crate::attempt_loop::PendingAttempt;
+use crate::replica_health::MIN_SILENCE;
 use crate::request_task::RequestTask;
 use crate::request_task::RequestTrace;
 use crate::response_body::ResponseBody;
@@ -152,11 +153,17 @@
         &self,
         stream: &mut UpstreamStream,
     ) -> Option<Result<StreamItem, AttemptError>> {
-        let until = Instant::now() + MAX_EVENT_GAP;
+        let now = Instant::now();
+        let until = now + MAX_EVENT_GAP;
         let down = self.cx.loads.watch_down(stream.replica.hash);
+        let down = async {
+            // A mark is no reason to leave a replica that makes progress on this stream.
+            sleep_until(now + MIN_SILENCE).await;
+            stream_forward::wait_until_down(down).await
+        };
         tokio::select! {
             next = stream.next_until_due(&self.cx, &self.task) => Some(next),
-            e = stream_forward::wait_until_down(down) => Some(Err(e)),
+            e = down => Some(Err(e)),
             () = sleep_until(until) => Some(Err(AttemptError::Silent)),
             () = self.tx.closed() => None,
         }
--- a/serving/src/upstream_stream.rs
+++ b/serving/src/upstream_stream.rs
@@ -4,6 +4,7 @@
 use crate::attempt::AttemptError;
 use crate::attempt::UpstreamResponse;
 use crate::load_table::RequestGuard;
+use crate::replica_health;
 use crate::replica_set::Replica;
 use crate::request_task::RequestTask;
 use crate::serving_cx::ServingCx;
@@ -76,7 +77,9 @@
                 let interval = now - self.last_event_at;
                 self.last_event_at = now;
                 let expected = expected_event_interval(cx, &self.replica);
-                cx.loads.record_event_interval(self.replica.hash, interval, expected, now);
+                if cx.loads.record_event_interval(self.replica.hash, interval, expected, now) {
+                    replica_health::record_return(cx, &self.replica);
+                }
                 return Ok(StreamItem::Event(event));
             }
             match next_frame(self.upstream.response.body_mut()).await? {
--- a/serving/tests/test_returned_replicas.rs
+++ b/serving/tests/test_returned_replicas.rs
@@ -7,7 +7,9 @@
 use guavaladder_platform_testutils::config;
 use guavaladder_platform_testutils::event_ids;
 use guavaladder_platform_testutils::spawn_instance;
+use guavaladder_serving::replica_health;
 use http::Method;
+use rstest::rstest;
 use serde_json::Value;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -75,3 +77,41 @@
     fleet.fake_platform.kill(&member);
     assert_eq!(count_cut(streams).await, 0);
 }
+
+/// Each node marks it once; the announcements of the others must not outlive the silence.
+#[tokio::test]
+async fn replica_is_marked_as_down_again_after_it_returned() {
+    let mut fleet = start_fleet(1, |_| {}).await;
+    fleet.add_node().await;
+    fleet.wait_for_replicas(1, "drafting", 1).await;
+    let streams: Vec<_> = (0..4).map(|i| start_stream(fleet.callers(i % 2))).collect();
+    sleep(Duration::from_millis(200)).await;
+    pause_groups(&fleet.fake_platform, PAUSE);
+    assert_eq!(count_cut(streams).await, 0);
+    let marks = |i: usize| fleet.nodes[i].cx.metrics.sum("replicas_down_total");
+    assert_eq!((marks(0), marks(1)), (1, 1));
+}
+
+/// A node can't reach a member, but the streams make progress.
+#[rstest]
+#[case::own_check(true)]
+#[case::report_of_another_node(false)]
+#[tokio::test]
+async fn streams_that_make_progress_are_moved(#[case] is_own: bool) {
+    let fleet = start_fleet(2, |_| {}).await;
+    let groups = fleet.fake_platform.open_groups();
+    groups.iter().flatten().for_each(|id| fleet.fake_platform.delay_orders(id, ORDER_DELAY));
+    let streams: Vec<_> = (0..8).map(|_| start_stream(fleet.callers(0))).collect();
+    sleep(Duration::from_millis(300)).await;
+    let cx = &fleet.nodes[0].cx;
+    for replica in cx.fleet.replicas().of_service("drafting") {
+        let member = &replica.members[1].0;
+        match is_own {
+            true => replica_health::mark_and_report_down(cx, replica, member, "timeout", "failed"),
+            false => replica_health::mark_reported_down(cx, replica, member, "n1"),
+        }
+    }
+    assert_eq!(count_cut(streams).await, 0);
+    assert_eq!(cx.metrics.sum("moves_total"), 0);
+    assert_eq!(cx.metrics.sum("replicas_returned_total"), if is_own { 2 } else { 0 });
+}
