attempts: a replica that may only be silent counts against max_attempts

Requests ran at more replicas than their route allows. An attempt at a group that was marked as down before the first event did not count, since such a group has stalled; but a group that was only silent goes on and runs the request, even if the attempt has been dropped meanwhile.

Such an attempt counts until the replica is known to have ended: its process, or the group that it was. The attempt that waits is not dropped any more before another one, since both are counted.

--- a/serving/src/attempt.rs
+++ b/serving/src/attempt.rs
@@ -4,6 +4,7 @@
 use crate::connection::ConnectError;
 use crate::connection::Connection;
 use crate::dialect::UpstreamParams;
+use crate::failed_attempts;
 use crate::fleet_config::RouteKind;
 use crate::instance::InstanceId;
 use crate::instance::ResponseHead;
@@ -19,6 +20,7 @@
 use http::StatusCode;
 use http_body_util::Full;
 use hyper::body::Incoming;
+use std::sync::Arc;
 use tokio::time::Instant;
 
 /// Largest request body, in bytes, after which the connection is reused. A replica may respond before
@@ -116,8 +118,11 @@
     /// Number of attempts in which the request may have run.
     pub runs: u32,
     /// Number of those attempts whose replica was not known to be down. Only these count against the
-    /// route's `max_attempts`.
+    /// route's `max_attempts`, and those at `stalled` replicas that have not ended.
     pub runs_at_live_replicas: u32,
+    /// Replicas that were marked as down before the response began. If such a replica was only silent, it
+    /// runs the request when it goes on, even if the attempt has been dropped.
+    stalled: Vec<Arc<Replica>>,
     /// Whether any attempt reached a replica.
     pub has_reached_replica: bool,
     /// Error of the last attempt.
@@ -146,33 +151,47 @@
         self.last_error = Some(error);
     }
 
-    /// Records the end of an attempt that was recorded before, when its replica fell silent; `is_counted`
-    /// tells whether it was counted as a run at a live replica then.
-    pub fn record_end_of_silent(&mut self, error: AttemptError, is_counted: bool) {
+    /// Records an attempt whose replica fell silent before the response began.
+    pub fn record_silence(&mut self, replica: &Arc<Replica>, error: AttemptError) {
+        if error == AttemptError::Down {
+            self.stalled.push(replica.clone());
+        }
+        self.record_failure(error);
+    }
+
+    /// Records the end of an attempt that was recorded before, when its replica fell silent.
+    pub fn record_end_of_silent(&mut self, replica: &Arc<Replica>, error: AttemptError) {
         if error.is_not_run() {
-            self.runs = self.runs.saturating_sub(1);
-            self.runs_at_live_replicas -= u32::from(is_counted).min(self.runs_at_live_replicas);
+            self.take_back_run(replica);
         }
         self.last_error = Some(error);
     }
 
     /// Records that a silent replica responded to an attempt that was recorded when it fell silent. The
     /// attempt is in progress again, and does not count until it ends.
-    pub fn record_return(&mut self, is_counted: bool) {
+    pub fn record_return(&mut self, replica: &Arc<Replica>) {
+        self.take_back_run(replica);
+    }
+
+    fn take_back_run(&mut self, replica: &Arc<Replica>) {
         self.runs = self.runs.saturating_sub(1);
-        self.runs_at_live_replicas -= u32::from(is_counted).min(self.runs_at_live_replicas);
+        match self.stalled.iter().position(|stalled| stalled.hash == replica.hash) {
+            Some(i) => drop(self.stalled.remove(i)),
+            None => self.runs_at_live_replicas = self.runs_at_live_replicas.saturating_sub(1),
+        }
     }
 
-    /// Returns whether the request may run at two more replicas at the same time.
-    pub fn may_overlap(&self, task: &RequestTask) -> bool {
-        self.runs_at_live_replicas + 2 <= task.max_attempts
+    /// Returns the number of replicas that count against the route's `max_attempts`.
+    fn counted_runs(&self, cx: &ServingCx) -> u32 {
+        let may_run = |replica: &&Arc<Replica>| !failed_attempts::has_ended(cx, replica);
+        self.runs_at_live_replicas + self.stalled.iter().filter(may_run).count() as u32
     }
 
     /// Returns why the request may not be sent again, apart from the retry budget.
-    pub fn limit(&self, task: &RequestTask) -> Option<Withheld> {
+    pub fn limit(&self, cx: &ServingCx, task: &RequestTask) -> Option<Withheld> {
         let is_allowed = match task.kind {
             RouteKind::Idempotent | RouteKind::Streaming { is_resumable: true } => {
-                self.runs_at_live_replicas < task.max_attempts
+                self.counted_runs(cx) < task.max_attempts
             }
             RouteKind::NonIdempotent | RouteKind::Streaming { is_resumable: false } => {
                 self.runs == 0
--- a/serving/src/attempt_loop.rs
+++ b/serving/src/attempt_loop.rs
@@ -32,8 +32,6 @@
     pub replica: Arc<Replica>,
     response: BoxFuture<'a, Result<T, AttemptError>>,
     silence: BoxFuture<'a, AttemptError>,
-    /// Whether the attempt is counted as a run at a live replica.
-    is_counted: bool,
 }
 
 impl<'a, T> PendingAttempt<'a, T> {
@@ -44,7 +42,7 @@
         silence: impl Future<Output = AttemptError> + Send + 'a,
     ) -> Self {
         let (response, silence) = (Box::pin(response), Box::pin(silence));
-        Self { replica, response, silence, is_counted: false }
+        Self { replica, response, silence }
     }
 
     /// Returns an attempt whose response had begun before its replica fell silent.
@@ -52,8 +50,7 @@
         replica: Arc<Replica>,
         response: impl Future<Output = Result<T, AttemptError>> + Send + 'a,
     ) -> Self {
-        let attempt = Self::new(replica, response, std::future::pending());
-        Self { is_counted: true, ..attempt }
+        Self::new(replica, response, std::future::pending())
     }
 }
 
@@ -131,11 +128,6 @@
                 NextStep::Respond(response) => return Err(NoResponse::Respond(response)),
                 NextStep::Fail(cause) => return Err(NoResponse::Failed(cause)),
             };
-            if silent.as_ref().is_some_and(|s| !s.is_counted)
-                && !self.attempts.may_overlap(self.task)
-            {
-                silent = None;
-            }
             let mut attempt = self.kind.start(&replica, self.attempts);
             match self.race(&mut attempt, &mut silent).await {
                 Raced::Responded(response) => return Ok(response),
@@ -143,10 +135,13 @@
                     self.attempts.record_failure(AttemptError::Superseded);
                     return Ok(response);
                 }
-                Raced::Failed(e) => self.record_failure(&replica, e),
+                Raced::Failed(e) => {
+                    self.end_attempt(&replica, &e);
+                    self.attempts.record_failure(e);
+                }
                 Raced::Silent(e) => {
-                    attempt.is_counted = !e.cannot_be_running();
-                    self.record_failure(&replica, e);
+                    self.end_attempt(&replica, &e);
+                    self.attempts.record_silence(&replica, e);
                     silent.get_or_insert(attempt);
                 }
             }
@@ -173,13 +168,13 @@
                 ended = response_of(silent) => ended,
                 e = &mut attempt.silence => return Raced::Silent(e),
             };
-            let Some(PendingAttempt { replica, is_counted, .. }) = silent.take() else { continue };
+            let Some(PendingAttempt { replica, .. }) = silent.take() else { continue };
             match ended {
                 Ok(response) => {
-                    self.record_return(&replica, is_counted);
+                    self.record_return(&replica);
                     return Raced::Returned(response);
                 }
-                Err(e) => self.attempts.record_end_of_silent(e, is_counted),
+                Err(e) => self.attempts.record_end_of_silent(&replica, e),
             }
         }
     }
@@ -194,27 +189,26 @@
             ended = response_of(silent) => ended,
             () = sleep(RETRY_CHECK_PERIOD) => return None,
         };
-        let PendingAttempt { replica, is_counted, .. } = silent.take()?;
+        let PendingAttempt { replica, .. } = silent.take()?;
         match ended {
             Ok(response) => {
-                self.record_return(&replica, is_counted);
+                self.record_return(&replica);
                 Some(response)
             }
             Err(e) => {
-                self.attempts.record_end_of_silent(e, is_counted);
+                self.attempts.record_end_of_silent(&replica, e);
                 None
             }
         }
     }
 
-    fn record_failure(&mut self, replica: &Arc<Replica>, error: AttemptError) {
-        self.kind.record_failure(self.trace, replica, &error);
+    fn end_attempt(&mut self, replica: &Arc<Replica>, error: &AttemptError) {
+        self.kind.record_failure(self.trace, replica, error);
         self.trace.end_attempt();
-        self.attempts.record_failure(error);
     }
 
-    fn record_return(&mut self, replica: &Arc<Replica>, is_counted: bool) {
-        self.attempts.record_return(is_counted);
+    fn record_return(&mut self, replica: &Arc<Replica>) {
+        self.attempts.record_return(replica);
         self.trace.record_return(replica);
         self.kind.record_return(replica);
     }
--- a/serving/src/failed_attempts.rs
+++ b/serving/src/failed_attempts.rs
@@ -223,6 +223,12 @@
     }
 }
 
+/// Returns whether a replica is known to have ended: its process, or the group that it was.
+pub fn has_ended(cx: &ServingCx, replica: &Replica) -> bool {
+    let is_known = cx.failed_attempts.lock().ended.contains_key(&replica.hash);
+    is_known || !cx.fleet.replicas().all().any(|r| r.hash == replica.hash)
+}
+
 /// Waits until it is known whether the replicas of a request's failed attempts crashed, if the request
 /// would have to be refused then.
 pub async fn settle(cx: &ServingCx, crash_keys: &CrashKeys) {
@@ -265,7 +271,7 @@
     }
     let (cx, hash, member) = (cx.clone(), replica.hash, member.to_string());
     tokio::spawn(async move {
-        if has_ended(&cx, &member, address).await {
+        if member_has_ended(&cx, &member, address).await {
             replica_ended(&cx, hash);
         }
         cx.failed_attempts.end_check(hash);
@@ -273,7 +279,7 @@
 }
 
 /// Returns whether a member is known to have ended: nothing listens at its address, or another run does.
-async fn has_ended(cx: &ServingCx, member: &str, address: SocketAddr) -> bool {
+async fn member_has_ended(cx: &ServingCx, member: &str, address: SocketAddr) -> bool {
     let born = cx.fleet.instance(member).map(|instance| instance.engine.born_ms);
     match replica_health::fetch_report(cx, member, address, "crash", CHECK_TIMEOUT).await {
         Ok(report) => born.is_some_and(|born| born != report.engine.born_ms),
--- a/serving/src/next_replica.rs
+++ b/serving/src/next_replica.rs
@@ -89,7 +89,7 @@
     progress: Progress,
 ) -> Result<Arc<Replica>, Withheld> {
     let is_retry = attempts.last_error.is_some();
-    if let Some(limit) = attempts.limit(task).filter(|_| is_retry) {
+    if let Some(limit) = attempts.limit(cx, task).filter(|_| is_retry) {
         return Err(limit);
     }
     let timeliness = match progress.has_begun {
--- a/serving/tests/test_returned_replicas.rs
+++ b/serving/tests/test_returned_replicas.rs
@@ -115,3 +115,25 @@
     assert_eq!(cx.metrics.sum("moves_total"), 0);
     assert_eq!(cx.metrics.sum("replicas_returned_total"), if is_own { 2 } else { 0 });
 }
+
+/// All groups are silent before the first event, and run the request once they go on.
+#[rstest]
+#[case::once(1, 2)]
+#[case::twice(2, 3)]
+#[tokio::test]
+async fn request_runs_at_more_replicas_than_allowed(
+    #[case] max_attempts: usize,
+    #[case] groups: usize,
+) {
+    let fleet = start_fleet(groups, |route| route["maxAttempts"] = max_attempts.into()).await;
+    for group in fleet.fake_platform.open_groups() {
+        for member in group {
+            fleet.fake_platform.delay_orders(&member, ORDER_DELAY);
+            fleet.fake_platform.pause(&member, Duration::from_millis(1200));
+        }
+    }
+    let call = Call::new(Method::POST, "/draft/x").with_deadline(DEADLINE);
+    assert_eq!(call.status(fleet.callers(0)).await, 200);
+    let runs = fleet.fake_platform.execution_count(&call.id);
+    assert!(runs <= max_attempts, "{runs} runs, {max_attempts} allowed");
+}
