--- a/serving/src/failed_attempts.rs
+++ b/serving/src/failed_attempts.rs
@@ -99,6 +99,11 @@
         Self::default()
     }
 
+    /// Returns whether an instance of a replica is known to have ended.
+    pub fn has_ended(&self, hash: u64) -> bool {
+        self.lock().ended.contains_key(&hash)
+    }
+
     /// Removes and returns the attempts at replicas that ended; drops those that are too old.
     fn take_ended(
         &self,
@@ -172,8 +177,8 @@
     let replica = attempt.replica.clone();
     let missing = cx.loads.down_members(Instant::now()).remove(&replica.hash);
     keep(cx, attempt, missing.is_some(), false);
-    if let Some(member) = missing {
-        check_member(cx, &replica, &member);
+    if let Some(down) = missing {
+        check_member(cx, &replica, &down.member);
     }
 }
 
@@ -256,6 +261,12 @@
     }
 }
 
+/// Returns whether a replica is known to have ended: its process, or the group that it was.
+pub fn has_ended(cx: &ServingCx, replica: &Replica) -> bool {
+    let is_known = cx.failed_attempts.lock().ended.contains_key(&replica.hash);
+    is_known || !cx.fleet.replicas().all().any(|r| r.hash == replica.hash)
+}
+
 /// Waits until it is known whether the replicas of a request's failed attempts crashed, if the request
 /// would have to be refused then.
 pub async fn settle(cx: &ServingCx, crash_keys: &CrashKeys) {
@@ -298,7 +309,7 @@
     }
     let (cx, hash, member) = (cx.clone(), replica.hash, member.to_string());
     tokio::spawn(async move {
-        if has_ended(&cx, &member, address).await {
+        if member_has_ended(&cx, &member, address).await {
             replica_ended(&cx, hash);
         }
         cx.failed_attempts.end_check(hash);
@@ -306,7 +317,7 @@
 }
 
 /// Returns whether a member is known to have ended: nothing listens at its address, or another run does.
-async fn has_ended(cx: &ServingCx, member: &str, address: SocketAddr) -> bool {
+async fn member_has_ended(cx: &ServingCx, member: &str, address: SocketAddr) -> bool {
     let born = cx.fleet.instance(member).map(|instance| instance.engine.born_ms);
     match replica_health::fetch_report(cx, member, address, "crash", CHECK_TIMEOUT).await {
         Ok(report) => born.is_some_and(|born| born != report.engine.born_ms),
