crash_record: look at the marks that are new in a heartbeat only

Heartbeats repeat their marks for two seconds; whether a request has to be refused from now on is asked for those that are not known yet. The test of both rules prints the sends beyond the first of a request.

--- a/serving/src/crash_record.rs
+++ b/serving/src/crash_record.rs
@@ -121,7 +121,9 @@
         for request in requests {
             let is_refused =
                 |history: &CrashHistory| history.is_suspected_cause(request.fingerprint);
-            let was_refused = is_refused(&inner.history);
+            // Heartbeats repeat their marks, and most of them are known.
+            let is_known = inner.history.knows(request);
+            let was_refused = is_known || is_refused(&inner.history);
             inner.history.merge(request, now);
             if !was_refused && is_refused(&inner.history) {
                 refused.push(request.fingerprint);
--- a/serving/tests/test_crashing_prompt_parts.rs
+++ b/serving/tests/test_crashing_prompt_parts.rs
@@ -123,6 +123,8 @@
         (statuses(bad_sent).await, statuses(early).await, statuses(late).await);
     println!("runs and later runs: {parts:?}; bad {bad:?}");
     println!("sound: before {before:?}, during {early:?}, later {late:?}");
+    let moves = fleet.nodes.iter().map(|node| node.cx.metrics.sum("moves_total"));
+    println!("sends beyond the first of a request: {}", moves.sum::<u64>());
     for (part, (_, later)) in parts {
         assert!(later <= MAX_LATER_RUNS, "{later} later runs with {part}");
     }
