metered_stream: bytes beside the data of an answer are limited

What was seen: a replica that sends interim heads (100, 103), zeros of a chunk size, or chunks of one byte without end kept the node's thread busy until the deadline of the request, and requests beside it waited up to 0.44 s. These bytes carry no data, or little, so that no limit on the size of a body ends them.

A peer may now send as many bytes as its answer has data, and 128 KiB beyond; then reading fails, the answer counts as broken and the connection is closed. This holds for answers of replicas, reports, orders and the store.

--- a/serving/src/connection.rs
+++ b/serving/src/connection.rs
@@ -1,5 +1,7 @@
 //! HTTP/1.1 client connections, each driven by its own task.
 
+use crate::metered_stream::MeteredStream;
+use crate::metered_stream::ReadAllowance;
 use crate::network::Network;
 use bytes::Bytes;
 use guavaladder_lib::limited_body;
@@ -62,6 +64,7 @@
 pub struct Connection {
     sender: http1::SendRequest<Full<Bytes>>,
     driver: Driver,
+    allowance: ReadAllowance,
     /// Time at which the connection was opened or a request was last sent on it.
     pub last_used: Instant,
     /// Number of requests sent on the connection.
@@ -116,13 +119,16 @@
         let mut builder = http1::Builder::new();
         builder.max_buf_size(MAX_HEAD_BYTES);
         let failed = |e: hyper::Error| ConnectError::Failed(e.to_string());
-        let (sender, connection) = builder.handshake(TokioIo::new(stream)).await.map_err(failed)?;
+        let allowance = ReadAllowance::new();
+        let stream = TokioIo::new(MeteredStream::new(stream, allowance.clone()));
+        let (sender, connection) = builder.handshake(stream).await.map_err(failed)?;
         let driver = tokio::spawn(async move {
             if let Err(e) = connection.await {
                 log::debug!("connection to {address} ended: {e}");
             }
         });
-        Ok(Self { sender, driver: Driver(driver), last_used: Instant::now(), uses: 0 })
+        let driver = Driver(driver);
+        Ok(Self { sender, driver, allowance, last_used: Instant::now(), uses: 0 })
     }
 
     /// Sends a request and waits for the response head.
@@ -132,9 +138,15 @@
     ) -> Result<Response<Incoming>, CallError> {
         self.last_used = Instant::now();
         self.uses += 1;
+        self.allowance.reset();
         self.sender.send_request(req).await.map_err(|e| CallError::NoResponse(with_source(&e)))
     }
 
+    /// Records that `len` bytes of the response's body were taken, so that the peer may send more.
+    pub fn record_data(&self, len: usize) {
+        self.allowance.record_data(len);
+    }
+
     /// Returns whether the connection is closed, by the peer or because the peer sent unsolicited data.
     pub fn is_closed(&self) -> bool {
         self.sender.is_closed() || self.driver.0.is_finished()
@@ -174,7 +186,8 @@
 ) -> Result<Response<Bytes>, CallError> {
     let exchange = async {
         let (parts, body) = connection.send(req).await?.into_parts();
-        let body = limited_body::read(body, max_bytes).await;
+        let body =
+            limited_body::read_with(body, max_bytes, |len| connection.record_data(len)).await;
         let body = body.map_err(|e| CallError::NoResponse(e.to_string()))?;
         Ok(Response::from_parts(parts, body))
     };
--- a/serving/src/lib.rs
+++ b/serving/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod listeners;
 pub mod load_table;
 pub mod local_response;
+pub mod metered_stream;
 pub mod network;
 pub mod next_replica;
 pub mod node_registry;
--- a/serving/src/plain_forward.rs
+++ b/serving/src/plain_forward.rs
@@ -105,7 +105,8 @@
 ) -> Result<Response<ResponseBody>, AttemptError> {
     let UpstreamResponse { response, head, mut connection, is_reusable } = upstream;
     let (parts, body) = response.into_parts();
-    let body = limited_body::read(body, MAX_RESPONSE_BYTES).await;
+    let received = |len| connection.record_data(len);
+    let body = limited_body::read_with(body, MAX_RESPONSE_BYTES, received).await;
     let body = body.map_err(|e| AttemptError::Broken(e.to_string()))?;
     if is_reusable && connection.ready().await {
         cx.pool.put(replica, connection, head.keep_alive);
--- a/serving/src/stream_forward.rs
+++ b/serving/src/stream_forward.rs
@@ -164,6 +164,7 @@
             };
             match frame {
                 Some(bytes) => {
+                    self.upstream.connection.record_data(bytes.len());
                     self.decoder.push(&bytes).map_err(to_broken)?;
                 }
                 None => {
