tests: answers with neither a length nor chunks end with their connection

It is broken when the connection is reset, and a stream also when it ends inside an event; such a stream is resumed after its last event, or aborted where there is no other replica.

--- a/serving/tests/runner.rs
+++ b/serving/tests/runner.rs
@@ -28,4 +28,5 @@
 mod test_serving_settings;
 mod test_sse;
 mod test_store;
+mod test_unframed_answers;
 mod util;
