tests: reports and answers of the store without end

13 kinds of bytes without end, fast and slow: each report, get, list, watch and write ends with an error within its time limit, a write as one that may have been applied, the connection is closed, and the store counts as unavailable.

--- a/serving/tests/test_endless_bytes.rs
+++ b/serving/tests/test_endless_bytes.rs
@@ -2,17 +2,26 @@
 
 use crate::fleet::Fleet;
 use crate::fleet::eventually;
+use crate::util;
+use guavaladder_platform::dialect::PlatformDialect;
 use guavaladder_platform_testutils::Call;
 use guavaladder_platform_testutils::EndlessAnswer;
 use guavaladder_platform_testutils::EndlessServer;
 use guavaladder_platform_testutils::config;
 use guavaladder_platform_testutils::event_ids;
+use guavaladder_serving::dialect::ObjectKind;
+use guavaladder_serving::dialect::StoredObject;
+use guavaladder_serving::network::Network;
+use guavaladder_serving::replica_health;
+use guavaladder_serving::store::Store;
+use guavaladder_serving::store::StoreError;
 use http::Method;
 use rstest::rstest;
 use serde_json::json;
 use std::io::Read;
 use std::io::Write;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
 use tokio::io::AsyncReadExt;
@@ -347,3 +356,77 @@
     let response = response.expect("a complete response");
     assert_eq!((response.status().as_u16(), response.body().len()), (200, size * count));
 }
+
+/// Answers without end of the platform's own interfaces: the store, reports and orders.
+const CONTROL_ANSWERS: [&str; 13] = [
+    "not_http",
+    "status_line",
+    "many_headers",
+    "long_header",
+    "informational_heads",
+    "line_ends_first",
+    "chunk_size",
+    "chunk_extension",
+    "trailers",
+    "body_with_length",
+    "body_in_chunks",
+    "body_in_tiny_chunks",
+    "body_until_close",
+];
+/// Time limit of a report.
+const REPORT_LIMIT: Duration = Duration::from_millis(110);
+/// Time limit of a call to the store, and of a watch that waits for 100 ms.
+const STORE_LIMIT: Duration = Duration::from_millis(900);
+
+#[rstest]
+#[tokio::test]
+async fn report_without_end_is_an_error_within_its_time(#[values(true, false)] is_fast: bool) {
+    let cx = util::serving_cx(9);
+    for name in CONTROL_ANSWERS {
+        let mut answer = answer(name);
+        answer.pause = (!is_fast).then_some(Duration::from_millis(10));
+        let server = EndlessServer::start(answer).expect("a server");
+        let (begin, used) = (Instant::now(), processor_time());
+        let report =
+            replica_health::fetch_report(&cx, "i-0", server.address, "test", REPORT_LIMIT).await;
+        assert!(report.is_err(), "{name}: {report:?}");
+        assert!(begin.elapsed() <= REPORT_LIMIT + DEADLINE_MARGIN, "{name}: {:?}", begin.elapsed());
+        let used = processor_time() - used;
+        assert!(used <= REPORT_LIMIT, "{name}: {used:?} of processor time");
+        eventually(|| server.open_answers() == 0).await;
+    }
+}
+
+#[rstest]
+#[tokio::test]
+async fn store_answer_without_end_is_an_error_within_its_time(
+    #[values(true, false)] is_fast: bool,
+) {
+    let network = Network::Tcp;
+    for name in CONTROL_ANSWERS {
+        let mut answer = answer(name);
+        answer.pause = (!is_fast).then_some(Duration::from_millis(10));
+        let server = EndlessServer::start(answer).expect("a server");
+        let dialect = Arc::new(PlatformDialect::new());
+        let metrics = util::serving_cx(9).metrics;
+        let store = Store::new(dialect, network.clone(), server.address, util::log(), metrics);
+        let (begin, used) = (Instant::now(), processor_time());
+        let object = StoredObject::default();
+        let wait = Duration::from_millis(100);
+        let (got, listed, watched, written) = tokio::join!(
+            store.get(ObjectKind::Instances, "x"),
+            store.list(ObjectKind::Instances),
+            store.watch(ObjectKind::Instances, 1, wait),
+            store.create(ObjectKind::Instances, &object),
+        );
+        assert!(got.is_err() && listed.is_err() && watched.is_err(), "{name}");
+        // The store may have applied the write.
+        assert!(matches!(written, Err(StoreError::Unknown(_))), "{name}: {written:?}");
+        assert!(begin.elapsed() <= STORE_LIMIT + DEADLINE_MARGIN, "{name}: {:?}", begin.elapsed());
+        let used = processor_time() - used;
+        println!("{name}: {used:?} of processor time, {:?}", begin.elapsed());
+        assert!(used <= 4 * MAX_PROCESSOR_TIME, "{name}: {used:?} of processor time");
+        assert!(store.health().unavailable_since.is_some(), "{name}");
+        eventually(|| server.open_answers() == 0).await;
+    }
+}
