record_stream: the rest after the last record of a stream is read up to a limit

Cause: after a finished stream the rest of its body was read in the background for 1 s, so that the connection can be used again, however much came. An engine that sends bytes without end after its last record was read at full speed for that second.

The rest is now read up to 4 KiB, after which the connection is closed.

--- a/lib/src/record_stream.rs
+++ b/lib/src/record_stream.rs
@@ -4,12 +4,12 @@
 use crate::engine::UpstreamError;
 use crate::generated::engine::StreamRecord;
 use crate::http_client::DiscardIdleOnDrop;
+use crate::limited_body;
 use bytes::Buf;
 use bytes::Bytes;
 use bytes::BytesMut;
 use futures_util::StreamExt;
 use http_body_util::BodyExt;
-use http_body_util::Limited;
 use hyper::body::Incoming;
 use std::time::Duration;
 
@@ -19,6 +19,9 @@
 /// Maximum size of the body of a refusal in bytes.
 const MAX_REFUSAL_BYTES: usize = 4096;
 
+/// Maximum number of bytes that are read after the last record.
+const MAX_TAIL_BYTES: usize = 4096;
+
 /// Timeout for reading the body of a refusal, and the rest of a stream after its last record.
 const TAIL_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -47,9 +50,9 @@
 
 /// Reads the body of a refusal; empty if it is too large or does not arrive in time.
 pub(crate) async fn read_refusal(body: Incoming) -> Bytes {
-    let reading = Limited::new(body, MAX_REFUSAL_BYTES).collect();
+    let reading = limited_body::read(body, MAX_REFUSAL_BYTES);
     match tokio::time::timeout(TAIL_TIMEOUT, reading).await {
-        Ok(Ok(collected)) => collected.to_bytes(),
+        Ok(Ok(body)) => body,
         Ok(Err(_)) | Err(_) => Bytes::new(),
     }
 }
@@ -117,12 +120,19 @@
 }
 
 impl Drop for Decoder {
-    /// Reads the rest of a finished body in the background, so that its connection can be reused.
+    /// Reads the rest of a finished body in the background, so that its connection can be reused. The
+    /// connection is closed if the rest is long.
     fn drop(&mut self) {
         let Some(mut body) = self.body.take().filter(|_| self.is_ended) else { return };
         let Ok(runtime) = tokio::runtime::Handle::try_current() else { return };
         runtime.spawn(tokio::time::timeout(TAIL_TIMEOUT, async move {
-            while let Some(Ok(_)) = body.frame().await {}
+            let mut len = 0;
+            while let Some(Ok(frame)) = body.frame().await {
+                len += frame.data_ref().map_or(0, Bytes::len);
+                if len > MAX_TAIL_BYTES {
+                    return;
+                }
+            }
         }));
     }
 }
--- a/lib/tests/test_http_adapters.rs
+++ b/lib/tests/test_http_adapters.rs
@@ -17,6 +17,11 @@
 use guavaladder_lib::platform_http::HttpPlatform;
 use guavaladder_lib::record_stream::MAX_RECORD_BYTES;
 use rstest::rstest;
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
@@ -180,3 +185,65 @@
         assert_eq!(kind(&service.call(&address, &req).await), Kind::Success);
     }
 }
+
+/// Starts a server that sends `prefix` and then `unit` again and again until the client closes the
+/// connection; returns its address and the number of bytes that it has sent.
+async fn serve_without_end(prefix: String, unit: &str) -> (String, Arc<AtomicUsize>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    let block = unit.repeat(16384 / unit.len());
+    let sent = Arc::new(AtomicUsize::new(0));
+    let counter = sent.clone();
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let (prefix, block, counter) = (prefix.clone(), block.clone(), counter.clone());
+            tokio::spawn(async move {
+                let mut buf = [0; 65536];
+                let _ = stream.read(&mut buf).await;
+                let _ = stream.write_all(prefix.as_bytes()).await;
+                while stream.write_all(block.as_bytes()).await.is_ok() {
+                    counter.fetch_add(block.len(), Ordering::Relaxed);
+                }
+            });
+        }
+    });
+    (address, sent)
+}
+
+#[tokio::test]
+async fn bytes_without_end_after_the_last_record_are_not_read() {
+    let (address, sent) = serve_without_end(format!("{OK}{TOKENS}\n{END}\n"), "x").await;
+    let records = HttpEngine::new().generate(&address, &request()).await.unwrap();
+    let records: Vec<_> = records.collect().await;
+    assert!(matches!(&records[..], [Ok(StreamRecord::Tokens(_)), Ok(StreamRecord::End(_))]));
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let before = sent.load(Ordering::Relaxed);
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    assert_eq!(sent.load(Ordering::Relaxed), before, "the connection is still being read");
+    // What the kernel buffers, and a few reads.
+    assert!(before <= 8 << 20, "{before} bytes were sent");
+}
+
+#[rstest]
+#[case::line_ends("", "\n")]
+#[case::status_line("HTTP/1.1 200 ", "x")]
+#[case::header("HTTP/1.1 200 OK\r\nx: ", "x")]
+#[case::body(OK, "x")]
+#[case::tiny_chunks("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n", "1\r\nx\r\n")]
+#[case::interim_heads("", "HTTP/1.1 100 Continue\r\n\r\n")]
+#[tokio::test]
+async fn call_to_an_engine_that_answers_without_end_is_an_error(
+    #[case] prefix: &str,
+    #[case] unit: &str,
+) {
+    let (address, sent) = serve_without_end(prefix.to_string(), unit).await;
+    let begin = Instant::now();
+    let outcome = HttpEngine::new().status(&address).await;
+    assert!(matches!(kind(&outcome), Kind::Interrupted | Kind::Malformed), "{outcome:?}");
+    assert!(begin.elapsed() < Duration::from_millis(2500), "{:?}", begin.elapsed());
+    println!("{:?} {} bytes", begin.elapsed(), sent.load(Ordering::Relaxed));
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    let before = sent.load(Ordering::Relaxed);
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    assert_eq!(sent.load(Ordering::Relaxed), before, "the connection is still being read");
+}
