--- a/serving/src/lib.rs
+++ b/serving/src/lib.rs
@@ -36,6 +36,7 @@
 pub mod listeners;
 pub mod load_table;
 pub mod local_response;
+pub mod metered_stream;
 pub mod network;
 pub mod next_replica;
 pub mod node_registry;
--- a/serving/tests/runner.rs
+++ b/serving/tests/runner.rs
@@ -32,4 +32,5 @@
 mod test_sse;
 mod test_store;
 mod test_unframed_streams;
+mod test_unframed_answers;
 mod util;
