next_replica: a refusal as crashing does not end the wait for a silent replica

A stream whose replica was silent was cut when its request, or a part of its prompt, came to be refused as crashing meanwhile, although the replica went on and had the rest of the response. The refusal was looked at before the silent attempt was. Waiting sends the request to no further replica, so the silent attempt is waited for.

stream_of_silent_replica_is_cut_since_its_request_counts_as_crashing failed before (1 of 1 stream cut, pause of 0.6 s) and passes. The 281 tests of serving pass.

--- a/serving/src/next_replica.rs
+++ b/serving/src/next_replica.rs
@@ -52,9 +52,11 @@
     progress: Progress,
 ) -> NextStep {
     if let Some(refusal) = cx.crashes.refusal(&task.crash_keys) {
-        return match progress.has_begun {
-            true => NextStep::Fail(crash_reason(refusal).to_string()),
-            false => NextStep::Respond(refuse_crashing_request(task, trace, attempts, refusal)),
+        return match progress {
+            // Waiting sends the request to no further replica.
+            Progress { has_silent: true, .. } => NextStep::Wait,
+            Progress { has_begun: true, .. } => NextStep::Fail(crash_reason(refusal).to_string()),
+            _ => NextStep::Respond(refuse_crashing_request(task, trace, attempts, refusal)),
         };
     }
     let withheld = match choose(cx, task, attempts, progress) {
--- a/serving/tests/test_returned_replicas.rs
+++ b/serving/tests/test_returned_replicas.rs
@@ -2,18 +2,22 @@
 
 use crate::fleet::Fleet;
 use crate::fleet::spec;
+use guavaladder_lib::generated::serving_peer::CrashMark;
 use guavaladder_platform_testutils::Call;
 use guavaladder_platform_testutils::FakePlatform;
 use guavaladder_platform_testutils::config;
 use guavaladder_platform_testutils::event_ids;
 use guavaladder_platform_testutils::spawn_instance;
 use guavaladder_serving::replica_health;
+use guavaladder_serving::request_task;
 use http::Method;
+use http::Uri;
 use rstest::rstest;
 use serde_json::Value;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::task::JoinHandle;
+use tokio::time::Instant;
 use tokio::time::sleep;
 
 /// Length of a pause that replicas survive.
@@ -137,3 +141,23 @@
     let runs = fleet.fake_platform.execution_count(&call.id);
     assert!(runs <= max_attempts, "{runs} runs, {max_attempts} allowed");
 }
+
+fn fingerprint() -> u64 {
+    let uri = Uri::from_static("/draft/x");
+    request_task::fingerprint(&Method::POST, &uri, Some("baker"), b"a body")
+}
+
+/// The crashes become known during the silence. Waiting sends the request to no further replica.
+#[tokio::test]
+async fn stream_of_silent_replica_is_cut_since_its_request_counts_as_crashing() {
+    let fleet = start_fleet(1, |_| {}).await;
+    let streams = vec![start_stream(fleet.callers(0))];
+    sleep(Duration::from_millis(200)).await;
+    pause_groups(&fleet.fake_platform, PAUSE);
+    let fingerprint = fingerprint();
+    let marks: Vec<CrashMark> = (1..=5).map(|replica| CrashMark { fingerprint, replica }).collect();
+    let crashes = &fleet.nodes[0].cx.crashes;
+    crashes.merge(&marks, Instant::now());
+    assert!(crashes.is_refused(fingerprint));
+    assert_eq!(count_cut(streams).await, 0);
+}
