silent_upstreams: a silence does not count as a crash

Harmless requests were refused as crashing, and their streams cut, after two of their replicas had paused for a second each. A probe that was not answered within 200 ms counted as a crash under the request, like one that was refused; two convict a request. Calls of plain services whose deadline passed during a pause were marked the same way.

A crash is recorded at once only if it is known: nothing listens at the address, or the engine has lost its group. An upstream that does not respond is watched, with a probe a second, and counts as crashed if it turns out to have ended, or is silent for 10 s. At most 4,096 requests are kept for that.

--- a/lib/src/generation_recovery.rs
+++ b/lib/src/generation_recovery.rs
@@ -15,6 +15,9 @@
 use crate::router;
 use crate::router::SelectionCriteria;
 use crate::router::Suspicion;
+use crate::silent_upstreams;
+use crate::silent_upstreams::Liveness;
+use crate::silent_upstreams::UpstreamType;
 use crate::suspects::Verdict;
 use std::sync::Arc;
 use std::time::Duration;
@@ -106,7 +109,10 @@
     ) -> Result<(), RequestError> {
         let group = replica.identity.group.clone();
         let was_interrupted_before = self.interrupted_groups.contains(&group);
-        if self.path.is_serving(replica, self.limits.probe_timeout()).await {
+        let bound = self.limits.probe_timeout();
+        let liveness =
+            silent_upstreams::probe(&self.path, UpstreamType::Engine, replica, bound).await;
+        if liveness == Liveness::Serving {
             match was_interrupted_before {
                 true => {
                     self.path.record_failure(replica);
@@ -122,9 +128,13 @@
         }
         self.only_group = None;
         self.path.record_failure(replica);
-        self.excluded_groups.push(group.clone());
-        if is_accepted {
-            self.record_crash(replica, &group).await?;
+        self.excluded_groups.push(group);
+        match liveness {
+            Liveness::Ended if is_accepted => self.record_crash(replica).await?,
+            Liveness::Silent if is_accepted => {
+                silent_upstreams::watch(&self.path, UpstreamType::Engine, replica, &self.req);
+            }
+            _ => {}
         }
         // A crash interrupts a bounded number of requests, so their first retries are not charged
         // to the retry budget.
@@ -134,15 +144,9 @@
         }
     }
 
-    async fn record_crash(&mut self, replica: &Replica, group: &str) -> Result<(), RequestError> {
-        let suspects = self.path.suspects().clone();
-        let crashes = suspects.record_crash(self.req.fingerprint, replica.crash_id());
-        self.path.cx().record(Event::RequestSuspected {
-            request: self.req.id.clone(),
-            fingerprint: format!("{:016x}", self.req.fingerprint),
-            group: group.to_string(),
-            crashes: crashes as u64,
-        });
+    async fn record_crash(&mut self, replica: &Replica) -> Result<(), RequestError> {
+        let (id, fingerprint) = (&self.req.id, self.req.fingerprint);
+        let crashes = silent_upstreams::record_crash(&self.path, replica, id, fingerprint);
         if crashes >= self.limits.crash_limit as usize {
             return self.await_crash_records().await;
         }
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -117,6 +117,7 @@
 pub mod schema_check;
 pub mod service_levels;
 pub mod settings;
+pub mod silent_upstreams;
 pub mod store_client;
 pub mod store_error;
 pub mod store_outage;
--- a/lib/src/plain_call.rs
+++ b/lib/src/plain_call.rs
@@ -19,6 +19,9 @@
 use crate::request_path::RequestPath;
 use crate::router::SelectionCriteria;
 use crate::router::Suspicion;
+use crate::silent_upstreams;
+use crate::silent_upstreams::Liveness;
+use crate::silent_upstreams::UpstreamType;
 use crate::suspects::Verdict;
 use std::sync::Arc;
 use std::time::Duration;
@@ -224,16 +227,20 @@
     result
 }
 
-/// Records a crash if the call was interrupted and a probe on a new connection fails.
+/// Records a crash if the call was interrupted and a probe on a new connection shows that the instance has
+/// ended; if it does not respond, it is watched.
 async fn detect_crash(path: &RequestPath, req: &Request, slot: &Slot, error: &UpstreamError) {
     const PROBE_BOUND: Duration = Duration::from_millis(200);
     if !matches!(error, UpstreamError::Interrupted { .. }) {
         return;
     }
     let replica = slot.replica();
-    let probe = path.plain().takes_work(&replica.identity.address);
-    if !matches!(tokio::time::timeout(PROBE_BOUND, probe).await, Ok(Ok(_))) {
-        path.suspects().record_crash(req.fingerprint, replica.crash_id());
+    match silent_upstreams::probe(path, UpstreamType::Plain, replica, PROBE_BOUND).await {
+        Liveness::Serving => {}
+        Liveness::Ended => {
+            silent_upstreams::record_crash(path, replica, &req.id, req.fingerprint);
+        }
+        Liveness::Silent => silent_upstreams::watch(path, UpstreamType::Plain, replica, req),
     }
 }
 
--- a/lib/src/request_path.rs
+++ b/lib/src/request_path.rs
@@ -15,7 +15,6 @@
 use crate::generated::requests::LeavingFact;
 use crate::generated::requests::UsageFact;
 use crate::generation::Generation;
-use crate::generation::is_group_ready;
 use crate::ids::AttemptId;
 use crate::ids::InstanceId;
 use crate::ledger::Ledger;
@@ -28,6 +27,7 @@
 use crate::request_outcome::record_error;
 use crate::retry_budget::RetryBudget;
 use crate::route_table::RouteTable;
+use crate::silent_upstreams::SilentUpstreams;
 use crate::store_client::StoreClient;
 use crate::suspects::Suspects;
 use std::collections::BTreeMap;
@@ -72,6 +72,7 @@
     routes: RouteTable,
     admission: Admission,
     suspects: Suspects,
+    silent_upstreams: SilentUpstreams,
     retry_budget: RetryBudget,
     ledger: Ledger,
     attempts: AtomicU64,
@@ -116,6 +117,7 @@
             admission: Admission::new(cx.clone(), routes.clone()),
             routes,
             suspects: Suspects::new(cx.clone()),
+            silent_upstreams: SilentUpstreams::new(),
             retry_budget: RetryBudget::new(),
             attempts: AtomicU64::new(first_attempt),
             leaving: Mutex::default(),
@@ -218,6 +220,11 @@
         &self.inner.suspects
     }
 
+    /// Returns the requests that were running at upstreams that do not respond.
+    pub fn silent_upstreams(&self) -> &SilentUpstreams {
+        &self.inner.silent_upstreams
+    }
+
     /// Returns the retry budget.
     pub fn retry_budget(&self) -> &RetryBudget {
         &self.inner.retry_budget
@@ -277,18 +284,6 @@
         });
     }
 
-    /// Queries a replica's status on a new connection; returns whether it serves the route's group.
-    pub async fn is_serving(&self, replica: &Replica, bound: Duration) -> bool {
-        let status_call = self.inner.engine.status(&replica.identity.address);
-        match tokio::time::timeout(bound, status_call).await {
-            Ok(Ok(status)) => {
-                replica.record_load(&status.load, Instant::now());
-                is_group_ready(&status, replica)
-            }
-            Ok(Err(_)) | Err(_) => false,
-        }
-    }
-
     /// Exports the KV cache of a request from a replica that is leaving.
     pub async fn export_kv(&self, replica: &Replica, request: &str) -> Option<Vec<u8>> {
         const EXPORT_TIMEOUT: Duration = Duration::from_millis(300);
--- /dev/null
+++ b/lib/src/silent_upstreams.rs
@@ -0,0 +1,153 @@
+//! Upstreams that interrupted a request and do not respond to a probe. They may have crashed, or go on a
+//! second later, so the requests that were running there count as running at a crash only once the crash
+//! is known: nothing listens at the address, or the engine has lost its group.
+
+use crate::engine::UpstreamError;
+use crate::generated::events::Event;
+use crate::generation::is_group_ready;
+use crate::replica::Replica;
+use crate::request::Request;
+use crate::request_path::RequestPath;
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Duration;
+use tokio::time::Instant;
+use tokio::time::sleep;
+use tokio::time::timeout;
+
+/// Interval between two probes of a silent upstream, and the timeout of each.
+const PROBE_PERIOD: Duration = Duration::from_millis(500);
+/// Silence after which an upstream counts as crashed.
+const MAX_SILENCE: Duration = Duration::from_secs(10);
+/// Maximum number of requests that wait for the result of a check.
+const MAX_REQUESTS: usize = 4096;
+
+/// Kind of an upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum UpstreamType {
+    /// Head of a group of engines.
+    Engine,
+    /// Instance of a plain service.
+    Plain,
+}
+
+/// Result of a probe.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Liveness {
+    /// It serves.
+    Serving,
+    /// It does not serve any more: its process ended, or it is not in the group.
+    Ended,
+    /// It did not respond; it may have crashed or be paused.
+    Silent,
+}
+
+/// A request that was running at a silent upstream.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct Running {
+    request: String,
+    fingerprint: u64,
+}
+
+/// Cloneable list of the requests that were running at silent upstreams, by the id of the possible crash.
+#[derive(Debug, Clone, Default)]
+pub struct SilentUpstreams {
+    inner: Arc<Mutex<HashMap<u64, Vec<Running>>>>,
+}
+
+impl SilentUpstreams {
+    /// Creates an empty list.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Adds a request; returns true if the upstream was not in the list.
+    fn add(&self, crash: u64, running: Running) -> bool {
+        let mut inner = self.inner.lock().unwrap_or_else(PoisonError::into_inner);
+        let is_new = !inner.contains_key(&crash);
+        if inner.values().map(Vec::len).sum::<usize>() < MAX_REQUESTS {
+            inner.entry(crash).or_default().push(running);
+        }
+        is_new && inner.contains_key(&crash)
+    }
+
+    fn remove(&self, crash: u64) -> Vec<Running> {
+        let mut inner = self.inner.lock().unwrap_or_else(PoisonError::into_inner);
+        inner.remove(&crash).unwrap_or_default()
+    }
+}
+
+/// Asks an upstream for its state on a new connection.
+pub async fn probe(
+    path: &RequestPath,
+    upstream_type: UpstreamType,
+    replica: &Replica,
+    bound: Duration,
+) -> Liveness {
+    let address = &replica.identity.address;
+    let probing = async {
+        match upstream_type {
+            UpstreamType::Engine => {
+                let status = path.engine().status(address).await?;
+                replica.record_load(&status.load, Instant::now());
+                Ok(is_group_ready(&status, replica))
+            }
+            UpstreamType::Plain => path.plain().takes_work(address).await.map(|_| true),
+        }
+    };
+    match timeout(bound, probing).await {
+        Ok(Ok(true)) => Liveness::Serving,
+        Ok(Ok(false) | Err(UpstreamError::Unreachable { .. })) => Liveness::Ended,
+        Ok(Err(_)) | Err(_) => Liveness::Silent,
+    }
+}
+
+/// Records a crash under a request, and returns the number of crashes known for it.
+pub fn record_crash(path: &RequestPath, replica: &Replica, id: &str, fingerprint: u64) -> usize {
+    let crashes = path.suspects().record_crash(fingerprint, replica.crash_id());
+    path.cx().record(Event::RequestSuspected {
+        request: id.to_string(),
+        fingerprint: format!("{fingerprint:016x}"),
+        group: replica.identity.group.clone(),
+        crashes: crashes as u64,
+    });
+    crashes
+}
+
+/// Checks a silent upstream until it is known whether it crashed, and then records the crash under all
+/// requests that were running there.
+pub fn watch(
+    path: &RequestPath,
+    upstream_type: UpstreamType,
+    replica: &Arc<Replica>,
+    req: &Request,
+) {
+    let running = Running { request: req.id.clone(), fingerprint: req.fingerprint };
+    if !path.silent_upstreams().add(replica.crash_id(), running) {
+        return;
+    }
+    let (path, replica) = (path.clone(), replica.clone());
+    tokio::spawn(async move {
+        let has_crashed = has_crashed(&path, upstream_type, &replica).await;
+        let requests = path.silent_upstreams().remove(replica.crash_id());
+        if has_crashed {
+            for Running { request, fingerprint } in requests {
+                record_crash(&path, &replica, &request, fingerprint);
+            }
+        }
+    });
+}
+
+async fn has_crashed(path: &RequestPath, upstream_type: UpstreamType, replica: &Replica) -> bool {
+    let end = Instant::now() + MAX_SILENCE;
+    while Instant::now() < end {
+        match probe(path, upstream_type, replica, PROBE_PERIOD).await {
+            Liveness::Serving => return false,
+            Liveness::Ended => return true,
+            Liveness::Silent => sleep(PROBE_PERIOD).await,
+        }
+    }
+    true
+}
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -27,5 +27,6 @@
 mod test_planner;
 mod test_request_fuzz;
 mod test_settings;
+mod test_silent_replicas;
 mod test_store_client;
 mod test_suspects;
--- /dev/null
+++ b/lib/tests/test_silent_replicas.rs
@@ -0,0 +1,120 @@
+//! Tests of requests whose replicas fall silent for about a second and go on. A silence is no crash, and
+//! costs a caller no part of its response.
+
+use guavaladder_lib::generated::engine::FinishReason;
+use guavaladder_lib::generation::GenerationEvent;
+use guavaladder_lib::plain_call;
+use guavaladder_lib::request::Request;
+use guavaladder_testutils::engine_options::EngineOptions;
+use guavaladder_testutils::request_rig::LOOKUP;
+use guavaladder_testutils::request_rig::RequestRig;
+use guavaladder_testutils::request_rig::address;
+use guavaladder_testutils::request_rig::drafting;
+use guavaladder_testutils::request_rig::filing;
+use guavaladder_testutils::request_rig::plain_address;
+use rstest::rstest;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::Instant;
+use tokio::time::sleep;
+
+/// Length of a pause that replicas survive.
+const PAUSE: Duration = Duration::from_secs(1);
+/// Number of groups.
+const REPLICAS: u32 = 4;
+
+/// Pauses an instance for `PAUSE`.
+fn pause(rig: &RequestRig, address: String) {
+    let fake_instances = rig.fake_instances.clone();
+    fake_instances.pause(&address);
+    tokio::spawn(async move {
+        sleep(PAUSE).await;
+        fake_instances.resume(&address);
+    });
+}
+
+/// Returns the number of the replica that runs a stream.
+fn replica_with_stream(rig: &RequestRig) -> Option<u32> {
+    (0..REPLICAS).find(|replica| rig.fake_instances.open_streams(&address(*replica, 0)) > 0)
+}
+
+/// Runs a generation and pauses the head of its replica each time that `interval` more tokens have
+/// arrived; returns the length of the response.
+async fn run_with_pauses(rig: &RequestRig, req: Request, pauses: usize) -> Result<usize, String> {
+    let path = &rig.nodes[0].path;
+    let limits = path.limits("c0", &req.service_id).map_err(|e| e.message)?;
+    let mut generation =
+        path.generate(Arc::new(req), limits, vec![]).await.map_err(|e| e.message)?;
+    let mut paused = 0;
+    loop {
+        match generation.next().await.map_err(|e| format!("{:?}: {}", e.code, e.message))? {
+            GenerationEvent::Tokens(range) => {
+                if paused < pauses && range.contains(&(30 * (paused + 1))) {
+                    paused += 1;
+                    let replica = replica_with_stream(rig).expect("a replica with the stream");
+                    pause(rig, address(replica, 0));
+                }
+            }
+            GenerationEvent::End(reason) => {
+                assert_eq!(reason, FinishReason::Stop);
+                return Ok(generation.emitted().len());
+            }
+            GenerationEvent::Moved => panic!("the stream was moved"),
+        }
+    }
+}
+
+/// The heads of the replicas that run the request pause one after the other.
+#[rstest]
+#[case::once(1)]
+#[case::twice(2)]
+#[case::three_times(3)]
+#[tokio::test(start_paused = true)]
+async fn harmless_request_counts_as_crashing_since_its_replicas_paused(#[case] pauses: usize) {
+    let rig = RequestRig::new(1, REPLICAS, 2, EngineOptions::new()).await;
+    let req = drafting("r1", "c0", "inspect length:200", 300);
+    let fingerprint = req.fingerprint;
+    assert_eq!(run_with_pauses(&rig, req, pauses).await, Ok(200));
+    sleep(Duration::from_secs(10)).await;
+    assert_eq!(rig.nodes[0].path.suspects().crashes(fingerprint), 0);
+}
+
+/// It is told from a pause by its length alone.
+#[tokio::test(start_paused = true)]
+async fn instance_that_stays_silent_does_not_count_as_crashed() {
+    let rig = RequestRig::new(1, 1, 1, EngineOptions::new()).await;
+    let path = &rig.nodes[0].path;
+    let deadline = Instant::now() + Duration::from_millis(500);
+    let req =
+        Request { key: None, service_id: LOOKUP.to_string(), deadline, ..filing("r1", "", "body") };
+    let fingerprint = req.fingerprint;
+    (0..4).for_each(|index| rig.fake_instances.pause(&plain_address(index)));
+    let limits = path.limits("c0", &req.service_id).expect("limits");
+    assert!(plain_call::call(path, Arc::new(req), limits).await.is_err());
+    assert_eq!(path.suspects().crashes(fingerprint), 0);
+    sleep(Duration::from_secs(12)).await;
+    assert_eq!(path.suspects().crashes(fingerprint), 1);
+}
+
+/// The deadlines of the calls pass while their instances are silent.
+#[rstest]
+#[case::repeatable(false)]
+#[case::at_most_once(true)]
+#[tokio::test(start_paused = true)]
+async fn harmless_call_counts_as_crashing_since_its_instance_paused(#[case] has_key: bool) {
+    let rig = RequestRig::new(1, 1, 1, EngineOptions::new()).await;
+    let path = &rig.nodes[0].path;
+    let key = format!("{}-k1", rig.clock.unix().as_millis());
+    let call = filing("r1", &key, "body");
+    let deadline = Instant::now() + Duration::from_millis(500);
+    let req = match has_key {
+        true => Request { deadline, ..call },
+        false => Request { key: None, service_id: LOOKUP.to_string(), deadline, ..call },
+    };
+    let fingerprint = req.fingerprint;
+    (0..4).for_each(|index| pause(&rig, plain_address(index)));
+    let limits = path.limits("c0", &req.service_id).expect("limits");
+    assert!(plain_call::call(path, Arc::new(req), limits).await.is_err());
+    sleep(Duration::from_secs(10)).await;
+    assert_eq!(path.suspects().crashes(fingerprint), 0);
+}
