request_limits: a stream that can't be resumed outlives a pause of its replica

A generation with a key ended as `OutcomeUnknown` in the middle of its response when its replica paused for a second: 0.6 s without a record ended the attempt, as for a stream that can be resumed elsewhere. A run with a key is never repeated, so nothing is gained by giving it up.

Its replica is waited for five times as long, by default 3 s; an error of the connection still ends it at once.

generation_with_key_is_cut_since_its_replica_paused failed before ("the replica's stream was interrupted: Silent" at a pause of 1 s) and passes.

--- a/lib/src/generation.rs
+++ b/lib/src/generation.rs
@@ -201,7 +201,8 @@
         let req = self.upstream_request(&replica);
         let sent = Instant::now();
         let opening = self.path.engine().generate(&identity.address, &req);
-        let result = tokio::time::timeout(self.limits.stream_timeouts().first_token, opening).await;
+        let timeouts = self.limits.stream_timeouts(self.req.key.is_none());
+        let result = tokio::time::timeout(timeouts.first_token, opening).await;
         let stream = match result {
             Ok(Ok(stream)) => stream,
             Ok(Err(UpstreamError::Malformed { reason })) => {
@@ -215,8 +216,7 @@
             }
             Err(_) => return Ok(Err(self.abandon(slot, Interruption::Silent))),
         };
-        let timeouts =
-            StreamTimeouts { deadline: self.req.deadline, ..self.limits.stream_timeouts() };
+        let timeouts = StreamTimeouts { deadline: self.req.deadline, ..timeouts };
         let max_tokens = self.req.max_tokens;
         Ok(Ok(Attempt::new(req.attempt, slot, sent, stream, timeouts, max_tokens)))
     }
--- a/lib/src/request_limits.rs
+++ b/lib/src/request_limits.rs
@@ -10,6 +10,10 @@
 /// A replica must answer a status probe within this fraction of the idle timeout.
 const PROBE_TIMEOUT_DIVISOR: u32 = 3;
 
+/// Silence of a stream that can't be resumed, as a multiple of the idle timeout: its replica may be paused
+/// for longer than that, and nothing is gained by giving it up.
+const UNRESUMABLE_SILENCE_FACTOR: u32 = 5;
+
 /// Limits and objectives that apply to one request.
 #[derive(Debug, Clone, Copy)]
 pub struct RequestLimits {
@@ -55,10 +59,14 @@
     }
 
     /// Returns the timeouts of an attempt's stream; the deadline counts from now.
-    pub fn stream_timeouts(&self) -> StreamTimeouts {
+    pub fn stream_timeouts(&self, is_resumable: bool) -> StreamTimeouts {
+        let silence = match is_resumable {
+            true => self.silence,
+            false => self.silence * UNRESUMABLE_SILENCE_FACTOR,
+        };
         StreamTimeouts {
-            first_token: self.silence.max(self.first_token),
-            between_tokens: self.silence,
+            first_token: silence.max(self.first_token),
+            between_tokens: silence,
             deadline: Instant::now() + self.deadline,
         }
     }
--- a/lib/tests/test_silent_replicas.rs
+++ b/lib/tests/test_silent_replicas.rs
@@ -79,6 +79,19 @@
     assert_eq!(rig.nodes[0].path.suspects().crashes(fingerprint), 0);
 }
 
+/// A generation with a key can't be sent to another replica.
+#[tokio::test(start_paused = true)]
+async fn generation_with_key_is_cut_since_its_replica_paused() {
+    let rig = RequestRig::new(1, REPLICAS, 2, EngineOptions::new()).await;
+    let key = format!("{}-k1", rig.clock.unix().as_millis());
+    let req = Request {
+        key: Some(key),
+        service_id: "drafting".to_string(),
+        ..drafting("r1", "c0", "inspect length:200", 300)
+    };
+    assert_eq!(run_with_pauses(&rig, req, 1).await, Ok(200));
+}
+
 /// It is told from a pause by its length alone.
 #[tokio::test(start_paused = true)]
 async fn instance_that_stays_silent_does_not_count_as_crashed() {
