--- a/serving/src/upstream_stream.rs
+++ b/serving/src/upstream_stream.rs
@@ -89,6 +89,7 @@
             }
             match next_frame(self.upstream.response.body_mut()).await? {
                 Some(bytes) => {
+                    self.upstream.connection.record_data(bytes.len());
                     self.decoder.push(&bytes).map_err(to_broken)?;
                 }
                 None => {
