--- a/daemon/tests/test_serving_stop.rs
+++ b/daemon/tests/test_serving_stop.rs
@@ -12,6 +12,7 @@
 use guavaladder_platform_testutils::config;
 use guavaladder_platform_testutils::spawn_instance;
 use http::Method;
+use rstest::rstest;
 use serde_json::json;
 use std::net::SocketAddr;
 use std::process::Stdio;
@@ -28,6 +29,8 @@
 const SHUTDOWN: Duration = Duration::from_secs(3);
 /// Time from SIGTERM for which a daemon accepts requests: a third of the shutdown time.
 const ACCEPT_TIME: Duration = Duration::from_secs(1);
+/// Time for which a daemon on a busy machine runs at once.
+const RUN_TIME: Duration = Duration::from_millis(25);
 /// Timeout for conditions that a test waits for.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(20);
 /// Receive buffer of a caller that reads slowly, in bytes.
@@ -105,6 +108,17 @@
             sleep(Duration::from_millis(5)).await;
         }
     }
+
+    /// Like `wait_for_exit`, on a busy machine: the daemon runs for a quarter of the time.
+    async fn wait_for_slow_exit(&mut self, stopped_at: Instant) {
+        while self.daemon.is_running() && stopped_at.elapsed() < SHUTDOWN {
+            self.daemon.signal("STOP");
+            sleep(3 * RUN_TIME).await;
+            self.daemon.signal("CONT");
+            sleep(RUN_TIME).await;
+        }
+        self.wait_for_exit(stopped_at).await;
+    }
 }
 
 /// Returns the bytes of a request.
@@ -169,9 +183,13 @@
 }
 
 /// The shutdown ends before the requests' deadlines, and the replicas never begin them.
+#[rstest]
+#[case::idle(false)]
+#[case::busy(true)]
 #[tokio::test]
-async fn requests_at_silent_replicas_are_answered_before_node_exits() {
-    let mut stand = Stand::new("stop-silent", Duration::from_millis(15)).await;
+async fn requests_at_silent_replicas_are_answered_before_node_exits(#[case] is_busy: bool) {
+    let name = format!("stop-silent-{is_busy}");
+    let mut stand = Stand::new(&name, Duration::from_millis(15)).await;
     stand.ignore_requests();
     let mut callers = JoinSet::new();
     let mut send = async |method: &'static str, path: &'static str| {
@@ -187,7 +205,10 @@
     sleep(ACCEPT_TIME / 2).await;
     send("POST", "/draft/after").await;
     send("POST", "/book/after").await;
-    stand.wait_for_exit(stopped_at).await;
+    match is_busy {
+        true => stand.wait_for_slow_exit(stopped_at).await,
+        false => stand.wait_for_exit(stopped_at).await,
+    }
     for (path, received) in callers.join_all().await {
         received.assert_complete(path);
         assert_eq!(received.status(), "504", "{path}: {received:?}");
