--- a/serving/src/next_replica.rs
+++ b/serving/src/next_replica.rs
@@ -52,9 +52,11 @@
     progress: Progress,
 ) -> NextStep {
     if let Some(refusal) = cx.crashes.refusal(&task.crash_keys) {
-        return match progress.has_begun {
-            true => NextStep::Fail(crash_reason(refusal).to_string()),
-            false => NextStep::Respond(refuse_crashing_request(task, trace, attempts, refusal)),
+        return match progress {
+            // Waiting sends the request to no further replica.
+            Progress { has_silent: true, .. } => NextStep::Wait,
+            Progress { has_begun: true, .. } => NextStep::Fail(crash_reason(refusal).to_string()),
+            _ => NextStep::Respond(refuse_crashing_request(task, trace, attempts, refusal)),
         };
     }
     let withheld = match choose(cx, task, attempts, progress) {
@@ -89,7 +91,7 @@
     progress: Progress,
 ) -> Result<Arc<Replica>, Withheld> {
     let is_retry = attempts.last_error.is_some();
-    if let Some(limit) = attempts.limit(task).filter(|_| is_retry) {
+    if let Some(limit) = attempts.limit(cx, task).filter(|_| is_retry) {
         return Err(limit);
     }
     let timeliness = match progress.has_begun {
--- a/serving/src/stream_relay.rs
+++ b/serving/src/stream_relay.rs
@@ -6,6 +6,8 @@
 use crate::attempt_loop::AttemptLoop;
 use crate::attempt_loop::NoResponse;
 use crate::attempt_loop::PendingAttempt;
+use crate::failed_attempts;
+use crate::replica_health::MIN_SILENCE;
 use crate::request_task::RequestTask;
 use crate::request_task::RequestTrace;
 use crate::response_body::ResponseBody;
@@ -142,7 +144,12 @@
     /// Clears the request and the parts of its prompt of crashes, unless the replica has not begun an
     /// answer.
     fn record_completed_run(&self, stream: &UpstreamStream) {
-        if stream.status().is_success() && self.trace.events > 0 {
+        if !stream.status().is_success() || self.trace.events == 0 {
+            return;
+        }
+        if stream.is_unframed() {
+            failed_attempts::add_unframed(&self.cx, &self.task, &stream.replica);
+        } else {
             self.cx.crashes.record_completion(&self.task.crash_keys, Instant::now());
         }
     }
@@ -152,11 +159,17 @@
         &self,
         stream: &mut UpstreamStream,
     ) -> Option<Result<StreamItem, AttemptError>> {
-        let until = Instant::now() + MAX_EVENT_GAP;
+        let now = Instant::now();
+        let until = now + MAX_EVENT_GAP;
         let down = self.cx.loads.watch_down(stream.replica.hash);
+        let down = async {
+            // A mark is no reason to leave a replica that makes progress on this stream.
+            sleep_until(now + MIN_SILENCE).await;
+            stream_forward::wait_until_down(down).await
+        };
         tokio::select! {
             next = stream.next_until_due(&self.cx, &self.task) => Some(next),
-            e = stream_forward::wait_until_down(down) => Some(Err(e)),
+            e = down => Some(Err(e)),
             () = sleep_until(until) => Some(Err(AttemptError::Silent)),
             () = self.tx.closed() => None,
         }
--- a/serving/src/upstream_stream.rs
+++ b/serving/src/upstream_stream.rs
@@ -4,6 +4,7 @@
 use crate::attempt::AttemptError;
 use crate::attempt::UpstreamResponse;
 use crate::load_table::RequestGuard;
+use crate::replica_health;
 use crate::replica_set::Replica;
 use crate::request_task::RequestTask;
 use crate::serving_cx::ServingCx;
@@ -56,6 +57,11 @@
             return Err(AttemptError::Failure { status: stream.status().as_u16() });
         }
         let next = stream.next(cx, task).await?;
+        let is_resumed = last_event_id.is_some();
+        if matches!(next, StreamItem::End) && stream.upstream.is_unframed() && !is_resumed {
+            let cause = "the connection was closed before the first event";
+            return Err(AttemptError::Broken(cause.to_string()));
+        }
         stream.guard.mark_answered();
         Ok((stream, next))
     }
@@ -76,11 +82,14 @@
                 let interval = now - self.last_event_at;
                 self.last_event_at = now;
                 let expected = expected_event_interval(cx, &self.replica);
-                cx.loads.record_event_interval(self.replica.hash, interval, expected, now);
+                if cx.loads.record_event_interval(self.replica.hash, interval, expected, now) {
+                    replica_health::record_return(cx, &self.replica);
+                }
                 return Ok(StreamItem::Event(event));
             }
             match next_frame(self.upstream.response.body_mut()).await? {
                 Some(bytes) => {
+                    self.upstream.connection.record_data(bytes.len());
                     self.decoder.push(&bytes).map_err(to_broken)?;
                 }
                 None => {
@@ -105,6 +114,11 @@
         self.upstream.response.status()
     }
 
+    /// Returns whether the end of the connection is the only sign that the stream is complete.
+    pub fn is_unframed(&self) -> bool {
+        self.upstream.is_unframed()
+    }
+
     /// Returns the headers of the response as received.
     pub fn headers(&self) -> &HeaderMap {
         self.upstream.response.headers()
