attempt: records that add nothing to a response don't count as progress

Cause: each record of an engine's stream set the time of the last record, also an acceptance that is repeated, tokens that are empty or already received, and records of another attempt. An engine that sends such records without end kept a request until its deadline, instead of being left after the longest time between tokens. Where records are always at hand, the timer of the stream was never looked at.

A record now counts only if it changes the acceptance, the tokens or the end of the response. After each record that doesn't, the time limits are checked.

--- a/lib/src/attempt.rs
+++ b/lib/src/attempt.rs
@@ -32,7 +32,7 @@
     NotTaken(String),
     /// The stream ended early.
     Cut(String),
-    /// No record arrived within the timeout.
+    /// No record that belongs to the response arrived within the timeout.
     Silent,
     /// The replica is draining, and the rest has to run on another one.
     Drained,
@@ -60,9 +60,9 @@
 /// Timeouts of a stream.
 #[derive(Debug, Clone, Copy)]
 pub struct StreamTimeouts {
-    /// Longest time without a record before the first token.
+    /// Longest time before the first token without a record that belongs to the response.
     pub first_token: Duration,
-    /// Longest time without a record after the first token.
+    /// Longest time after the first token without a record that belongs to the response.
     pub between_tokens: Duration,
     /// Time by which the request must have ended.
     pub deadline: Instant,
@@ -137,6 +137,7 @@
             if emitted.len() > offset_before {
                 return Progress::Tokens;
             }
+            let before = self.progress_marks(emitted);
             let item = tokio::select! {
                 biased;
                 item = self.stream.next() => item,
@@ -154,10 +155,19 @@
                     return self.report_interruption(interruption, emitted.len() > offset_before);
                 }
             }
-            self.last_record_at = Instant::now();
+            if self.progress_marks(emitted) != before {
+                self.last_record_at = Instant::now();
+            } else if let Some(interruption) = self.check_timeouts(&is_moving) {
+                return Progress::Interrupted(interruption);
+            }
         }
     }
 
+    /// Returns values of which at least one changes with each record that belongs to the response.
+    fn progress_marks(&self, emitted: &[String]) -> (bool, usize, usize, bool) {
+        (self.is_accepted, emitted.len(), self.out_of_order.len(), self.end.is_some())
+    }
+
     /// Returns an interruption, or keeps it for the next call if tokens have to be returned first.
     fn report_interruption(&mut self, interruption: Interruption, has_tokens: bool) -> Progress {
         if !has_tokens {
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -1,5 +1,6 @@
 //! Test binary with all integration tests of the library.
 
+mod test_attempt;
 mod test_burn_report;
 mod test_caller_api;
 mod test_catalogues;
