sse: comments before the end of a stream without an event are no answer

What callers saw: a replica that sent line ends or comments and closed the connection gave an empty success. Such a stream without a length is broken off before its first event; the lines after the last event counted as an item of the stream although there was no event.

Evidence: both cases of stream_that_ends_with_its_connection_without_an_event_is_no_success return 200 on the code before, now 502.

--- a/serving/src/sse.rs
+++ b/serving/src/sse.rs
@@ -82,14 +82,15 @@
     }
 
     /// Checks, at the end of the stream, that no incomplete event remains. Returns the comments and blank
-    /// lines after the last event, if there are any.
+    /// lines after the last event, if there are any; without an event they are no part of a response.
     pub fn finish(&mut self) -> Result<Option<StreamEvent>, StreamError> {
         if self.has_field || self.line_start < self.buf.len() {
             return Err(StreamError::Truncated);
         }
         let bytes = self.buf.split().freeze();
         (self.scanned, self.line_start) = (0, 0);
-        Ok((!bytes.is_empty()).then_some(StreamEvent { id: None, bytes }))
+        let has_event = self.last_id.is_some();
+        Ok((has_event && !bytes.is_empty()).then_some(StreamEvent { id: None, bytes }))
     }
 
     /// Returns the number of bytes up to and including the blank line that ends the first event.
--- a/serving/tests/runner.rs
+++ b/serving/tests/runner.rs
@@ -31,6 +31,6 @@
 mod test_silent_replicas;
 mod test_sse;
 mod test_store;
-mod test_unframed_streams;
 mod test_unframed_answers;
+mod test_unframed_streams;
 mod util;
--- a/serving/tests/test_unframed_answers.rs
+++ b/serving/tests/test_unframed_answers.rs
@@ -150,6 +150,17 @@
     assert_eq!(requests.load(Ordering::Relaxed), 1);
 }
 
+#[rstest]
+#[case::line_ends("\n\n")]
+#[case::comments(": x\n\n: x\n\n")]
+#[tokio::test]
+async fn stream_that_ends_with_its_connection_without_an_event_is_no_success(
+    #[case] body: &'static str,
+) {
+    let (fleet, _) = fleet_with("HTTP/1.1", body, End::Close).await;
+    assert_eq!(Call::new(Method::POST, "/feed/x").status(fleet.callers(0)).await, 502);
+}
+
 const EVENTS: &str = "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n";
 /// `EVENTS`, broken off within each part of the last event.
 const IN_FIELD: &str = "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda";
