serving-soak: pauses, overlapping planned work, parts that crash replicas, and an oracle by arrivals

The soak had no sound instance that falls silent, no configuration that changes beside a SIGTERM, and no prompt parts. It left out each cut stream of which any instance had broken off, also if the daemon had ended it first, and did not count retries.

The checks use the record of arrivals at the fakes: any cut beside planned work whose replica went on, retries beyond the budget of a service, arrivals of crashing requests and parts after they were known, and sound requests beside them. Cuts that are allowed are printed with the reason.

--- a/bench/src/serving_soak_faults.rs
+++ b/bench/src/serving_soak_faults.rs
@@ -1,39 +1,40 @@
 //! Faults of the serving soak: series of signals to the daemons, a stalled proxy before the store, faults
-//! of the store and of the instances, changes of the configuration, and requests that crash replicas.
-//! Faults run as tasks of their own and overlap.
-
-use crate::serving_soak::SharedTally;
+//! and pauses of the instances, changes of the configuration, and requests that crash replicas. Faults
+//! run as tasks of their own and overlap.
+
+use crate::serving_soak_callers::KINDS;
+use crate::serving_soak_callers::Purpose;
+use crate::serving_soak_callers::Recorder;
+use crate::serving_soak_callers::Request;
+use crate::serving_soak_nodes::Cause;
+use crate::serving_soak_nodes::Disturbances;
+use crate::serving_soak_nodes::NodeProcess;
+use crate::serving_soak_nodes::ProxyMode;
+use crate::serving_soak_signals;
+use crate::serving_soak_signals::SignalSeries;
 use anyhow::Context;
 use anyhow::Result;
 use guavaladder_platform_testutils::CRASH_MARKER;
-use guavaladder_platform_testutils::Call;
+use guavaladder_platform_testutils::CallerConnection;
 use guavaladder_platform_testutils::FakePlatform;
+use guavaladder_platform_testutils::FakeStore;
 use guavaladder_platform_testutils::InstanceMode;
 use guavaladder_platform_testutils::InstanceSpec;
 use guavaladder_platform_testutils::StoreMode;
 use guavaladder_platform_testutils::config;
 use guavaladder_platform_testutils::spawn_instance;
-use http::Method;
-use nix::sys::signal::Signal;
-use nix::sys::signal::kill;
-use nix::unistd::Pid;
 use rand::Rng;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use serde_json::json;
 use std::fs::File;
+use std::io::Write;
 use std::net::SocketAddr;
-use std::path::Path;
-use std::path::PathBuf;
-use std::process::Stdio;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::time::Duration;
-use tokio::net::TcpListener;
-use tokio::net::TcpStream;
-use tokio::process::Child;
-use tokio::process::Command;
+use std::time::UNIX_EPOCH;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 use tokio::time::Instant;
@@ -41,178 +42,84 @@
 
 /// Range of the time between the starts of two faults, in milliseconds.
 const FAULT_INTERVAL_MS: std::ops::Range<u64> = 200..1500;
+/// Range of the length of a pause of an instance, in milliseconds.
+const PAUSE_MS: std::ops::Range<u64> = 200..1500;
+/// Time for which only planned work and sound pauses are injected, and then for which all faults are.
+const BLOCK: Duration = Duration::from_secs(8);
+/// Number of faults that are planned work or sound pauses; the others follow them.
+const PLANNED_FAULTS: usize = 8;
+/// Number of all faults.
+const ALL_FAULTS: usize = 22;
+/// Range of the number of changes of the configuration in a series.
+const CHANGES: std::ops::Range<usize> = 3..9;
+/// Range of the time between two changes in a series, in milliseconds.
+const CHANGE_INTERVAL_MS: std::ops::Range<u64> = 150..500;
 /// Range of the number of copies of a crashing request.
 const CRASHING_COPIES: std::ops::Range<usize> = 8..24;
 /// Range of the time between two copies, in milliseconds.
 const COPY_INTERVAL_MS: std::ops::Range<u64> = 100..900;
-/// UDP port of the messages between the daemons.
-const PEER_PORT: u16 = 19_471;
-/// Last octet of the address of the first daemon.
-const FIRST_HOST: u8 = 100;
+/// Range of the time between two requests with a part that crashes replicas, in milliseconds.
+const PART_INTERVAL_MS: std::ops::Range<u64> = 50..400;
+/// Routes' timeout in the first configuration, in milliseconds. Others are longer.
+const ROUTE_TIMEOUT_MS: u64 = 3000;
 
-/// Periods in which a daemon or the store was disturbed.
+/// Log of the faults with their times.
 #[derive(Debug, Clone, Default)]
-pub struct Disturbances {
-    periods: Arc<Mutex<Vec<Disturbance>>>,
-}
-
-#[derive(Debug)]
-struct Disturbance {
-    /// Number of the daemon; `None` for the store.
-    node: Option<usize>,
-    /// Whether the daemon was only asked to stop.
-    is_stop: bool,
-    from: Instant,
-    until: Option<Instant>,
-}
-
-impl Disturbances {
-    fn begin(&self, node: Option<usize>, is_stop: bool) -> usize {
-        let mut periods = self.periods.lock().expect("the lock is not poisoned");
-        periods.push(Disturbance { node, is_stop, from: Instant::now(), until: None });
-        periods.len() - 1
-    }
+pub struct FaultLog(Arc<Mutex<Option<File>>>);
 
-    fn end(&self, number: usize) {
-        let mut periods = self.periods.lock().expect("the lock is not poisoned");
-        periods[number].until = Some(Instant::now());
+impl FaultLog {
+    /// Creates a log that writes to a file, or nowhere.
+    pub fn new(file: Option<File>) -> Self {
+        Self(Arc::new(Mutex::new(file)))
     }
 
-    /// Returns whether neither the daemon nor the store was disturbed between two moments.
-    pub fn are_absent(&self, node: usize, from: Instant, until: Instant) -> bool {
-        let periods = self.periods.lock().expect("the lock is not poisoned");
-        !periods.iter().any(|d| d.affects(node) && d.overlaps(from, until))
-    }
-
-    /// Returns when the last disturbance of a daemon before a moment began.
-    pub fn last_begin(&self, node: usize, before: Instant) -> Option<Instant> {
-        let periods = self.periods.lock().expect("the lock is not poisoned");
-        let begun = periods.iter().filter(|d| d.node == Some(node) && d.from <= before);
-        begun.map(|d| d.from).max()
-    }
-
-    /// Returns whether a daemon was asked to stop and not disturbed otherwise between two moments.
-    pub fn is_only_stopping(&self, node: usize, from: Instant, until: Instant) -> bool {
-        let periods = self.periods.lock().expect("the lock is not poisoned");
-        let mut overlapping =
-            periods.iter().filter(|d| d.affects(node) && d.overlaps(from, until)).peekable();
-        overlapping.peek().is_some() && overlapping.all(|d| d.is_stop)
+    /// Appends a line.
+    pub fn write(&self, line: &str) -> Result<()> {
+        let mut file = self.0.lock().expect("the lock of the log is not poisoned");
+        let Some(file) = file.as_mut() else { return Ok(()) };
+        let now = UNIX_EPOCH.elapsed().context("the clock is before 1970")?.as_secs_f64();
+        writeln!(file, "{now:.3} {line}").context("cannot write the log of the faults")
     }
 }
 
-impl Disturbance {
-    fn affects(&self, node: usize) -> bool {
-        self.node.is_none_or(|disturbed| disturbed == node)
-    }
-
-    fn overlaps(&self, from: Instant, until: Instant) -> bool {
-        self.from <= until && self.until.is_none_or(|end| end >= from)
-    }
+/// Configuration in the store and the times of its changes; clones share them.
+#[derive(Debug, Clone)]
+pub struct Configuration {
+    store: FakeStore,
+    log: FaultLog,
+    changes: Arc<Mutex<Vec<Instant>>>,
 }
 
-/// Daemon process with the settings file from which it is restarted.
-#[derive(Debug)]
-pub struct NodeProcess {
-    /// Address that callers connect to.
-    pub caller_address: SocketAddr,
-    program: PathBuf,
-    config: PathBuf,
-    /// File that the daemon's log is appended to.
-    log: Option<PathBuf>,
-    child: Child,
-}
-
-impl NodeProcess {
-    /// Starts a daemon on an address of its own.
-    pub async fn start(
-        program: &Path,
-        directory: &Path,
-        logs: Option<&Path>,
-        store: SocketAddr,
-        number: u8,
-    ) -> Result<Self> {
-        let [_, _, high, low] = std::process::id().to_be_bytes();
-        let host = [127, 2 + high % 250, low, FIRST_HOST + number];
-        let caller_address = free_address(host).await?;
-        let settings = json!({
-            "node": format!("n{number}"), "data_centre": "east", "peer_port": PEER_PORT,
-            "store": store.to_string(),
-            "listen": {
-                "callers": caller_address.to_string(),
-                "readiness": free_address(host).await?.to_string(),
-                "directory": free_address(host).await?.to_string(),
-            },
-            "bounds": {"shutdown_s": 3, "retry_slack": 200},
-        });
-        let config = directory.join(format!("n{number}.json"));
-        std::fs::write(&config, settings.to_string())?;
-        let log = logs.map(|logs| logs.join(format!("n{number}.log")));
-        let child = spawn(program, &config, log.as_deref())?;
-        Ok(Self { caller_address, program: program.to_path_buf(), config, log, child })
-    }
-
-    /// Ends the process.
-    pub fn terminate(&mut self) {
-        // It may have exited already.
-        let _ = self.child.start_kill();
+impl Configuration {
+    /// Writes the first version.
+    pub fn new(store: FakeStore, log: FaultLog) -> Self {
+        store.put("config", "main", config(1));
+        Self { store, log, changes: Arc::default() }
     }
 
-    fn signal(&self, signal: Signal) -> Result<()> {
-        let pid = self.child.id().context("a daemon exited unexpectedly")?;
-        kill(Pid::from_raw(pid as i32), signal).context("cannot send a signal to a daemon")
-    }
-
-    /// Waits until the process has exited, and starts it again after a delay.
-    async fn restart(&mut self, delay: Duration) -> Result<()> {
-        self.child.wait().await?;
-        sleep(delay).await;
-        self.child = spawn(&self.program, &self.config, self.log.as_deref())?;
+    /// Writes the next version, with other timeouts.
+    pub fn change(&self) -> Result<()> {
+        let version = {
+            let mut changes = self.changes.lock().expect("the lock is not poisoned");
+            changes.push(Instant::now());
+            changes.len() as u64 + 1
+        };
+        self.log.write(&format!("configuration {version}"))?;
+        let mut changed = config(version);
+        for route in changed["routes"].as_array_mut().into_iter().flatten() {
+            route["timeoutMs"] = json!(ROUTE_TIMEOUT_MS + 250 * (version % 3));
+        }
+        changed["limits"] = json!({"idleTimeoutMs": 5000 + 1000 * (version % 4)});
+        self.store.put("config", "main", changed);
         Ok(())
     }
-}
-
-fn spawn(program: &Path, config: &Path, log: Option<&Path>) -> Result<Child> {
-    let output = match log {
-        Some(log) => Stdio::from(File::options().create(true).append(true).open(log)?),
-        None => Stdio::null(),
-    };
-    let mut command = Command::new(program);
-    command.args(["--serve", "--config"]).arg(config);
-    command.stdout(output).stderr(Stdio::inherit()).kill_on_drop(true);
-    command.spawn().context("cannot start a daemon")
-}
 
-async fn free_address(host: [u8; 4]) -> Result<SocketAddr> {
-    let listener = TcpListener::bind(SocketAddr::from((host, 0))).await?;
-    Ok(listener.local_addr()?)
-}
-
-/// Series of signals to one daemon.
-#[derive(Debug, Clone, Copy)]
-enum SignalSeries {
-    /// SIGKILL.
-    Kill,
-    /// SIGTERM.
-    Stop,
-    /// SIGTERM, and SIGKILL before the daemon has finished.
-    StopThenKill,
-    /// SIGSTOP, and SIGCONT after a while.
-    Pause,
-    /// SIGTERM to a paused daemon.
-    PauseThenStop,
-    /// SIGHUP several times.
-    HangUp,
+    /// Returns the times of all changes.
+    pub fn changes(&self) -> Vec<Instant> {
+        self.changes.lock().expect("the lock is not poisoned").clone()
+    }
 }
 
-const SIGNAL_SERIES: [SignalSeries; 6] = [
-    SignalSeries::Kill,
-    SignalSeries::Stop,
-    SignalSeries::StopThenKill,
-    SignalSeries::Pause,
-    SignalSeries::PauseThenStop,
-    SignalSeries::HangUp,
-];
-
 /// Injects the faults of a run.
 pub struct Faults {
     /// Source of all choices.
@@ -225,24 +132,37 @@
     pub nodes: Vec<Arc<tokio::sync::Mutex<NodeProcess>>>,
     /// Addresses of the daemons for callers.
     pub addresses: Vec<SocketAddr>,
-    /// Results of the run.
-    pub tally: SharedTally,
+    /// Requests of the run.
+    pub recorder: Recorder,
     /// Disturbances so far.
     pub disturbances: Disturbances,
+    /// Configuration in the store.
+    pub configuration: Configuration,
+    /// Log of the faults.
+    pub log: FaultLog,
     /// Number of the next engine instance.
     pub next_instance: usize,
     /// Number of the next crashing request.
     pub next_crashing: usize,
-    /// Version of the configuration.
-    pub version: u64,
+    /// Whether the run begins with planned work alone.
+    pub starts_planned: bool,
+    /// Whether requests come that crash replicas by a part of their prompt.
+    pub has_crashing_part: bool,
 }
 
 impl Faults {
     /// Starts faults until `end` and waits for the last ones.
     pub async fn inject_until(&mut self, end: Instant) -> Result<()> {
-        let mut running = JoinSet::new();
+        let (start, mut running) = (Instant::now(), JoinSet::new());
+        if self.has_crashing_part {
+            running.spawn(self.crashing_part(start + BLOCK / 4, end));
+        }
         while Instant::now() < end {
-            self.inject(&mut running).await;
+            let block = start.elapsed().as_secs() / BLOCK.as_secs();
+            let is_planned = block.is_multiple_of(2) == self.starts_planned;
+            let faults = if is_planned { PLANNED_FAULTS } else { ALL_FAULTS };
+            let fault = self.rng.random_range(0..faults);
+            self.inject(fault, &mut running).await?;
             sleep(Duration::from_millis(self.rng.random_range(FAULT_INTERVAL_MS))).await;
         }
         while let Some(ended) = running.join_next().await {
@@ -252,95 +172,76 @@
         Ok(())
     }
 
-    async fn inject(&mut self, running: &mut JoinSet<Result<()>>) {
-        let victim = self.rng.random_range(0..self.nodes.len());
+    async fn inject(&mut self, fault: usize, running: &mut JoinSet<Result<()>>) -> Result<()> {
         let rng = StdRng::seed_from_u64(self.rng.next_u64());
-        match self.rng.random_range(0..16) {
-            0..6 => {
-                let series = SIGNAL_SERIES[self.rng.random_range(0..SIGNAL_SERIES.len())];
-                running.spawn(self.signals(victim, series, rng));
+        match fault {
+            0 => self.signal_some(1, &serving_soak_signals::PLANNED, running),
+            1 => self.signal_some(2, &serving_soak_signals::PLANNED, running),
+            2..5 => pause_some(&self.fake_platform, &self.log, &mut self.rng)?,
+            5 | 6 => {
+                running.spawn(self.series_of_changes(rng));
             }
-            6 => {
-                for node in 0..self.nodes.len() {
-                    let rng = StdRng::seed_from_u64(self.rng.next_u64());
-                    running.spawn(self.signals(node, SignalSeries::Kill, rng));
-                }
-            }
-            7 | 8 => {
+            7 => self.configuration.change()?,
+            8..14 => self.signal_some(1, &serving_soak_signals::ALL, running),
+            14 => self.signal_some(self.nodes.len(), &[SignalSeries::Kill], running),
+            15 | 16 => {
                 running.spawn(self.store_fault(rng));
             }
-            9 => self.fake_platform.store.compact(),
-            10 => {
-                self.version += 1;
-                self.fake_platform.store.put("config", "main", config(self.version));
-            }
-            11 | 12 => self.lose_member().await,
-            13 => {
-                running.spawn(plain_fault(self.fake_platform.clone(), rng));
+            17 => self.fake_platform.store.compact(),
+            18 | 19 => self.lose_member().await?,
+            20 => {
+                running.spawn(plain_fault(self.fake_platform.clone(), self.log.clone(), rng));
             }
             _ => {
                 running.spawn(self.crashing_requests(rng));
             }
         }
+        Ok(())
+    }
+
+    /// Starts series of signals to `count` random daemons at once.
+    fn signal_some(
+        &mut self,
+        count: usize,
+        series: &[SignalSeries],
+        running: &mut JoinSet<Result<()>>,
+    ) {
+        let (first, all) = (self.rng.random_range(0..self.nodes.len()), self.nodes.len());
+        for number in (first..first + count.min(all)).map(|number| number % all) {
+            let target = serving_soak_signals::Target {
+                number,
+                node: self.nodes[number].clone(),
+                disturbances: self.disturbances.clone(),
+                configuration: self.configuration.clone(),
+                log: self.log.clone(),
+            };
+            let series = series[self.rng.random_range(0..series.len())];
+            running.spawn(target.run(series, StdRng::seed_from_u64(self.rng.next_u64())));
+        }
     }
 
-    fn signals(
+    /// Changes the configuration every few hundred milliseconds while instances pause.
+    fn series_of_changes(
         &self,
-        number: usize,
-        series: SignalSeries,
         mut rng: StdRng,
     ) -> impl Future<Output = Result<()>> + Send + use<> {
-        let (node, disturbances) = (self.nodes[number].clone(), self.disturbances.clone());
+        let (fake_platform, log) = (self.fake_platform.clone(), self.log.clone());
+        let configuration = self.configuration.clone();
         async move {
-            let mut node = node.lock().await;
-            let is_stop = matches!(series, SignalSeries::Stop | SignalSeries::HangUp);
-            let disturbance = disturbances.begin(Some(number), is_stop);
-            let pause = Duration::from_millis(rng.random_range(100..4000));
-            let delay = Duration::from_millis(rng.random_range(0..1500));
-            match series {
-                SignalSeries::Kill => {
-                    node.signal(Signal::SIGKILL)?;
-                    node.restart(delay).await?;
-                }
-                SignalSeries::Stop => {
-                    node.signal(Signal::SIGTERM)?;
-                    node.restart(delay).await?;
-                }
-                SignalSeries::StopThenKill => {
-                    node.signal(Signal::SIGTERM)?;
-                    sleep(pause / 4).await;
-                    node.signal(Signal::SIGKILL)?;
-                    node.restart(delay).await?;
-                }
-                SignalSeries::Pause => {
-                    node.signal(Signal::SIGSTOP)?;
-                    sleep(pause).await;
-                    node.signal(Signal::SIGCONT)?;
-                }
-                SignalSeries::PauseThenStop => {
-                    node.signal(Signal::SIGSTOP)?;
-                    node.signal(Signal::SIGTERM)?;
-                    sleep(pause).await;
-                    node.signal(Signal::SIGCONT)?;
-                    node.restart(delay).await?;
-                }
-                SignalSeries::HangUp => {
-                    for _ in 0..rng.random_range(1..5) {
-                        node.signal(Signal::SIGHUP)?;
-                        sleep(Duration::from_millis(rng.random_range(0..100))).await;
-                    }
-                }
+            for _ in 0..rng.random_range(CHANGES) {
+                configuration.change()?;
+                pause_some(&fake_platform, &log, &mut rng)?;
+                sleep(Duration::from_millis(rng.random_range(CHANGE_INTERVAL_MS))).await;
             }
-            disturbances.end(disturbance);
             Ok(())
         }
     }
 
     fn store_fault(&self, mut rng: StdRng) -> impl Future<Output = Result<()>> + Send + use<> {
         let (store, proxy) = (self.fake_platform.store.clone(), self.proxy.clone());
-        let disturbances = self.disturbances.clone();
+        let (disturbances, log) = (self.disturbances.clone(), self.log.clone());
         async move {
-            let disturbance = disturbances.begin(None, false);
+            let disturbance = disturbances.begin(None, Cause::Unplanned);
             let length = Duration::from_millis(rng.random_range(300..3000));
             let mode = match rng.random_range(0..4) {
                 0 => None,
@@ -348,6 +249,7 @@
                 2 => Some(StoreMode::AppliesWritesLate),
                 _ => Some(StoreMode::Busy),
             };
+            log.write(&format!("store {mode:?} for {length:?}"))?;
             match mode {
                 Some(mode) => {
                     store.set_mode(mode);
@@ -366,13 +268,15 @@
     }
 
     /// Takes a member of an open group away and starts another instance.
-    async fn lose_member(&mut self) {
+    async fn lose_member(&mut self) -> Result<()> {
         let members: Vec<String> = self.fake_platform.open_groups().into_iter().flatten().collect();
         if members.is_empty() {
-            return;
+            return Ok(());
         }
         let member = &members[self.rng.random_range(0..members.len())];
-        match self.rng.random_range(0..3) {
+        let way = self.rng.random_range(0..3);
+        self.log.write(&format!("{member} {}", ["hangs", "is killed", "drains"][way]))?;
+        match way {
             0 => {
                 self.fake_platform.set_mode(member, InstanceMode::Unresponsive);
                 self.fake_platform.expire_entry(member);
@@ -384,13 +288,8 @@
             _ => self.fake_platform.drain(member),
         }
         self.next_instance += 1;
-        let spec = InstanceSpec {
-            id: format!("i-{:02}", self.next_instance),
-            service: "drafting".to_string(),
-            domain: Some("d0".to_string()),
-            data_centre: "east".to_string(),
-        };
-        spawn_instance(&self.fake_platform, spec).await;
+        spawn_instance(&self.fake_platform, engine_spec(self.next_instance)).await;
+        Ok(())
     }
 
     /// Sends copies of one request that crashes replicas to random daemons.
@@ -399,34 +298,102 @@
         mut rng: StdRng,
     ) -> impl Future<Output = Result<()>> + Send + use<> {
         self.next_crashing += 1;
-        let (method, kind) = match rng.random_range(0..3) {
-            0 => (Method::POST, "draft"),
-            1 => (Method::POST, "book"),
-            _ => (Method::GET, "look"),
-        };
-        let path = format!("/{kind}/{CRASH_MARKER}-{}", self.next_crashing);
-        let (addresses, tally) = (self.addresses.clone(), self.tally.clone());
+        let name = format!("{CRASH_MARKER}-{}", self.next_crashing);
+        let sender = self.sender();
+        let log = self.log.clone();
         async move {
+            let kind = rng.random_range(0..KINDS.len());
+            log.write(&format!("copies of {name} of kind {kind}"))?;
             for _ in 0..rng.random_range(CRASHING_COPIES) {
-                let node = rng.random_range(0..addresses.len());
-                let call = Call::new(method.clone(), &path);
-                tally.record_sent(&call, node);
-                let to = addresses[node];
-                tokio::spawn(async move { call.status(to).await });
+                sender.send(Request::new(kind, &name, Purpose::Crashing), &mut rng);
                 sleep(Duration::from_millis(rng.random_range(COPY_INTERVAL_MS))).await;
             }
             Ok(())
         }
     }
+
+    /// Sends requests, no two of which are alike, whose prompts have a part in common that crashes
+    /// replicas.
+    fn crashing_part(
+        &mut self,
+        start: Instant,
+        end: Instant,
+    ) -> impl Future<Output = Result<()>> + Send + use<> {
+        let mut rng = StdRng::seed_from_u64(self.rng.next_u64());
+        let (sender, log) = (self.sender(), self.log.clone());
+        async move {
+            let part = format!("bad-{}", rng.random::<u16>());
+            sender.fake_platform.add_crashing_part(&part);
+            tokio::time::sleep_until(start).await;
+            log.write(&format!("requests with the part {part}"))?;
+            while Instant::now() < end {
+                let name = format!("{:x}", rng.random::<u64>());
+                let purpose = Purpose::CrashingPart(part.clone());
+                sender.send(Request::new(0, &name, purpose).with_second_part(&part), &mut rng);
+                sleep(Duration::from_millis(rng.random_range(PART_INTERVAL_MS))).await;
+            }
+            log.write(&format!("no more requests with the part {part}"))
+        }
+    }
+
+    fn sender(&self) -> Sender {
+        Sender {
+            fake_platform: self.fake_platform.clone(),
+            addresses: self.addresses.clone(),
+            recorder: self.recorder.clone(),
+        }
+    }
+}
+
+/// Sends single requests to random daemons.
+struct Sender {
+    fake_platform: FakePlatform,
+    addresses: Vec<SocketAddr>,
+    recorder: Recorder,
 }
 
-async fn plain_fault(fake_platform: FakePlatform, mut rng: StdRng) -> Result<()> {
+impl Sender {
+    fn send(&self, request: Request, rng: &mut StdRng) {
+        let node = rng.random_range(0..self.addresses.len());
+        let (address, recorder) = (self.addresses[node], self.recorder.clone());
+        let fake_platform = self.fake_platform.clone();
+        tokio::spawn(async move {
+            if let Some(mut connection) = CallerConnection::open(address).await {
+                recorder.exchange(&request, node, &mut connection, &fake_platform).await;
+            }
+        });
+    }
+}
+
+/// Pauses a plain instance, a member of a group, or a whole group.
+fn pause_some(fake_platform: &FakePlatform, log: &FaultLog, rng: &mut StdRng) -> Result<()> {
+    let length = Duration::from_millis(rng.random_range(PAUSE_MS));
+    let groups = fake_platform.open_groups();
+    let kind = rng.random_range(0..4);
+    let paused = match kind {
+        0 => vec![plain_spec(rng.random_range(0..crate::serving_soak::PLAIN_INSTANCES)).id],
+        _ if groups.is_empty() => vec![],
+        1 => {
+            let group = &groups[rng.random_range(0..groups.len())];
+            vec![group[rng.random_range(0..group.len())].clone()]
+        }
+        _ => groups[rng.random_range(0..groups.len())].clone(),
+    };
+    log.write(&format!("{paused:?} pause for {length:?}"))?;
+    for id in paused {
+        fake_platform.pause(&id, length);
+    }
+    Ok(())
+}
+
+async fn plain_fault(fake_platform: FakePlatform, log: FaultLog, mut rng: StdRng) -> Result<()> {
     let mode = match rng.random_range(0..3) {
         0 => InstanceMode::Refuses,
         1 => InstanceMode::LosesResponses,
         _ => InstanceMode::Fails,
     };
     let id = plain_spec(0).id;
+    log.write(&format!("{id} {mode:?}"))?;
     fake_platform.set_mode(&id, mode);
     sleep(Duration::from_secs(1)).await;
     if fake_platform.is_up(&id) {
@@ -445,42 +412,12 @@
     }
 }
 
-/// Mode of the proxy between the daemons and the store.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum ProxyMode {
-    /// Forwards all bytes.
-    Forward,
-    /// Forwards nothing on open and new connections, without closing them.
-    Stalled,
-}
-
-/// Starts a proxy for connections to the store and returns the sender of its mode and its address.
-pub async fn start_proxy(store: SocketAddr) -> Result<(watch::Sender<ProxyMode>, SocketAddr)> {
-    let (mode, modes) = watch::channel(ProxyMode::Forward);
-    let listener = TcpListener::bind("127.0.0.1:0").await?;
-    let address = listener.local_addr()?;
-    tokio::spawn(async move {
-        while let Ok((client, _)) = listener.accept().await {
-            tokio::spawn(forward(client, store, modes.clone()));
-        }
-    });
-    Ok((mode, address))
-}
-
-/// Forwards the bytes of a connection while the proxy is not stalled.
-async fn forward(mut client: TcpStream, store: SocketAddr, mut modes: watch::Receiver<ProxyMode>) {
-    let is_forwarding = |mode: &ProxyMode| *mode == ProxyMode::Forward;
-    loop {
-        if modes.wait_for(is_forwarding).await.is_err() {
-            return;
-        }
-        let Ok(mut server) = TcpStream::connect(store).await else { return };
-        let mut changes = modes.clone();
-        tokio::select! {
-            _ = tokio::io::copy_bidirectional(&mut client, &mut server) => return,
-            _ = changes.wait_for(|mode| !is_forwarding(mode)) => {}
-        }
-        // The connection to the store is closed and bytes in transit are lost; the daemon's
-        // connection stays open until the daemon times out.
+/// Returns the identity of an engine instance.
+pub fn engine_spec(number: usize) -> InstanceSpec {
+    InstanceSpec {
+        id: format!("i-{number:02}"),
+        service: "drafting".to_string(),
+        domain: Some("d0".to_string()),
+        data_centre: "east".to_string(),
     }
 }
