--- a/bench/src/serving_soak_callers.rs
+++ b/bench/src/serving_soak_callers.rs
@@ -23,7 +23,7 @@
 /// Size of the body that a caller sends which reads slowly, in bytes.
 const SLOW_BODY_BYTES: usize = 200_000;
 /// First part of the prompts of all callers.
-const COMMON_PART: &str = "common";
+const COMMON_PART: u64 = 0xc0ff_ee00;
 /// Number of second parts of prompts.
 const SESSIONS: u64 = 20;
 /// Paths of the requests of callers with the services of their routes.
@@ -165,8 +165,8 @@
 
     /// Adds a prompt that shares its first part with others.
     pub fn with_second_part(self, part: &str) -> Self {
-        let last = format!("own-{}", self.call.id);
-        Self { call: self.call.with_parts(&[COMMON_PART, part, &last]), ..self }
+        let last = part_id(rand::random());
+        Self { call: self.call.with_parts(&[&part_id(COMMON_PART), part, &last]), ..self }
     }
 
     fn with_body(self, body: &str) -> Self {
@@ -174,6 +174,11 @@
     }
 }
 
+/// Returns the id of a part of a prompt.
+pub fn part_id(number: u64) -> String {
+    format!("{number:032x}")
+}
+
 /// Checks a response: a successful stream must contain all events in order, and a refused request that
 /// is not a stream must not have been executed.
 fn judge(
@@ -275,7 +280,7 @@
         };
         let has_parts = KINDS[kind].1 == STREAM && self.rng.random_bool(0.5);
         if has_parts {
-            let session = format!("session-{}", self.rng.random_range(0..SESSIONS));
+            let session = part_id(self.rng.random_range(0..SESSIONS));
             return Request::new(kind, &name, Purpose::Sound).with_second_part(&session);
         }
         let request = Request::new(kind, &name, Purpose::Plain);
--- a/bench/src/serving_soak_faults.rs
+++ b/bench/src/serving_soak_faults.rs
@@ -6,6 +6,7 @@
 use crate::serving_soak_callers::Purpose;
 use crate::serving_soak_callers::Recorder;
 use crate::serving_soak_callers::Request;
+use crate::serving_soak_callers::part_id;
 use crate::serving_soak_nodes::Cause;
 use crate::serving_soak_nodes::Disturbances;
 use crate::serving_soak_nodes::NodeProcess;
@@ -322,7 +323,7 @@
         let mut rng = StdRng::seed_from_u64(self.rng.next_u64());
         let (sender, log) = (self.sender(), self.log.clone());
         async move {
-            let part = format!("bad-{}", rng.random::<u16>());
+            let part = part_id(rng.random());
             sender.fake_platform.add_crashing_part(&part);
             tokio::time::sleep_until(start).await;
             log.write(&format!("requests with the part {part}"))?;
