--- a/bench/src/serving_soak.rs
+++ b/bench/src/serving_soak.rs
@@ -81,6 +81,8 @@
     pub logs: Option<PathBuf>,
     /// Program of the daemons; `None` for the one beside this program.
     pub daemon: Option<PathBuf>,
+    /// Whether the faults are only stops of daemons and silence of instances.
+    pub only_stops: bool,
 }
 
 /// Runs the soak and prints its outcomes and violations.
@@ -91,6 +93,7 @@
     options.optopt("", "nodes", "number of daemons", "N");
     options.optopt("", "logs", "directory in which the logs are kept", "DIR");
     options.optopt("", "daemon", "program of the daemons, to compare builds", "FILE");
+    options.optflag("", "stops", "inject only stops of daemons, and silence of instances");
     let matches = options.parse(args)?;
     let plan = SoakPlan {
         seed: matches.opt_get_default("seed", 1)?,
@@ -98,6 +101,7 @@
         nodes: matches.opt_get_default("nodes", 3)?,
         logs: matches.opt_str("logs").map(PathBuf::from),
         daemon: matches.opt_str("daemon").map(PathBuf::from),
+        only_stops: matches.opt_present("stops"),
     };
     let report = soak(&plan).await?;
     println!("seed {}, {:?}, {} daemons: {report}", plan.seed, plan.length, plan.nodes);
@@ -158,7 +162,8 @@
         next_instance: ENGINES,
         next_crashing: 0,
         starts_planned: plan.seed.is_multiple_of(2),
-        has_crashing_part: plan.seed.is_multiple_of(PART_SEEDS),
+        has_crashing_part: plan.seed.is_multiple_of(PART_SEEDS) && !plan.only_stops,
+        only_stops: plan.only_stops,
     };
     faults.inject_until(start + plan.length.saturating_sub(RECOVERY)).await?;
     proxy.send_replace(ProxyMode::Forward);
--- a/bench/src/serving_soak_faults.rs
+++ b/bench/src/serving_soak_faults.rs
@@ -55,6 +55,8 @@
 const CHANGES: std::ops::Range<usize> = 3..9;
 /// Range of the time between two changes in a series, in milliseconds.
 const CHANGE_INTERVAL_MS: std::ops::Range<u64> = 150..500;
+/// Range of the time for which instances ignore requests, in milliseconds.
+const SILENCE_MS: std::ops::Range<u64> = 500..5000;
 /// Range of the number of copies of a crashing request.
 const CRASHING_COPIES: std::ops::Range<usize> = 8..24;
 /// Range of the time between two copies, in milliseconds.
@@ -149,6 +151,8 @@
     pub starts_planned: bool,
     /// Whether requests come that crash replicas by a part of their prompt.
     pub has_crashing_part: bool,
+    /// Whether only daemons are stopped and instances fall silent.
+    pub only_stops: bool,
 }
 
 impl Faults {
@@ -163,7 +167,10 @@
             let is_planned = block.is_multiple_of(2) == self.starts_planned;
             let faults = if is_planned { PLANNED_FAULTS } else { ALL_FAULTS };
             let fault = self.rng.random_range(0..faults);
-            self.inject(fault, &mut running).await?;
+            match self.only_stops {
+                true => self.inject_stop(&mut running)?,
+                false => self.inject(fault, &mut running).await?,
+            }
             sleep(Duration::from_millis(self.rng.random_range(FAULT_INTERVAL_MS))).await;
         }
         while let Some(ended) = running.join_next().await {
@@ -200,6 +207,31 @@
         Ok(())
     }
 
+    /// Stops a daemon, or lets some of the instances ignore the requests that they receive.
+    fn inject_stop(&mut self, running: &mut JoinSet<Result<()>>) -> Result<()> {
+        if self.rng.random_bool(0.5) {
+            self.signal_some(1, &[SignalSeries::Stop], running);
+            return Ok(());
+        }
+        let groups = self.fake_platform.open_groups();
+        let mut silent: Vec<String> = groups.iter().filter_map(|g| g.first().cloned()).collect();
+        silent.push(plain_spec(0).id);
+        let length = Duration::from_millis(self.rng.random_range(SILENCE_MS));
+        self.log.write(&format!("{silent:?} ignore requests for {length:?}"))?;
+        let fake_platform = self.fake_platform.clone();
+        running.spawn(async move {
+            for id in &silent {
+                fake_platform.set_mode(id, InstanceMode::IgnoresRequests);
+            }
+            sleep(length).await;
+            for id in &silent {
+                fake_platform.set_mode(id, InstanceMode::Up);
+            }
+            Ok(())
+        });
+        Ok(())
+    }
+
     /// Starts series of signals to `count` random daemons at once.
     fn signal_some(
         &mut self,
--- a/bench/tests/test_serving_soak.rs
+++ b/bench/tests/test_serving_soak.rs
@@ -16,7 +16,14 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn serving_soak_short() {
     for seed in SEEDS {
-        let plan = SoakPlan { seed, length: LENGTH, nodes: NODES, logs: None, daemon: None };
+        let plan = SoakPlan {
+            seed,
+            length: LENGTH,
+            nodes: NODES,
+            logs: None,
+            daemon: None,
+            only_stops: false,
+        };
         let report = serving_soak::soak(&plan).await.expect("a run of the soak");
         assert_eq!(report.violations, Vec::<String>::new(), "seed {seed}: {report}");
         assert!(report.count(Outcome::Answered) > 0, "seed {seed}: {report}");
