generation_recovery: an accepted generation waits for the retry budget

A stream was cut with `RetryLimit` in the middle of its response when its third replica paused for a second and the retry budget was used up, although each of its replicas went on. A generation that has been accepted now waits until its deadline for a retry, or until the replica that it left serves again and takes it back without one.

stream_is_cut_since_the_retry_budget_is_used_up failed before ("the retry budget is exhausted; the last attempt: Silent", three pauses of 1 s) and passes. The 307 tests of lib pass.

--- a/lib/src/generation_recovery.rs
+++ b/lib/src/generation_recovery.rs
@@ -85,7 +85,7 @@
                     // may have crashed it.
                     self.await_crash_records().await?;
                 }
-                self.spend_retry(&interruption)?;
+                self.await_retry(&replica, &interruption).await?;
             }
             Interruption::Malformed(_) => {
                 self.path.record_failure(&replica);
@@ -139,7 +139,7 @@
         // A crash interrupts a bounded number of requests, so their first retries are not charged
         // to the retry budget.
         match self.attempts > 2 {
-            true => self.spend_retry(interruption),
+            true => self.await_retry(replica, interruption).await,
             false => Ok(()),
         }
     }
@@ -203,6 +203,37 @@
         Err(RequestError::unknown(ErrorCode::OutcomeUnknown, message))
     }
 
+    /// Withdraws a retry. A generation that has started waits until its deadline for one, or for its
+    /// replica to serve again, since its request has already been accepted.
+    async fn await_retry(
+        &mut self,
+        replica: &Arc<Replica>,
+        interruption: &Interruption,
+    ) -> Result<(), RequestError> {
+        let group = &replica.identity.group;
+        loop {
+            let Err(error) = self.spend_retry(interruption) else { return Ok(()) };
+            let left = self.req.deadline.saturating_duration_since(Instant::now());
+            if !self.has_begun() || left.is_zero() {
+                return Err(error);
+            }
+            let bound = self.limits.probe_timeout().min(left);
+            let liveness =
+                silent_upstreams::probe(&self.path, UpstreamType::Engine, replica, bound).await;
+            if liveness == Liveness::Serving {
+                self.excluded_groups.retain(|excluded| excluded != group);
+                self.only_group = Some(group.clone());
+                return Ok(());
+            }
+            tokio::time::sleep(ACQUIRE_RETRY_DELAY.min(left)).await;
+        }
+    }
+
+    /// Returns whether the caller has been told that the request is accepted.
+    fn has_begun(&self) -> bool {
+        self.emitted.len() > self.resume_offset || self.may_have_run
+    }
+
     fn spend_retry(&self, interruption: &Interruption) -> Result<(), RequestError> {
         if self.path.retry_budget().withdraw() {
             return Ok(());
@@ -215,7 +246,7 @@
     /// Acquires a slot for a further attempt. A generation that has started waits for a replica until
     /// its deadline, since its request has already been accepted.
     pub(crate) async fn acquire_again(&mut self) -> Result<Slot, RequestError> {
-        let has_started = self.emitted.len() > self.resume_offset || self.may_have_run;
+        let has_started = self.has_begun();
         loop {
             let error = match self.acquire().await {
                 Ok(slot) => return Ok(slot),
--- a/lib/tests/test_silent_replicas.rs
+++ b/lib/tests/test_silent_replicas.rs
@@ -3,6 +3,7 @@
 
 use guavaladder_lib::generated::engine::FinishReason;
 use guavaladder_lib::generation::GenerationEvent;
+use guavaladder_lib::metric_names;
 use guavaladder_lib::plain_call;
 use guavaladder_lib::request::Request;
 use guavaladder_testutils::engine_options::EngineOptions;
@@ -11,8 +12,10 @@
 use guavaladder_testutils::request_rig::address;
 use guavaladder_testutils::request_rig::drafting;
 use guavaladder_testutils::request_rig::filing;
+use guavaladder_testutils::request_rig::generate_text;
 use guavaladder_testutils::request_rig::plain_address;
 use rstest::rstest;
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -79,6 +82,43 @@
     assert_eq!(rig.nodes[0].path.suspects().crashes(fingerprint), 0);
 }
 
+/// Each attempt beyond the second draws on the budget, which is used up.
+#[tokio::test(start_paused = true)]
+async fn stream_is_cut_since_the_retry_budget_is_used_up() {
+    let rig = RequestRig::new(1, REPLICAS, 2, EngineOptions::new()).await;
+    while rig.nodes[0].path.retry_budget().withdraw() {}
+    let req = drafting("r1", "c0", "inspect length:200", 300);
+    assert_eq!(run_with_pauses(&rig, req, 3).await, Ok(200));
+}
+
+/// Streams at four replicas, of which three pause one after the other, each for a second.
+#[tokio::test(start_paused = true)]
+async fn harmless_streams_are_cut_or_refused_beside_pauses() {
+    let rig = RequestRig::new(1, REPLICAS, 2, EngineOptions::new()).await;
+    let mut streams = vec![];
+    for number in 0..40 {
+        let path = rig.nodes[0].path.clone();
+        let prompt = format!("inspect {number} length:400");
+        let key = format!("{:013}-random{number:06}", rig.clock.unix().as_millis());
+        let key = (number % 4 == 0).then_some(key);
+        let req = Request { key, ..drafting(&format!("r{number}"), "c0", &prompt, 500) };
+        streams.push(tokio::spawn(async move { generate_text(&path, req).await }));
+        sleep(Duration::from_millis(25)).await;
+    }
+    for replica in 0..3 {
+        pause(&rig, address(replica, 0));
+        sleep(PAUSE + Duration::from_millis(200)).await;
+    }
+    let mut failed = BTreeMap::new();
+    for stream in streams {
+        if let Err(e) = stream.await.expect("a task that ends") {
+            *failed.entry(format!("{:?}", e.code)).or_insert(0) += 1;
+        }
+    }
+    let retries = rig.nodes[0].cx.metrics.value(metric_names::RETRIES);
+    assert!(failed.is_empty(), "{failed:?} of 40, {retries} retries");
+}
+
 /// A generation with a key can't be sent to another replica.
 #[tokio::test(start_paused = true)]
 async fn generation_with_key_is_cut_since_its_replica_paused() {
