--- a/lib/src/plain_call.rs
+++ b/lib/src/plain_call.rs
@@ -21,6 +21,7 @@
 use crate::router::Suspicion;
 use crate::silent_upstreams;
 use crate::silent_upstreams::Liveness;
+use crate::silent_upstreams::RunningRequest;
 use crate::silent_upstreams::UpstreamType;
 use crate::suspects::Verdict;
 use std::sync::Arc;
@@ -238,7 +239,11 @@
     match silent_upstreams::probe(path, UpstreamType::Plain, replica, PROBE_BOUND).await {
         Liveness::Serving => {}
         Liveness::Ended => {
-            silent_upstreams::record_crash(path, replica, &req.id, req.fingerprint);
+            silent_upstreams::record_crash(
+                path,
+                replica,
+                &RunningRequest::new(UpstreamType::Plain, req),
+            );
         }
         Liveness::Silent => silent_upstreams::watch(path, UpstreamType::Plain, replica, req),
     }
--- a/lib/src/silent_upstreams.rs
+++ b/lib/src/silent_upstreams.rs
@@ -44,17 +44,30 @@
     Silent,
 }
 
-/// A request that was running at a silent upstream.
+/// A request that was running at an upstream that may have crashed.
 #[derive(Debug, Clone, PartialEq, Eq)]
-struct Running {
-    request: String,
+pub struct RunningRequest {
+    id: String,
     fingerprint: u64,
+    /// Key of the prefix of its prompt.
+    prefix: Option<u64>,
+}
+
+impl RunningRequest {
+    /// Returns what is kept of a request.
+    pub fn new(upstream_type: UpstreamType, req: &Request) -> Self {
+        let prefix = match upstream_type {
+            UpstreamType::Engine => req.prefix_key(),
+            UpstreamType::Plain => None,
+        };
+        Self { id: req.id.clone(), fingerprint: req.fingerprint, prefix }
+    }
 }
 
 /// Cloneable list of the requests that were running at silent upstreams, by the id of the possible crash.
 #[derive(Debug, Clone, Default)]
 pub struct SilentUpstreams {
-    inner: Arc<Mutex<HashMap<u64, Vec<Running>>>>,
+    inner: Arc<Mutex<HashMap<u64, Vec<RunningRequest>>>>,
 }
 
 impl SilentUpstreams {
@@ -64,7 +77,7 @@
     }
 
     /// Adds a request; returns true if the upstream was not in the list.
-    fn add(&self, crash: u64, running: Running) -> bool {
+    fn add(&self, crash: u64, running: RunningRequest) -> bool {
         let mut inner = self.inner.lock().unwrap_or_else(PoisonError::into_inner);
         let is_new = !inner.contains_key(&crash);
         if inner.values().map(Vec::len).sum::<usize>() < MAX_REQUESTS {
@@ -73,7 +86,7 @@
         is_new && inner.contains_key(&crash)
     }
 
-    fn remove(&self, crash: u64) -> Vec<Running> {
+    fn remove(&self, crash: u64) -> Vec<RunningRequest> {
         let mut inner = self.inner.lock().unwrap_or_else(PoisonError::into_inner);
         inner.remove(&crash).unwrap_or_default()
     }
@@ -105,10 +118,14 @@
 }
 
 /// Records a crash under a request, and returns the number of crashes known for it.
-pub fn record_crash(path: &RequestPath, replica: &Replica, id: &str, fingerprint: u64) -> usize {
-    let crashes = path.suspects().record_crash(fingerprint, replica.crash_id());
+pub fn record_crash(path: &RequestPath, replica: &Replica, running: &RunningRequest) -> usize {
+    let RunningRequest { id, fingerprint, prefix } = running;
+    let crashes = path.suspects().record_crash(*fingerprint, replica.crash_id());
+    if let Some(prefix) = prefix {
+        path.suspects().record_crash(*prefix, replica.crash_id());
+    }
     path.cx().record(Event::RequestSuspected {
-        request: id.to_string(),
+        request: id.clone(),
         fingerprint: format!("{fingerprint:016x}"),
         group: replica.identity.group.clone(),
         crashes: crashes as u64,
@@ -124,8 +141,7 @@
     replica: &Arc<Replica>,
     req: &Request,
 ) {
-    let running = Running { request: req.id.clone(), fingerprint: req.fingerprint };
-    if !path.silent_upstreams().add(replica.crash_id(), running) {
+    if !path.silent_upstreams().add(replica.crash_id(), RunningRequest::new(upstream_type, req)) {
         return;
     }
     let (path, replica) = (path.clone(), replica.clone());
@@ -133,8 +149,8 @@
         let has_crashed = has_crashed(&path, upstream_type, &replica).await;
         let requests = path.silent_upstreams().remove(replica.crash_id());
         if has_crashed {
-            for Running { request, fingerprint } in requests {
-                record_crash(&path, &replica, &request, fingerprint);
+            for running in &requests {
+                record_crash(&path, &replica, running);
             }
         }
     });
