--- a/lib/src/plain_call.rs
+++ b/lib/src/plain_call.rs
@@ -239,7 +239,11 @@
     match silent_upstreams::probe(path, UpstreamType::Plain, replica, PROBE_BOUND).await {
         Liveness::Serving => {}
         Liveness::Ended => {
-            silent_upstreams::record_crash(path, replica, &RunningRequest::new(req));
+            silent_upstreams::record_crash(
+                path,
+                replica,
+                &RunningRequest::new(UpstreamType::Plain, req),
+            );
         }
         Liveness::Silent => silent_upstreams::watch(path, UpstreamType::Plain, replica, req),
     }
