http_client: small reads, so that bytes without end don't delay the time limits

What was seen: a call of our own interface to an engine that sends interim heads without end ended 2.7 s after its begin, at a limit of 2 s (seen once, beside a build and the tests of serving).

Cause: hyper reads up to 400 KB at once, and a task is interrupted after 128 reads at the earliest. While it parsed up to 50 MB of heads, no timer of the thread was looked at.

The client now reads at most 32 KiB at once, as on the platform's interface; this is also the limit of a response's head.

--- a/lib/src/http_client.rs
+++ b/lib/src/http_client.rs
@@ -27,6 +27,9 @@
 /// Timeout for establishing a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Largest response head in bytes, and the most that is read at once.
+const MAX_HEAD_BYTES: usize = 32 << 10;
+
 /// Time after which an idle connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -273,6 +276,7 @@
     connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
     Client::builder(TokioExecutor::new())
         .pool_timer(TokioTimer::new())
+        .http1_max_buf_size(MAX_HEAD_BYTES)
         .pool_idle_timeout(IDLE_TIMEOUT)
         .pool_max_idle_per_host(max_idle)
         .build(connector)
