--- a/lib/src/generation_recovery.rs
+++ b/lib/src/generation_recovery.rs
@@ -15,6 +15,10 @@
 use crate::router;
 use crate::router::SelectionCriteria;
 use crate::router::Suspicion;
+use crate::silent_upstreams;
+use crate::silent_upstreams::Liveness;
+use crate::silent_upstreams::RunningRequest;
+use crate::silent_upstreams::UpstreamType;
 use crate::suspects::Verdict;
 use std::sync::Arc;
 use std::time::Duration;
@@ -82,7 +86,7 @@
                     // may have crashed it.
                     self.await_crash_records().await?;
                 }
-                self.spend_retry(&interruption)?;
+                self.await_retry(&replica, &interruption).await?;
             }
             Interruption::Malformed(_) => {
                 self.path.record_failure(&replica);
@@ -106,7 +110,10 @@
     ) -> Result<(), RequestError> {
         let group = replica.identity.group.clone();
         let was_interrupted_before = self.interrupted_groups.contains(&group);
-        if self.path.is_serving(replica, self.limits.probe_timeout()).await {
+        let bound = self.limits.probe_timeout();
+        let liveness =
+            silent_upstreams::probe(&self.path, UpstreamType::Engine, replica, bound).await;
+        if liveness == Liveness::Serving {
             match was_interrupted_before {
                 true => {
                     self.path.record_failure(replica);
@@ -122,30 +129,28 @@
         }
         self.only_group = None;
         self.path.record_failure(replica);
-        self.excluded_groups.push(group.clone());
-        if is_accepted {
-            self.record_crash(replica, &group).await?;
+        self.excluded_groups.push(group);
+        match liveness {
+            Liveness::Ended if is_accepted => self.record_crash(replica).await?,
+            Liveness::Silent if is_accepted => {
+                silent_upstreams::watch(&self.path, UpstreamType::Engine, replica, &self.req);
+            }
+            _ => {}
         }
         // A crash interrupts a bounded number of requests, so their first retries are not charged
         // to the retry budget.
         match self.attempts > 2 {
-            true => self.spend_retry(interruption),
+            true => self.await_retry(replica, interruption).await,
             false => Ok(()),
         }
     }
 
-    async fn record_crash(&mut self, replica: &Replica, group: &str) -> Result<(), RequestError> {
-        let suspects = self.path.suspects().clone();
-        let crashes = suspects.record_crash(self.req.fingerprint, replica.crash_id());
-        if let Some(prefix) = self.req.prefix_key() {
-            suspects.record_crash(prefix, replica.crash_id());
-        }
-        self.path.cx().record(Event::RequestSuspected {
-            request: self.req.id.clone(),
-            fingerprint: format!("{:016x}", self.req.fingerprint),
-            group: group.to_string(),
-            crashes: crashes as u64,
-        });
+    async fn record_crash(&mut self, replica: &Replica) -> Result<(), RequestError> {
+        let crashes = silent_upstreams::record_crash(
+            &self.path,
+            replica,
+            &RunningRequest::new(UpstreamType::Engine, &self.req),
+        );
         if crashes >= self.limits.crash_limit as usize {
             return self.await_crash_records().await;
         }
@@ -218,6 +223,37 @@
         Err(RequestError::unknown(ErrorCode::OutcomeUnknown, message))
     }
 
+    /// Withdraws a retry. A generation that has started waits until its deadline for one, or for its
+    /// replica to serve again, since its request has already been accepted.
+    async fn await_retry(
+        &mut self,
+        replica: &Arc<Replica>,
+        interruption: &Interruption,
+    ) -> Result<(), RequestError> {
+        let group = &replica.identity.group;
+        loop {
+            let Err(error) = self.spend_retry(interruption) else { return Ok(()) };
+            let left = self.req.deadline.saturating_duration_since(Instant::now());
+            if !self.has_begun() || left.is_zero() {
+                return Err(error);
+            }
+            let bound = self.limits.probe_timeout().min(left);
+            let liveness =
+                silent_upstreams::probe(&self.path, UpstreamType::Engine, replica, bound).await;
+            if liveness == Liveness::Serving {
+                self.excluded_groups.retain(|excluded| excluded != group);
+                self.only_group = Some(group.clone());
+                return Ok(());
+            }
+            tokio::time::sleep(ACQUIRE_RETRY_DELAY.min(left)).await;
+        }
+    }
+
+    /// Returns whether the caller has been told that the request is accepted.
+    fn has_begun(&self) -> bool {
+        self.emitted.len() > self.resume_offset || self.may_have_run
+    }
+
     fn spend_retry(&self, interruption: &Interruption) -> Result<(), RequestError> {
         if self.path.retry_budget().withdraw() {
             return Ok(());
@@ -230,7 +266,7 @@
     /// Acquires a slot for a further attempt. A generation that has started waits for a replica until
     /// its deadline, since its request has already been accepted.
     pub(crate) async fn acquire_again(&mut self) -> Result<Slot, RequestError> {
-        let has_started = self.emitted.len() > self.resume_offset || self.may_have_run;
+        let has_started = self.has_begun();
         loop {
             let error = match self.acquire().await {
                 Ok(slot) => return Ok(slot),
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -1,5 +1,6 @@
 //! Test binary with all integration tests of the library.
 
+mod test_attempt;
 mod test_burn_report;
 mod test_caller_api;
 mod test_catalogues;
@@ -27,5 +28,6 @@
 mod test_planner;
 mod test_request_fuzz;
 mod test_settings;
+mod test_silent_replicas;
 mod test_store_client;
 mod test_suspects;
