upstream_stream: an unframed error without a body is sent on

Since a stream without a length and without an event counts as failed. That held for error responses too, so that callers got 502 in place of the replica's own status. It holds for successful responses only now. unframed_error_without_a_body_is_sent_on failed with 502 in place of 413.

--- a/serving/src/upstream_stream.rs
+++ b/serving/src/upstream_stream.rs
@@ -57,8 +57,8 @@
             return Err(AttemptError::Failure { status: stream.status().as_u16() });
         }
         let next = stream.next(cx, task).await?;
-        let is_resumed = last_event_id.is_some();
-        if matches!(next, StreamItem::End) && stream.upstream.is_unframed() && !is_resumed {
+        let may_be_empty = last_event_id.is_some() || !stream.status().is_success();
+        if matches!(next, StreamItem::End) && stream.upstream.is_unframed() && !may_be_empty {
             let cause = "the connection was closed before the first event";
             return Err(AttemptError::Broken(cause.to_string()));
         }
--- a/serving/tests/test_unframed_streams.rs
+++ b/serving/tests/test_unframed_streams.rs
@@ -24,6 +24,8 @@
 
 const REPLICAS: usize = 8;
 const BAD: &str = "bad0";
+/// Part of the prompts that replicas reject.
+const REJECTED: &str = "e0";
 /// Number of crashes after which the part has to be known within `KNOWN_AFTER`.
 const CRASHES: usize = 5;
 /// The platform's `stableWindowMs`.
@@ -80,6 +82,10 @@
                 _ => return false,
             }
         }
+        if request.contains(&format!("{REJECTED}:")) {
+            let _ = stream.write_all(b"HTTP/1.1 413 Too Large\r\n\r\n").await;
+            return false;
+        }
         let is_bad = request.contains(&format!("{BAD}:"));
         let events = if is_bad { self.events_before_crash } else { 3 };
         let id = request.lines().find_map(|line| line.strip_prefix("x-request-id: "));
@@ -136,3 +142,10 @@
     assert!(later <= MAX_LATER_RUNS, "{later} later runs");
     assert!(statuses[&200] >= 100, "sound requests: {statuses:?}");
 }
+
+#[tokio::test]
+async fn unframed_error_without_a_body_is_sent_on() {
+    let (fleet, _replicas) = start(0).await;
+    let call = Call::new(Method::POST, "/feed/x").with_parts(&["f1", REJECTED, "10"]);
+    assert_eq!(call.status(fleet.callers(0)).await, 413);
+}
