--- a/lib/src/silent_upstreams.rs
+++ b/lib/src/silent_upstreams.rs
@@ -44,19 +44,23 @@
     Silent,
 }
 
-/// A request that was running at a silent upstream.
+/// A request that was running at an upstream that may have crashed.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RunningRequest {
     id: String,
     fingerprint: u64,
-    /// Key of the prefix of its prompt, if it has one of its own.
+    /// Key of the prefix of its prompt.
     prefix: Option<u64>,
 }
 
 impl RunningRequest {
-    /// Returns what a crash is recorded under for a request.
-    pub fn new(req: &Request) -> Self {
-        Self { id: req.id.clone(), fingerprint: req.fingerprint, prefix: req.prefix_key() }
+    /// Returns what is kept of a request.
+    pub fn new(upstream_type: UpstreamType, req: &Request) -> Self {
+        let prefix = match upstream_type {
+            UpstreamType::Engine => req.prefix_key(),
+            UpstreamType::Plain => None,
+        };
+        Self { id: req.id.clone(), fingerprint: req.fingerprint, prefix }
     }
 }
 
@@ -113,16 +117,16 @@
     }
 }
 
-/// Records a crash under a request and the prefix of its prompt, and returns the number of crashes known
-/// for the request.
+/// Records a crash under a request, and returns the number of crashes known for it.
 pub fn record_crash(path: &RequestPath, replica: &Replica, running: &RunningRequest) -> usize {
-    let crashes = path.suspects().record_crash(running.fingerprint, replica.crash_id());
-    if let Some(prefix) = running.prefix {
-        path.suspects().record_crash(prefix, replica.crash_id());
+    let RunningRequest { id, fingerprint, prefix } = running;
+    let crashes = path.suspects().record_crash(*fingerprint, replica.crash_id());
+    if let Some(prefix) = prefix {
+        path.suspects().record_crash(*prefix, replica.crash_id());
     }
     path.cx().record(Event::RequestSuspected {
-        request: running.id.clone(),
-        fingerprint: format!("{:016x}", running.fingerprint),
+        request: id.clone(),
+        fingerprint: format!("{fingerprint:016x}"),
         group: replica.identity.group.clone(),
         crashes: crashes as u64,
     });
@@ -137,7 +141,7 @@
     replica: &Arc<Replica>,
     req: &Request,
 ) {
-    if !path.silent_upstreams().add(replica.crash_id(), RunningRequest::new(req)) {
+    if !path.silent_upstreams().add(replica.crash_id(), RunningRequest::new(upstream_type, req)) {
         return;
     }
     let (path, replica) = (path.clone(), replica.clone());
@@ -145,8 +149,8 @@
         let has_crashed = has_crashed(&path, upstream_type, &replica).await;
         let requests = path.silent_upstreams().remove(replica.crash_id());
         if has_crashed {
-            for running in requests {
-                record_crash(&path, &replica, &running);
+            for running in &requests {
+                record_crash(&path, &replica, running);
             }
         }
     });
