attempt_loop: wait for each silent replica of a request

A stream was cut although its second replica went on: once both replicas had fallen silent, only the attempt at the first one was kept, and that replica ended. All attempts that may still respond are kept now; their number is bounded by the sends of a request.

stream_is_cut_since_its_second_replica_is_silent_too failed with only one attempt kept, and passes.

--- a/serving/src/attempt_loop.rs
+++ b/serving/src/attempt_loop.rs
@@ -1,8 +1,8 @@
 //! Attempts of one request at several replicas, until one of them responds.
 //!
 //! A replica that falls silent may go on a second later. So its attempt stays open while the request is
-//! tried on another replica, and the first of the two that responds is used. Where the request can't be
-//! sent to another replica, the silent one is waited for until the deadline.
+//! tried on another replica, and the first one that responds is used. Where the request can't be sent to
+//! another replica, the silent ones are waited for until the deadline.
 
 use crate::attempt::AttemptError;
 use crate::attempt::Attempts;
@@ -15,8 +15,10 @@
 use crate::response_body::ResponseBody;
 use crate::serving_cx::ServingCx;
 use http::Response;
+use std::future::poll_fn;
 use std::pin::Pin;
 use std::sync::Arc;
+use std::task::Poll;
 use std::time::Duration;
 use tokio::time::sleep;
 
@@ -115,11 +117,12 @@
     /// may still respond.
     pub async fn run(
         &mut self,
-        mut silent: Option<PendingAttempt<'static, K::Response>>,
+        silent: Option<PendingAttempt<'static, K::Response>>,
     ) -> Result<K::Response, NoResponse> {
+        let mut silent: Vec<_> = silent.into_iter().collect();
         loop {
             failed_attempts::settle(self.cx, &self.task.crash_keys).await;
-            let replica = match self.next_step(silent.is_some()) {
+            let replica = match self.next_step(!silent.is_empty()) {
                 NextStep::Send(replica) => replica,
                 NextStep::Wait => match self.wait(&mut silent).await {
                     Some(response) => return Ok(response),
@@ -142,7 +145,7 @@
                 Raced::Silent(e) => {
                     self.end_attempt(&replica, &e);
                     self.attempts.record_silence(&replica, e);
-                    silent.get_or_insert(attempt);
+                    silent.push(attempt);
                 }
             }
         }
@@ -154,21 +157,20 @@
         next_replica::next_replica(self.cx, self.task, self.trace, self.attempts, progress)
     }
 
-    /// Waits for an attempt and for the one at a silent replica.
+    /// Waits for an attempt and for those at silent replicas.
     async fn race(
         &mut self,
         attempt: &mut PendingAttempt<'static, K::Response>,
-        silent: &mut Option<PendingAttempt<'static, K::Response>>,
+        silent: &mut Vec<PendingAttempt<'static, K::Response>>,
     ) -> Raced<K::Response> {
         loop {
-            let ended = tokio::select! {
+            let (replica, ended) = tokio::select! {
                 response = &mut attempt.response => {
                     return response.map_or_else(Raced::Failed, Raced::Responded);
                 }
-                ended = response_of(silent) => ended,
+                ended = next_response(silent) => ended,
                 e = &mut attempt.silence => return Raced::Silent(e),
             };
-            let Some(PendingAttempt { replica, .. }) = silent.take() else { continue };
             match ended {
                 Ok(response) => {
                     self.record_return(&replica);
@@ -179,17 +181,16 @@
         }
     }
 
-    /// Waits for the attempt at a silent replica, until it is time to check again whether the request
-    /// can be sent to another replica.
+    /// Waits for the attempts at silent replicas, until it is time to check again whether the request can
+    /// be sent to another replica.
     async fn wait(
         &mut self,
-        silent: &mut Option<PendingAttempt<'static, K::Response>>,
+        silent: &mut Vec<PendingAttempt<'static, K::Response>>,
     ) -> Option<K::Response> {
-        let ended = tokio::select! {
-            ended = response_of(silent) => ended,
+        let (replica, ended) = tokio::select! {
+            ended = next_response(silent) => ended,
             () = sleep(RETRY_CHECK_PERIOD) => return None,
         };
-        let PendingAttempt { replica, .. } = silent.take()?;
         match ended {
             Ok(response) => {
                 self.record_return(&replica);
@@ -214,10 +215,17 @@
     }
 }
 
-/// Waits for the response of an attempt; forever if there is none.
-async fn response_of<T>(attempt: &mut Option<PendingAttempt<'_, T>>) -> Result<T, AttemptError> {
-    match attempt {
-        Some(attempt) => (&mut attempt.response).await,
-        None => std::future::pending().await,
-    }
+/// Waits until one of the attempts ends, and removes it; forever if there is none.
+async fn next_response<T>(
+    attempts: &mut Vec<PendingAttempt<'_, T>>,
+) -> (Arc<Replica>, Result<T, AttemptError>) {
+    poll_fn(|cx| {
+        for (i, attempt) in attempts.iter_mut().enumerate() {
+            if let Poll::Ready(ended) = attempt.response.as_mut().poll(cx) {
+                return Poll::Ready((attempts.remove(i).replica, ended));
+            }
+        }
+        Poll::Pending
+    })
+    .await
 }
--- a/serving/tests/test_silent_replicas.rs
+++ b/serving/tests/test_silent_replicas.rs
@@ -2,6 +2,7 @@
 //! sooner than without the silence.
 
 use crate::fleet::Fleet;
+use crate::fleet::eventually;
 use crate::fleet::start_streams;
 use guavaladder_platform_testutils::Call;
 use guavaladder_platform_testutils::FakePlatform;
@@ -154,3 +155,27 @@
     assert_eq!(metrics.sum("replicas_returned_total"), 1);
     assert_eq!(Call::new(Method::POST, "/draft/x").status(fleet.callers(0)).await, 200);
 }
+
+/// A stream that moved to another replica waits for both of them: the first one ends, and the second one,
+/// which fell silent later, goes on.
+#[tokio::test]
+async fn stream_is_cut_since_its_second_replica_is_silent_too() {
+    let mut fleet = Fleet::with_events(4, EVENTS).await;
+    fleet.add_first_node("drafting", 2).await;
+    let groups = fleet.fake_platform.open_groups();
+    for member in groups.iter().flatten() {
+        fleet.fake_platform.delay_orders(member, ORDER_DELAY);
+    }
+    let stream = start_streams(fleet.callers(0), 1).remove(0);
+    sleep(Duration::from_millis(200)).await;
+    let first = fleet.fake_platform.arrivals()[0].instance.clone();
+    fleet.fake_platform.pause(&first, 3 * PAUSE);
+    let platform = fleet.fake_platform.clone();
+    eventually(|| platform.arrivals().len() == 2).await;
+    let second = platform.arrivals()[1].instance.clone();
+    platform.pause(&second, PAUSE);
+    sleep(PAUSE * 7 / 10).await;
+    platform.kill(&first);
+    let response = stream.await.expect("a task that ends").expect("a complete stream");
+    assert_eq!(event_ids(&response).len(), EVENTS as usize);
+}
