--- a/serving/src/group_control.rs
+++ b/serving/src/group_control.rs
@@ -41,7 +41,7 @@
 const SUSPECT_PERIOD: Duration = Duration::from_secs(5);
 /// Time for which a group that was found to be down is kept while requests wait for it: a live instance may
 /// be silent for a second or so.
-const SILENCE_GRACE: Duration = Duration::from_millis(1200);
+const SILENCE_GRACE: Duration = Duration::from_millis(1500);
 /// Time for which a reported status is still compared with an entry that changed after the report.
 const REPORTED_STATUS_TTL: Duration = Duration::from_secs(6);
 /// Maximum number of dissolved groups that are remembered.
