serving-soak: cuts after an attempt was replaced by one that broke off are allowed

Their first replica was paused; the second attempt delivered first, so that the daemon ended the first one; then a member of the second replica crashed under a crashing request, and no other replica was open. The rule does not count a request whose replica broke off, and the request had only that one. The cut is told apart (replaced) where a later attempt had time to deliver and broke off after the earlier one was ended; any other attempt that the daemon ends still counts.

--- a/bench/src/serving_soak_cuts.rs
+++ b/bench/src/serving_soak_cuts.rs
@@ -21,6 +21,8 @@
 const CONFIG_APPLY: Duration = Duration::from_millis(2000);
 /// Time after planned work in which connections that end still count.
 const AFTERMATH: Duration = Duration::from_secs(1);
+/// Time until the first event of a stream of the fakes.
+const EVENT_INTERVAL: Duration = Duration::from_millis(15);
 /// Maximum number of requests that are cut without planned work, according to the platform's rules.
 const MAX_UNPROVOKED: usize = 3;
 
@@ -41,6 +43,8 @@
     Expired,
     /// Allowed: the replicas broke off or had lost a member.
     BrokenOff,
+    /// Allowed: a later attempt delivered, so that the earlier one was ended, and its replica broke off.
+    Replaced,
     /// Allowed: the request crossed the closing of the connection and was not passed on.
     Crossed,
     /// Allowed: the replica was still at work in the last sixth of the time to stop.
@@ -115,9 +119,24 @@
     if was_passed_on && arrivals.iter().all(is_lost_by_replica) {
         return CutKind::BrokenOff;
     }
+    let is_excused = |a: &Arrival| is_lost_by_replica(a) || is_replaced(a, arrivals);
+    if was_passed_on && arrivals.iter().all(is_excused) {
+        return CutKind::Replaced;
+    }
     planned_work(evidence, request, &disturbances)
 }
 
+/// Returns whether an attempt was ended after the replica of a later one had time to deliver, which then
+/// broke off.
+fn is_replaced(arrival: &Arrival, all: &[Arrival]) -> bool {
+    let Some((ended, ArrivalEnd::Abandoned)) = arrival.end else { return false };
+    let has_delivered =
+        |other: &Arrival| other.at > arrival.at && other.at + EVENT_INTERVAL <= ended;
+    let broke_off_later =
+        |other: &Arrival| is_lost_by_replica(other) && other.end.is_some_and(|(at, _)| at > ended);
+    all.iter().any(|other| has_delivered(other) && broke_off_later(other))
+}
+
 /// Returns the planned work beside which a request was cut.
 fn planned_work(
     evidence: &Evidence,
