tests: replicas that name a rate limit get more requests than it allows

What callers of the platform saw on systems like ours: replicas that name the rate at which they take requests from all nodes got far more (LIMIT).

The fakes name a limit in all their answers and check the requests of all nodes in any 4 s.

--- a/serving/tests/runner.rs
+++ b/serving/tests/runner.rs
@@ -20,6 +20,7 @@
 mod test_peer_codec;
 mod test_placement;
 mod test_rate_limited_log;
+mod test_rate_limits;
 mod test_raw_http;
 mod test_registration_tracker;
 mod test_replica_set;
