rate_limits: nodes share the rate that an instance names

What the users saw: a replica that names in its answers the requests per second that it takes from all nodes together got more than one and a half times as many and 5 more in 4 s (LIMIT).

Cause: the header was read nowhere. Placement knows slots and requests under way; a replica that is slowed by its own limit gets fewer requests only as far as it holds them longer.

Evidence: with fakes that name a limit and are not slower, 120 requests in 4 s at a head that takes 4.4 a second, 31 allowed.

What answers state is recorded in one place, instance_notices, for responses, refusals, errors, reports and answers to orders. For each limited instance min(nodes, 2 + whole requests per second) nodes are elected by rendezvous hashing; each sends an equal part of the rate, evenly spaced, with one request in advance for responses that have begun. A limit ends with an answer to a later request that the instance ran; other nodes learn of both by messages to three random nodes, which are sent only while there are limits.

--- a/serving/src/attempt.rs
+++ b/serving/src/attempt.rs
@@ -8,6 +8,8 @@
 use crate::fleet_config::RouteKind;
 use crate::instance::InstanceId;
 use crate::instance::ResponseHead;
+use crate::instance_notices;
+use crate::instance_notices::InstanceAnswer;
 use crate::placement::NoCapacity;
 use crate::placement::Occupancy;
 use crate::replica_set::Replica;
@@ -269,11 +271,15 @@
         last_event_id,
     };
     let req = build_request(cx, task, &params)?;
+    let sent_at = Instant::now();
     let response = connection.send(req).await.map_err(|e| match e {
         CallError::NotSent(e) => AttemptError::NotSent(e),
         CallError::NoResponse(reason) => AttemptError::Broken(reason),
     })?;
     let head = cx.dialect.decode_response_head(response.status(), response.headers());
+    let (status, is_run) = (response.status(), head.is_signed && !head.is_not_run);
+    let answer = InstanceAnswer { sent_at, status, is_run };
+    instance_notices::record(cx, replica.run, &head.notice, answer);
     let is_reusable = !head.closes && task.body.len() <= MAX_BODY_FOR_CONNECTION_REUSE;
     validate_response(task, response.status(), &head)?;
     Ok(UpstreamResponse { response, head, connection, is_reusable })
--- a/serving/src/candidates.rs
+++ b/serving/src/candidates.rs
@@ -20,7 +20,8 @@
     tried: &[ReplicaKey],
     timeliness: Timeliness,
 ) -> Result<Arc<Replica>, (NoCapacity, Occupancy)> {
-    let candidates = candidates(cx, task, tried);
+    let now = Instant::now();
+    let candidates = candidates(cx, task, tried, timeliness, now);
     let table = cx.config.get();
     let input = PlacementInput {
         data_centre: &cx.settings.data_centre,
@@ -32,8 +33,13 @@
     chosen.map_err(|no_capacity| (no_capacity, placement::occupancy(&candidates)))
 }
 
-fn candidates(cx: &ServingCx, task: &RequestTask, tried: &[ReplicaKey]) -> Vec<Candidate> {
-    let now = Instant::now();
+fn candidates(
+    cx: &ServingCx,
+    task: &RequestTask,
+    tried: &[ReplicaKey],
+    timeliness: Timeliness,
+    now: Instant,
+) -> Vec<Candidate> {
     let replicas = cx.fleet.replicas();
     let serves = |replica: &&Arc<Replica>| match (&replica.model, &task.head.model) {
         (Some(model), Some(wanted)) => model == wanted,
@@ -43,6 +49,7 @@
     let candidate = |replica: &Arc<Replica>| Candidate {
         replica: replica.clone(),
         state: cx.loads.state(replica, now),
+        rate: cx.rate_limits.allowance(replica.run, timeliness == Timeliness::Begun, now),
     };
     let of_service = replicas.of_service(&task.service).iter();
     of_service.filter(serves).filter(is_untried).map(candidate).collect()
--- a/serving/src/dialect.rs
+++ b/serving/src/dialect.rs
@@ -5,6 +5,7 @@
 
 use crate::fleet_config::FleetConfig;
 use crate::instance::Instance;
+use crate::instance::InstanceNotice;
 use crate::instance::InstanceReport;
 use crate::instance::Order;
 use crate::instance::OrderResponse;
@@ -191,6 +192,8 @@
     fn encode_order(&self, order: &Order) -> Vec<u8>;
     /// Decodes the response to an order.
     fn decode_order_response(&self, status: StatusCode) -> OrderResponse;
+    /// Decodes what an instance states about itself in the headers of any answer.
+    fn decode_notice(&self, headers: &HeaderMap) -> InstanceNotice;
     /// Returns the headers that name the addressed instance in a call to its own interface.
     fn instance_headers(&self, instance: &str) -> HeaderMap;
 
--- a/serving/src/instance.rs
+++ b/serving/src/instance.rs
@@ -1,5 +1,6 @@
 //! Instances of services: their registration, their status reports and the orders that they accept.
 
+use crate::rate_limits::RateNotice;
 use guavaladder_proc_macros::common_derives;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -206,7 +207,7 @@
 }
 
 /// Information from the head of a response.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq)]
 pub struct ResponseHead {
     /// Id of the request to which it responds.
     pub request_id: Option<String>,
@@ -224,4 +225,13 @@
     pub closes: bool,
     /// How long the replica keeps an idle connection open.
     pub keep_alive: Option<Duration>,
+    /// What the instance states about itself.
+    pub notice: InstanceNotice,
+}
+
+/// What an instance states about itself in the headers of any answer.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct InstanceNotice {
+    /// Rate at which it takes requests.
+    pub rate: RateNotice,
 }
--- /dev/null
+++ b/serving/src/instance_notices.rs
@@ -0,0 +1,49 @@
+//! What instances state about themselves in the headers of their answers: responses, refusals, errors,
+//! reports and answers to orders are all recorded here.
+
+use crate::instance::InstanceNotice;
+use crate::rate_limit_sync;
+use crate::rate_limits;
+use crate::rate_limits::RunHash;
+use crate::serving_cx::ServingCx;
+use http::HeaderMap;
+use http::StatusCode;
+use tokio::time::Instant;
+
+/// An answer of an instance to a request of this node.
+#[derive(Debug, Clone, Copy)]
+pub struct InstanceAnswer {
+    /// When the request was sent.
+    pub sent_at: Instant,
+    /// Status of the answer.
+    pub status: StatusCode,
+    /// Whether the instance ran a request of a caller.
+    pub is_run: bool,
+}
+
+/// Records what an answer of a run of an instance states.
+pub fn record(cx: &ServingCx, run: RunHash, notice: &InstanceNotice, answer: InstanceAnswer) {
+    // Another instance answers at this address.
+    if answer.status == StatusCode::MISDIRECTED_REQUEST {
+        return;
+    }
+    let InstanceAnswer { sent_at, is_run, .. } = answer;
+    let change = cx.rate_limits.record(run, notice.rate, sent_at, is_run, Instant::now());
+    if let Some(change) = change {
+        rate_limit_sync::log_change(cx, run, change, "answer");
+    }
+}
+
+/// Records what the answer of a registered instance to a call of its own interface states.
+pub fn record_call(
+    cx: &ServingCx,
+    instance: &str,
+    headers: &HeaderMap,
+    status: StatusCode,
+    sent_at: Instant,
+) {
+    let Some(registered) = cx.fleet.instance(instance) else { return };
+    let run = rate_limits::run_hash(instance, registered.engine.born_ms);
+    let answer = InstanceAnswer { sent_at, status, is_run: false };
+    record(cx, run, &cx.dialect.decode_notice(headers), answer);
+}
--- a/serving/src/next_replica.rs
+++ b/serving/src/next_replica.rs
@@ -9,6 +9,7 @@
 use crate::crash_record::CrashRefusal;
 use crate::local_response;
 use crate::placement;
+use crate::placement::NoCapacity;
 use crate::placement::Occupancy;
 use crate::placement::Timeliness;
 use crate::replica_set::Replica;
@@ -19,6 +20,7 @@
 use http::Response;
 use http::StatusCode;
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::time::Instant;
 
 /// Next step of a request.
@@ -26,7 +28,7 @@
 pub enum NextStep {
     /// Send the request to a replica.
     Send(Arc<Replica>),
-    /// Wait for the silent replica that has the request.
+    /// Wait for the silent replica that has the request, or until the rate of a replica allows it.
     Wait,
     /// Return the final response.
     Respond(Response<ResponseBody>),
@@ -75,9 +77,12 @@
     }
     match withheld {
         _ if progress.has_silent => NextStep::Wait,
+        Withheld::NoReplica(NoCapacity::RateLimited { .. }, _) if progress.has_begun => {
+            NextStep::Wait
+        }
         _ if progress.has_begun => NextStep::Fail(format!("{}; {withheld}", last_error(attempts))),
         Withheld::NoReplica(no_capacity, occupancy) if attempts.runs == 0 => {
-            NextStep::Respond(refuse_request(task, trace, no_capacity.name(), occupancy))
+            NextStep::Respond(refuse_request(task, trace, no_capacity, occupancy))
         }
         _ => NextStep::Respond(fail_request(task, trace, attempts)),
     }
@@ -100,9 +105,16 @@
     };
     let chosen = candidates::choose(cx, task, &attempts.tried, timeliness);
     let replica = chosen.map_err(|(reason, occupancy)| Withheld::NoReplica(reason, occupancy))?;
-    match is_retry && !attempts.withdraw(cx, task) {
-        true => Err(Withheld::Budget),
-        false => Ok(replica),
+    if is_retry && !attempts.withdraw(cx, task) {
+        return Err(Withheld::Budget);
+    }
+    match cx.rate_limits.withdraw(replica.run, progress.has_begun, Instant::now()) {
+        true => Ok(replica),
+        // Another request has taken it since the choice.
+        false => {
+            let reason = NoCapacity::RateLimited { next: None };
+            Err(Withheld::NoReplica(reason, Occupancy::default()))
+        }
     }
 }
 
@@ -139,7 +151,8 @@
 ) -> Response<ResponseBody> {
     let reason = last_error(attempts);
     if attempts.runs == 0 {
-        return refuse_request(task, trace, &reason, Occupancy::default());
+        let retry_after = placement::retry_after(task.time_left(Instant::now()));
+        return refuse(trace, &reason, retry_after, Occupancy::default());
     }
     let status = match attempts.last_error {
         Some(AttemptError::TimedOut(_) | AttemptError::Silent | AttemptError::Down) => {
@@ -151,14 +164,25 @@
     local_response::text(status, "the request was sent, but no usable response was received")
 }
 
-/// Returns the refusal of a request that was not executed.
+/// Returns the refusal of a request for which no replica has capacity.
 fn refuse_request(
     task: &RequestTask,
+    trace: &mut RequestTrace,
+    no_capacity: NoCapacity,
+    occupancy: Occupancy,
+) -> Response<ResponseBody> {
+    let time_left = task.time_left(Instant::now());
+    let retry_after = placement::retry_after_refusal(no_capacity, time_left);
+    refuse(trace, no_capacity.name(), retry_after, occupancy)
+}
+
+/// Returns the refusal of a request that was not executed.
+fn refuse(
     trace: &mut RequestTrace,
     reason: &str,
+    retry_after: Duration,
     occupancy: Occupancy,
 ) -> Response<ResponseBody> {
-    let retry_after = placement::retry_after(task.time_left(Instant::now()));
     trace.record_refused(StatusCode::SERVICE_UNAVAILABLE.as_u16(), reason, retry_after, occupancy);
     local_response::not_run(reason, retry_after)
 }
--- a/serving/src/node_table.rs
+++ b/serving/src/node_table.rs
@@ -25,6 +25,8 @@
 const CUT_OFF_AFTER: Duration = Duration::from_millis(2000);
 /// A node may be cut off if one in this many registered nodes is silent.
 const CUT_OFF_DIVISOR: usize = 10;
+/// Time without a heartbeat after which a registered node no longer shares the rates of instances.
+const SHARES_FOR: Duration = Duration::from_secs(3);
 /// Time without a heartbeat after which a node that is not registered is removed from the table.
 const FORGET_AFTER: Duration = Duration::from_secs(20);
 
@@ -165,6 +167,20 @@
         self.lock().values().filter(is_member).count() + 1
     }
 
+    /// Returns the names of the nodes that share the rates of instances, this one included: all that are
+    /// registered or heard, without the silent ones. While this node does not hear most of the others, it may
+    /// be cut off from them, and they keep their parts.
+    pub fn sharers(&self, now: Instant, period: Duration) -> Vec<String> {
+        let max_age = SHARES_FOR.max(silent_after(period));
+        let nodes = self.lock();
+        let is_heard = |peer: &&PeerNode| peer.recent_heartbeat(now, max_age).is_some();
+        let heard = nodes.values().filter(is_heard).count();
+        let hears_most = 2 * (heard + 1) > nodes.len() + 1;
+        let shares = |peer: &&PeerNode| is_heard(peer) || (peer.is_registered && !hears_most);
+        let others = nodes.values().filter(shares).map(|peer| peer.node.clone());
+        others.chain([self.own_id.to_string()]).collect()
+    }
+
     /// Returns whether the list of the registered nodes has been read.
     pub fn is_registry_known(&self) -> bool {
         self.is_registry_known.load(Ordering::Relaxed)
--- a/serving/src/order_client.rs
+++ b/serving/src/order_client.rs
@@ -10,6 +10,7 @@
 use crate::instance::Order;
 use crate::instance::OrderKind;
 use crate::instance::OrderResponse;
+use crate::instance_notices;
 use crate::replica_health;
 use crate::replica_health::ReportError;
 use crate::serving_cx::ServingCx;
@@ -19,6 +20,7 @@
 use http_body_util::Full;
 use std::net::SocketAddr;
 use std::time::Duration;
+use tokio::time::Instant;
 use tokio::time::sleep;
 
 /// Timeout for connecting to an instance.
@@ -209,6 +211,7 @@
     let req = Request::post(cx.dialect.order_path()).body(body);
     let mut req = req.map_err(|e| OrderError::Refused(e.to_string()))?;
     *req.headers_mut() = cx.dialect.instance_headers(&target.id);
+    let sent_at = Instant::now();
     let response = connection::call_once(
         &cx.network,
         target.address,
@@ -219,6 +222,8 @@
     );
     let result = match response.await {
         Ok(response) => {
+            let (headers, status) = (response.headers(), response.status());
+            instance_notices::record_call(cx, &target.id, headers, status, sent_at);
             let decoded = cx.dialect.decode_order_response(response.status());
             if !matches!(decoded, OrderResponse::Begun | OrderResponse::Done) {
                 let text = String::from_utf8_lossy(response.body());
--- a/serving/src/peer_codec.rs
+++ b/serving/src/peer_codec.rs
@@ -4,6 +4,7 @@
 
 use crate::crash_sync::CrashMessage;
 use crate::instance_list_delta::InstanceListDelta;
+use crate::rate_limits::RateNews;
 use guavaladder_lib::generated::serving_peer::NodeBeat;
 use guavaladder_proc_macros::common_derives;
 
@@ -24,6 +25,8 @@
     News(InstanceListDelta),
     /// Message about requests with repeated crashes.
     Crashes(CrashMessage),
+    /// Rates that instances name.
+    Rates(Vec<RateNews>),
 }
 
 /// Errors of encoding or decoding a message.
--- a/serving/src/peer_exchange.rs
+++ b/serving/src/peer_exchange.rs
@@ -13,6 +13,7 @@
 use crate::peer_codec;
 use crate::peer_codec::PeerKey;
 use crate::peer_codec::PeerMessage;
+use crate::rate_limit_sync;
 use crate::replica_health;
 use crate::serving_cx::ServingCx;
 use guavaladder_lib::generated::serving_peer::NodeBeat;
@@ -90,6 +91,17 @@
         }
     }
 
+    /// Shares the rates of the instances and tells other nodes of them until the task is cancelled.
+    pub async fn rate_limit_loop(self) {
+        loop {
+            sleep(self.heartbeats.cx.heartbeat_period()).await;
+            rate_limit_sync::update(&self.heartbeats.cx);
+            if let Some((news, receivers)) = rate_limit_sync::next_news(&self.heartbeats.cx) {
+                self.send_to(PeerMessage::Rates(news), receivers).await;
+            }
+        }
+    }
+
     async fn send(&self, message: PeerMessage) {
         self.send_to(message, self.heartbeats.cx.nodes.addresses()).await;
     }
@@ -127,6 +139,9 @@
                             self.send_to(PeerMessage::Crashes(reply), vec![from.ip()]).await;
                         }
                     }
+                    Ok(PeerMessage::Rates(news)) => {
+                        rate_limit_sync::apply(&self.heartbeats.cx, &news, &from.ip().to_string());
+                    }
                     Err(e) => log::debug!("rejected a message from {from}: {e}"),
                 },
                 // An earlier datagram that this node sent reached a closed port.
--- a/serving/src/placement.rs
+++ b/serving/src/placement.rs
@@ -15,6 +15,7 @@
 
 use crate::fleet_config::Engine;
 use crate::load_table::ReplicaState;
+use crate::rate_limits::RateAllowance;
 use crate::replica_set::Replica;
 use std::sync::Arc;
 use std::time::Duration;
@@ -51,6 +52,8 @@
     pub replica: Arc<Replica>,
     /// Its load and health.
     pub state: ReplicaState,
+    /// Whether the rate that its instance names allows another request of this node.
+    pub rate: RateAllowance,
 }
 
 /// Input of the choice besides the candidates.
@@ -82,8 +85,14 @@
 pub enum NoCapacity {
     /// No replica is available.
     NoReplica,
-    /// Every replica has as many requests as it can start in time.
+    /// Every replica has as many requests as it can start in time, or its rate is used up.
     AllBusy,
+    /// The rate of every replica is used up.
+    RateLimited {
+        /// Time after which this node may send the next request to one of them; `None` if other nodes send
+        /// to all of them.
+        next: Option<Duration>,
+    },
 }
 
 impl NoCapacity {
@@ -92,6 +101,7 @@
         match self {
             Self::NoReplica => "no_replica",
             Self::AllBusy => "all_busy",
+            Self::RateLimited { .. } => "rate_limited",
         }
     }
 }
@@ -101,6 +111,20 @@
     time_left.mul_f64(RETRY_AFTER_RATIO * (1.0 - rand::random_range(0.0..RETRY_AFTER_JITTER)))
 }
 
+/// Returns the delay for a caller that was refused for this reason. Where only rates are used up, the next
+/// request can be sent at a known time; callers are spread over as long again.
+pub fn retry_after_refusal(no_capacity: NoCapacity, time_left: Duration) -> Duration {
+    let latest = retry_after(time_left);
+    match no_capacity {
+        NoCapacity::RateLimited { next: Some(next) } => {
+            latest.min(next.mul_f64(rand::random_range(1.0..2.0)))
+        }
+        NoCapacity::RateLimited { next: None } | NoCapacity::AllBusy | NoCapacity::NoReplica => {
+            latest
+        }
+    }
+}
+
 /// Total slots and requests of the candidates, for the log entry of a refusal.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct Occupancy {
@@ -139,7 +163,20 @@
         return Err(NoCapacity::NoReplica);
     }
     let best = best_with_capacity(&healthy, input).or_else(|| best_with_capacity(&usable, input));
-    best.map(|candidate| candidate.replica.clone()).ok_or(NoCapacity::AllBusy)
+    best.map(|candidate| candidate.replica.clone()).ok_or_else(|| no_capacity(&usable))
+}
+
+/// Returns why none of the replicas can accept a request.
+fn no_capacity(usable: &[&Candidate]) -> NoCapacity {
+    let mut next: Option<Duration> = None;
+    for candidate in usable {
+        match candidate.rate {
+            RateAllowance::Available => return NoCapacity::AllBusy,
+            RateAllowance::After(wait) => next = Some(next.map_or(wait, |next| next.min(wait))),
+            RateAllowance::NotElected => {}
+        }
+    }
+    NoCapacity::RateLimited { next }
 }
 
 fn best_with_capacity<'a>(
@@ -147,6 +184,7 @@
     input: &PlacementInput<'_>,
 ) -> Option<&'a Candidate> {
     let has_capacity = |c: &&&Candidate| match input.timeliness {
+        _ if c.rate != RateAllowance::Available => false,
         Timeliness::Begun => true,
         Timeliness::OnTime => c.state.requests() < max_requests(c),
         Timeliness::Late => {
--- a/serving/src/replica_health.rs
+++ b/serving/src/replica_health.rs
@@ -11,6 +11,7 @@
 use crate::instance::InstanceId;
 use crate::instance::InstanceReport;
 use crate::instance::MembershipState;
+use crate::instance_notices;
 use crate::order_client::MAX_REPORT_AGE;
 use crate::replica_set::Replica;
 use crate::replica_set::group_key;
@@ -106,9 +107,11 @@
     let req = Request::get(cx.dialect.report_path()).body(Full::new(Bytes::new()));
     let mut req = req.map_err(|e| ReportError::Unusable(e.to_string()))?;
     *req.headers_mut() = cx.dialect.instance_headers(instance);
+    let sent_at = Instant::now();
     let response =
         connection::call_once(&cx.network, address, req, timeout, timeout, MAX_REPORT_BYTES)
             .await?;
+    instance_notices::record_call(cx, instance, response.headers(), response.status(), sent_at);
     match response.status() {
         StatusCode::OK => cx
             .dialect
--- a/serving/src/replica_set.rs
+++ b/serving/src/replica_set.rs
@@ -9,6 +9,8 @@
 use crate::instance::Membership;
 use crate::instance::MembershipState;
 use crate::key_hash::key_hash;
+use crate::rate_limits::RunHash;
+use crate::rate_limits::run_hash;
 use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -28,6 +30,8 @@
     pub service: String,
     /// Instance that accepts the requests: the head of a group, or the plain instance itself.
     pub instance: InstanceId,
+    /// Hash of that run of the instance.
+    pub run: RunHash,
     /// Address of that instance.
     pub address: SocketAddr,
     /// Data centre of that instance.
@@ -106,6 +110,7 @@
         key,
         service: instance.service.clone(),
         instance: instance.id.clone(),
+        run: run_hash(&instance.id, instance.engine.born_ms),
         address: instance.address,
         data_centre: instance.data_centre.clone(),
         slots: instance.slots,
@@ -154,6 +159,7 @@
         key,
         service: head.service.clone(),
         instance: head.id.clone(),
+        run: run_hash(&head.id, head.engine.born_ms),
         address: head.address,
         data_centre: head.data_centre.clone(),
         slots: engine.slots,
--- a/serving/src/serving_cx.rs
+++ b/serving/src/serving_cx.rs
@@ -12,6 +12,7 @@
 use crate::node_stop::NodeStop;
 use crate::node_table::NodeTable;
 use crate::rate_limited_log::RateLimitedLog;
+use crate::rate_limits::RateLimits;
 use crate::replica_health::Suspects;
 use crate::retry_budget::RetryBounds;
 use crate::retry_budget::RetryBudgets;
@@ -73,6 +74,8 @@
     pub nodes: NodeTable,
     /// Retry budgets of the services.
     pub budgets: Arc<RetryBudgets>,
+    /// Rates at which instances take requests.
+    pub rate_limits: RateLimits,
     /// Requests that ran at a replica while it crashed.
     pub crashes: Arc<CrashRecord>,
     /// Attempts of this node that failed, until it is known whether their replica crashed.
@@ -122,6 +125,7 @@
             loads: LoadTable::new(),
             nodes: NodeTable::new(&settings.node, log.clone()),
             budgets: Arc::new(RetryBudgets::new(bounds)),
+            rate_limits: RateLimits::new(),
             crashes: Arc::new(CrashRecord::new()),
             failed_attempts: FailedAttempts::new(),
             down_reports: DownReports::new(),
--- a/serving/tests/test_placement.rs
+++ b/serving/tests/test_placement.rs
@@ -9,6 +9,8 @@
 use guavaladder_serving::placement::choose;
 use guavaladder_serving::placement::occupancy;
 use guavaladder_serving::placement::retry_after;
+use guavaladder_serving::placement::retry_after_refusal;
+use guavaladder_serving::rate_limits::RateAllowance;
 use guavaladder_serving::replica_set::Replica;
 use std::sync::Arc;
 use std::time::Duration;
@@ -19,6 +21,7 @@
         hash: 0,
         service: "drafting".to_string(),
         instance: name.to_string(),
+        run: 0,
         address: ([127, 0, 0, 1], 1).into(),
         data_centre: data_centre.to_string(),
         slots: 26,
@@ -26,7 +29,7 @@
         members: vec![],
     };
     let state = ReplicaState { remote: running, ..ReplicaState::unknown() };
-    Candidate { replica: Arc::new(replica), state }
+    Candidate { replica: Arc::new(replica), state, rate: RateAllowance::Available }
 }
 
 fn chosen(candidates: &[Candidate], timeliness: Timeliness) -> Result<String, NoCapacity> {
@@ -139,3 +142,41 @@
     assert_eq!(chosen(&candidates, Timeliness::Late), Err(NoCapacity::AllBusy));
     assert!(chosen(&[candidate("a", "east", 15)], Timeliness::Late).is_ok());
 }
+
+fn with_rate(candidate: Candidate, rate: RateAllowance) -> Candidate {
+    Candidate { rate, ..candidate }
+}
+
+#[test]
+fn replicas_whose_rate_is_used_up_are_not_chosen() {
+    let after = |ms| RateAllowance::After(Duration::from_millis(ms));
+    let limited = with_rate(candidate("limited", "east", 0), after(700));
+    let left = with_rate(candidate("left", "east", 0), RateAllowance::NotElected);
+    let sooner = with_rate(candidate("sooner", "east", 0), after(300));
+    let free = candidate("free", "west", 20);
+    let busy = candidate("busy", "east", 60);
+    let candidates = [limited.clone(), left.clone(), free];
+    for timeliness in [Timeliness::OnTime, Timeliness::Late, Timeliness::Begun] {
+        assert_eq!(chosen(&candidates, timeliness), Ok("free".to_string()));
+    }
+    let next = Some(Duration::from_millis(300));
+    let all_limited = [limited.clone(), left.clone(), sooner];
+    let refused = Err(NoCapacity::RateLimited { next });
+    assert_eq!(chosen(&all_limited, Timeliness::OnTime), refused);
+    assert_eq!(chosen(&all_limited, Timeliness::Begun), refused);
+    let refused = Err(NoCapacity::RateLimited { next: None });
+    assert_eq!(chosen(std::slice::from_ref(&left), Timeliness::OnTime), refused);
+    assert_eq!(chosen(&[limited, left, busy], Timeliness::OnTime), Err(NoCapacity::AllBusy));
+}
+
+#[test]
+fn callers_refused_for_a_rate_return_when_it_allows_a_request() {
+    let time_left = Duration::from_secs(6);
+    let next = Duration::from_millis(300);
+    for _ in 0..50 {
+        let delay = retry_after_refusal(NoCapacity::RateLimited { next: Some(next) }, time_left);
+        assert!(delay >= next && delay <= 2 * next, "{delay:?}");
+        let late = NoCapacity::RateLimited { next: Some(Duration::from_secs(30)) };
+        assert!(retry_after_refusal(late, time_left) <= time_left / 3);
+    }
+}
