serving-soak: instances that name limits on their rates

The soak lets a plain instance, or the heads of some groups, name a limit for 4 to 12 s, among planned work as well as among all faults, and checks the requests of undisturbed daemons against the platform's bound.

--- a/bench/src/serving_soak.rs
+++ b/bench/src/serving_soak.rs
@@ -5,7 +5,8 @@
 //! Callers keep a connection until the daemon closes it or is gone. The run fails if a fake saw a
 //! violation, if a request that was refused has been executed, if the events of a stream are wrong, if
 //! an undisturbed daemon sends on requests that crash replicas as a whole or by a part of their prompt, if
-//! sound requests suffer from them, if a service gets more retries than its budget, if requests are left
+//! sound requests suffer from them, if a service gets more retries than its budget, if an
+//! instance gets more requests than the rate that it names allows, if requests are left
 //! unanswered beside planned work, or if a kind of request gets no response during the recovery at the end.
 
 use crate::daemon_process;
@@ -189,6 +190,7 @@
         executions,
         requests: recorded.requests,
         arrivals,
+        limit_periods: fake_platform.limit_periods(),
         violations: fake_platform.violations(),
         crash_runs: fake_platform.crash_runs(),
         disturbances,
--- a/bench/src/serving_soak_faults.rs
+++ b/bench/src/serving_soak_faults.rs
@@ -48,9 +48,13 @@
 /// Time for which only planned work and sound pauses are injected, and then for which all faults are.
 const BLOCK: Duration = Duration::from_secs(8);
 /// Number of faults that are planned work or sound pauses; the others follow them.
-const PLANNED_FAULTS: usize = 8;
+const PLANNED_FAULTS: usize = 9;
 /// Number of all faults.
-const ALL_FAULTS: usize = 22;
+const ALL_FAULTS: usize = 24;
+/// Range of the requests per second that a limited instance takes, in tenths.
+const LIMIT_TENTHS: std::ops::Range<u32> = 5..80;
+/// Range of the time for which an instance names a limit, in milliseconds.
+const LIMIT_MS: std::ops::Range<u64> = 4000..12000;
 /// Range of the number of changes of the configuration in a series.
 const CHANGES: std::ops::Range<usize> = 3..9;
 /// Range of the time between two changes in a series, in milliseconds.
@@ -190,14 +194,17 @@
                 running.spawn(self.series_of_changes(rng));
             }
             7 => self.configuration.change()?,
-            8..14 => self.signal_some(1, &serving_soak_signals::ALL, running),
-            14 => self.signal_some(self.nodes.len(), &[SignalSeries::Kill], running),
-            15 | 16 => {
+            8 | 9 => {
+                running.spawn(rate_limit(self.fake_platform.clone(), self.log.clone(), rng));
+            }
+            10..16 => self.signal_some(1, &serving_soak_signals::ALL, running),
+            16 => self.signal_some(self.nodes.len(), &[SignalSeries::Kill], running),
+            17 | 18 => {
                 running.spawn(self.store_fault(rng));
             }
-            17 => self.fake_platform.store.compact(),
-            18 | 19 => self.lose_member().await?,
-            20 => {
+            19 => self.fake_platform.store.compact(),
+            20 | 21 => self.lose_member().await?,
+            22 => {
                 running.spawn(plain_fault(self.fake_platform.clone(), self.log.clone(), rng));
             }
             _ => {
@@ -424,6 +431,27 @@
     Ok(())
 }
 
+/// Makes a plain instance, or the heads of some groups, name a limit on their rate for a while.
+async fn rate_limit(fake_platform: FakePlatform, log: FaultLog, mut rng: StdRng) -> Result<()> {
+    let mut heads: Vec<String> =
+        fake_platform.open_groups().into_iter().map(|group| group[0].clone()).collect();
+    let limited = match rng.random_bool(0.3) {
+        true => vec![plain_spec(rng.random_range(0..crate::serving_soak::PLAIN_INSTANCES)).id],
+        false => heads.split_off(rng.random_range(0..=heads.len())),
+    };
+    let per_second = f64::from(rng.random_range(LIMIT_TENTHS)) / 10.0;
+    let length = Duration::from_millis(rng.random_range(LIMIT_MS));
+    log.write(&format!("{limited:?} take {per_second} requests a second for {length:?}"))?;
+    for id in &limited {
+        fake_platform.set_rate_limit(id, Some(per_second));
+    }
+    sleep(length).await;
+    for id in &limited {
+        fake_platform.set_rate_limit(id, None);
+    }
+    Ok(())
+}
+
 async fn plain_fault(fake_platform: FakePlatform, log: FaultLog, mut rng: StdRng) -> Result<()> {
     let mode = match rng.random_range(0..3) {
         0 => InstanceMode::Refuses,
--- a/bench/src/serving_soak_oracle.rs
+++ b/bench/src/serving_soak_oracle.rs
@@ -10,6 +10,7 @@
 use guavaladder_platform_testutils::Arrival;
 use guavaladder_platform_testutils::ArrivalEnd;
 use guavaladder_platform_testutils::CrashRun;
+use guavaladder_platform_testutils::LimitPeriod;
 use guavaladder_platform_testutils::Violation;
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -42,6 +43,8 @@
     pub requests: Vec<RequestRecord>,
     /// Arrivals at the instances by request.
     pub arrivals: BTreeMap<String, Vec<Arrival>>,
+    /// Limits that instances named on their rates.
+    pub limit_periods: Vec<LimitPeriod>,
     /// Violations that instances detected.
     pub violations: Vec<Violation>,
     /// Runs of requests that crash replicas, in order.
@@ -77,6 +80,7 @@
 pub fn check(evidence: &Evidence) -> Vec<String> {
     let mut found: Vec<String> = evidence.violations.iter().map(|v| format!("{v:?}")).collect();
     found.extend(serving_soak_cuts::check(evidence));
+    found.extend(check_rate_limits(evidence));
     found.extend(check_retry_budgets(evidence));
     found.extend(check_crashing_requests(evidence));
     for part in crashing_parts(evidence) {
@@ -105,6 +109,32 @@
         .collect()
 }
 
+/// An instance must not get more requests from undisturbed daemons than the rate that it names allows.
+fn check_rate_limits(evidence: &Evidence) -> Vec<String> {
+    let mut found = vec![];
+    for period in &evidence.limit_periods {
+        let mut arrivals = vec![];
+        for request in &evidence.requests {
+            let there = evidence.arrivals_of(request).iter();
+            let there = there.filter(|a| a.instance == period.instance);
+            arrivals.extend(there.filter(|a| evidence.is_in_touch(request, a.at)).map(|a| a.at));
+        }
+        arrivals.sort();
+        let excess = period.excess(&arrivals).map(|excess| {
+            format!(
+                "LIMIT: {} takes {} a second and got {} in 4 s until {}, {:.0} allowed",
+                period.instance,
+                period.per_second,
+                excess.requests,
+                evidence.time(excess.until),
+                excess.allowed
+            )
+        });
+        found.extend(excess);
+    }
+    found
+}
+
 /// In any window, a service must not get more arrivals beyond the first of each request than its budget.
 fn check_retry_budgets(evidence: &Evidence) -> Vec<String> {
     let mut services: Vec<&str> = KINDS.iter().map(|(_, _, service)| *service).collect();
