tests: nodes that are partitioned from all instances

The fake store names for each node other addresses of the instances, which forward to them, so that one node's links can hang, be reset, or refuse new connections.

--- a/serving/tests/fleet.rs
+++ b/serving/tests/fleet.rs
@@ -7,6 +7,7 @@
 use guavaladder_platform_testutils::FakePlatform;
 use guavaladder_platform_testutils::FakeStore;
 use guavaladder_platform_testutils::InstanceSpec;
+use guavaladder_platform_testutils::NodeLinks;
 use guavaladder_platform_testutils::config;
 use guavaladder_platform_testutils::spawn_instance;
 use guavaladder_serving::retry_budget::MAX_SEND_DELAY;
@@ -80,20 +81,28 @@
 
     /// Starts another node.
     pub async fn add_node(&mut self) {
-        self.add_node_at(PEER_PORT).await;
+        self.add_node_at(PEER_PORT, self.store.address).await;
+    }
+
+    /// Starts another node, whose links to the instances can be cut.
+    pub async fn add_linked_node(&mut self) -> NodeLinks {
+        let links = NodeLinks::new();
+        let store = self.store.serve_with_links(&links).await;
+        self.add_node_at(PEER_PORT, store).await;
+        links
     }
 
     /// Starts another node, which exchanges no messages with the others.
     pub async fn add_cut_off_node(&mut self) {
-        self.add_node_at(PEER_PORT + 1).await;
+        self.add_node_at(PEER_PORT + 1, self.store.address).await;
     }
 
-    async fn add_node_at(&mut self, peer_port: u16) {
+    async fn add_node_at(&mut self, peer_port: u16, store: SocketAddr) {
         let host = next_host();
         let listen = |port: u16| SocketAddr::from((host, port)).to_string();
         let settings = json!({
             "node": format!("n{}", self.nodes.len()), "data_centre": "east",
-            "peer_port": peer_port, "store": self.store.address.to_string(),
+            "peer_port": peer_port, "store": store.to_string(),
             "listen": {
                 "callers": listen(7001), "readiness": listen(7002), "directory": listen(7003),
             },
--- /dev/null
+++ b/serving/tests/test_partitioned_nodes.rs
@@ -0,0 +1,148 @@
+//! End-to-end tests of nodes that are partitioned from all instances, while callers, the store and the other
+//! nodes still reach them.
+
+use crate::fleet::Fleet;
+use guavaladder_platform_testutils::Call;
+use guavaladder_platform_testutils::LinkMode;
+use guavaladder_platform_testutils::NodeLinks;
+use http::Method;
+use rstest::rstest;
+use std::collections::BTreeMap;
+use std::time::Duration;
+use tokio::task::JoinSet;
+use tokio::time::Instant;
+use tokio::time::sleep;
+use tokio::time::sleep_until;
+
+const NODES: usize = 4;
+/// Number of groups of two engines.
+const GROUPS: usize = 7;
+/// Interval at which each node gets a request.
+const REQUEST_PERIOD: Duration = Duration::from_millis(60);
+/// Time before the partition, its length, the time after which its effect is checked (the platform's
+/// `stableWindowMs`), and the time after its end within which everything is as before.
+const BEFORE: Duration = Duration::from_secs(1);
+const PARTITION: Duration = Duration::from_secs(7);
+const STABLE_WINDOW: Duration = Duration::from_secs(3);
+const RETURN: Duration = Duration::from_secs(1);
+const AFTER: Duration = Duration::from_secs(3);
+
+/// Requests to one node: when each was sent, counted from the start of the partition, and its status.
+type Outcomes = Vec<(Duration, u16)>;
+
+/// Starts a fleet whose nodes have links that can be cut.
+async fn start_fleet() -> (Fleet, Vec<NodeLinks>) {
+    let mut fleet = Fleet::new(2 * GROUPS).await;
+    let mut links = vec![];
+    for _ in 0..NODES {
+        links.push(fleet.add_linked_node().await);
+    }
+    for node in 0..NODES {
+        fleet.wait_for_replicas(node, "drafting", GROUPS).await;
+        fleet.wait_for_replicas(node, "orders", 2).await;
+    }
+    (fleet, links)
+}
+
+/// Sends requests to each node while some of the nodes are partitioned, and returns the outcomes by node.
+async fn send_requests(
+    fleet: &Fleet,
+    cut: &[&NodeLinks],
+    mode: LinkMode,
+) -> BTreeMap<usize, Outcomes> {
+    let start = Instant::now() + BEFORE;
+    let mut requests = JoinSet::new();
+    for node in 0..NODES {
+        let to = fleet.callers(node);
+        requests.spawn(async move {
+            let (mut calls, mut number) = (JoinSet::new(), 0);
+            while Instant::now() < start + PARTITION + AFTER {
+                number += 1;
+                let (method, path) = match number % 4 {
+                    0 => (Method::POST, "/book/x"),
+                    2 => (Method::GET, "/look/x"),
+                    _ => (Method::POST, "/draft/x"),
+                };
+                let since = Instant::now().saturating_duration_since(start);
+                let is_before = Instant::now() < start;
+                let call = Call::new(method, path);
+                if !is_before {
+                    calls.spawn(async move { (since, call.status(to).await) });
+                } else {
+                    calls.spawn(async move {
+                        call.status(to).await;
+                        (Duration::MAX, 0)
+                    });
+                }
+                sleep(REQUEST_PERIOD).await;
+            }
+            let outcomes: Outcomes = calls.join_all().await;
+            (node, outcomes.into_iter().filter(|(at, _)| *at != Duration::MAX).collect())
+        });
+    }
+    sleep_until(start).await;
+    cut.iter().for_each(|links| links.set_mode(mode));
+    sleep(PARTITION).await;
+    cut.iter().for_each(|links| links.set_mode(LinkMode::Up));
+    requests.join_all().await.into_iter().collect()
+}
+
+/// Returns the number of requests that were sent in a period, and of those that were not served.
+fn count(outcomes: &Outcomes, from: Duration, until: Duration) -> (usize, usize) {
+    let in_time = outcomes.iter().filter(|(at, _)| *at >= from && *at < until);
+    let statuses: Vec<u16> = in_time.map(|(_, status)| *status).collect();
+    (statuses.len(), statuses.iter().filter(|status| **status != 200).count())
+}
+
+/// Returns the holder of the lease on the groups.
+fn holder(fleet: &Fleet) -> usize {
+    let holds = |node: &usize| fleet.nodes[*node].cx.lease.term().is_some();
+    (0..NODES).find(holds).expect("a holder of the lease")
+}
+
+/// Sends requests beside a partition and checks that those of the cut nodes are served like the others, and
+/// that neither groups nor the requests of the other nodes suffer.
+async fn check_partition(cut_count: usize, has_holder: bool, mode: LinkMode) {
+    let (fleet, links) = start_fleet().await;
+    let holder = holder(&fleet);
+    let first = if has_holder { holder } else { (holder + 1) % NODES };
+    let cut: Vec<usize> = (first..first + cut_count).map(|node| node % NODES).collect();
+    let groups = fleet.fake_platform.open_groups();
+    let cut_links: Vec<&NodeLinks> = cut.iter().map(|node| &links[*node]).collect();
+    let outcomes = send_requests(&fleet, &cut_links, mode).await;
+    for (node, outcomes) in &outcomes {
+        let is_cut = cut.contains(node);
+        let (sent, failed) = count(outcomes, STABLE_WINDOW, PARTITION);
+        assert!(
+            failed <= 2 + sent / 50,
+            "node {node}, cut {is_cut}: {failed} of {sent} not served"
+        );
+        let (sent, failed) = count(outcomes, PARTITION + RETURN, PARTITION + AFTER);
+        assert!(failed <= 1, "node {node}, cut {is_cut}: {failed} of {sent} not served afterwards");
+        if !is_cut {
+            let (sent, failed) = count(outcomes, Duration::ZERO, STABLE_WINDOW);
+            assert!(failed <= 1, "node {node}: {failed} of {sent} not served at the start");
+        }
+    }
+    assert_eq!(fleet.fake_platform.open_groups(), groups, "groups were dissolved");
+    for node in &fleet.nodes {
+        let marks = node.cx.metrics.sum("crash_marks_total");
+        assert_eq!(marks, 0, "crashes were recorded at {}", node.cx.node());
+    }
+    assert_eq!(fleet.fake_platform.violations(), []);
+}
+
+/// Refusals and resets look like ended processes, and silence like hung ones.
+#[rstest]
+#[case::one(1, false)]
+#[case::holder(1, true)]
+#[case::half(2, true)]
+#[case::most(3, true)]
+#[tokio::test]
+async fn requests_fail_at_nodes_that_are_partitioned_from_all_replicas(
+    #[case] cut_count: usize,
+    #[case] has_holder: bool,
+    #[values(LinkMode::Hanging, LinkMode::Reset, LinkMode::RefusingNew)] mode: LinkMode,
+) {
+    check_partition(cut_count, has_holder, mode).await;
+}
