instance_reach: failed connections count only while other instances are reached

Cause: a refused, reset or silent connection was taken as proof that the instance had ended. It is one only if the links of this node work.

A failed connection, report or order counts against an instance only if this node has connected to another instance in the last 50 ms, or does so when it then probes four others, in as many data centres as possible. Otherwise no replica is marked or reported, no crash is recorded, and a refused order is one without a response. A node that reaches none probes every 100 ms until it does.

test_partitioned_nodes::partition_of_a_node_is_taken_for_ended_instances failed in 9 of 9 cases on (marked replicas, other groups, recorded crashes) and passes. The requests of the cut nodes themselves are the next matter.

--- a/serving/src/failed_attempts.rs
+++ b/serving/src/failed_attempts.rs
@@ -18,6 +18,7 @@
 use crate::crash_record;
 use crate::crash_record::CRASH_REFUSAL_THRESHOLD;
 use crate::instance::InstanceId;
+use crate::instance_reach;
 use crate::replica_health;
 use crate::replica_set::Replica;
 use crate::request_task::RequestTask;
@@ -104,6 +105,12 @@
         self.lock().ended.contains_key(&hash)
     }
 
+    /// Removes the attempts that failed since a moment, or all: the links of this node were broken.
+    pub fn forget_since(&self, since: Option<Instant>) {
+        let is_before = |kept: &KeptAttempt| since.is_some_and(|since| kept.failed_at < since);
+        self.lock().attempts.retain(is_before);
+    }
+
     /// Removes and returns the attempts at replicas that ended; drops those that are too old.
     fn take_ended(
         &self,
@@ -233,6 +240,10 @@
 }
 
 fn keep(cx: &ServingCx, attempt: FailedAttempt, is_being_checked: bool, is_unframed: bool) {
+    // An attempt that ends while this node reaches no instance says nothing about its replica.
+    if cx.reach.is_cut() {
+        return;
+    }
     let now = Instant::now();
     let registered = |(id, _): &(InstanceId, SocketAddr)| {
         let instance = cx.fleet.instance(id).filter(|instance| !instance.is_draining)?;
@@ -293,8 +304,14 @@
 /// Opens a connection to a plain instance; if it is refused, the process has ended. An instance that
 /// accepts it may have been started again, which its entry will show.
 async fn connect(cx: ServingCx, replica: Arc<Replica>) {
+    let started = Instant::now();
     let opened = Connection::open(&cx.network, replica.address, CHECK_TIMEOUT).await;
-    if matches!(opened, Err(ConnectError::Refused)) {
+    if opened.is_ok() {
+        cx.reach.record_connected();
+    }
+    if matches!(opened, Err(ConnectError::Refused))
+        && instance_reach::counts_against(&cx, &[replica.address], started).await
+    {
         replica_ended(&cx, replica.hash);
     }
     cx.failed_attempts.end_check(replica.hash);
@@ -319,9 +336,10 @@
 /// Returns whether a member is known to have ended: nothing listens at its address, or another run does.
 async fn member_has_ended(cx: &ServingCx, member: &str, address: SocketAddr) -> bool {
     let born = cx.fleet.instance(member).map(|instance| instance.engine.born_ms);
+    let started = Instant::now();
     match replica_health::fetch_report(cx, member, address, "crash", CHECK_TIMEOUT).await {
         Ok(report) => born.is_some_and(|born| born != report.engine.born_ms),
-        Err(e) => e.proves_not_running(),
+        Err(e) => e.proves_not_running(cx, address, started).await,
     }
 }
 
--- /dev/null
+++ b/serving/src/instance_reach.rs
@@ -0,0 +1,218 @@
+//! Whether this node reaches instances at all.
+//!
+//! A refused, reset or silent connection looks the same whether an instance has ended or the links of this node
+//! are broken, for example by a partition from all instances that leaves callers, the store and the other nodes
+//! reachable. So such evidence counts against an instance only if this node establishes connections to others at
+//! the same time.
+
+use crate::connection::Connection;
+use crate::serving_cx::ServingCx;
+use guavaladder_lib::generated::events::Event;
+use rand::seq::SliceRandom;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+use tokio::time::Instant;
+use tokio::time::sleep;
+
+/// Time for which an established connection shows that the links work.
+const EVIDENCE_AGE: Duration = Duration::from_millis(50);
+/// Time within which a live instance accepts a connection.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(110);
+/// Maximum scheduling delay of this process, beyond which its timeouts are no evidence.
+const MAX_SCHEDULING_DELAY: Duration = Duration::from_millis(60);
+/// Number of instances that are probed at once.
+const PROBES: usize = 4;
+/// Minimum number of other instances that have to be known for a comparison.
+const MIN_PROBES: usize = 2;
+/// Interval between the probes of a node that reaches no instance.
+const PROBE_PERIOD: Duration = Duration::from_millis(100);
+
+/// State of the links from this node to the instances.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Links {
+    /// A connection to an instance was established, or there is nothing to compare with.
+    Working,
+    /// None of several instances could be reached.
+    Broken,
+    /// This process was delayed, so that its timeouts show nothing.
+    Unknown,
+}
+
+/// Shared knowledge about the links to the instances.
+#[derive(Debug, Clone)]
+pub struct InstanceReach {
+    state: Arc<Mutex<State>>,
+    /// Lets one check run at a time, whose result the others use.
+    checking: Arc<tokio::sync::Mutex<()>>,
+    is_cut: watch::Sender<bool>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    /// When a connection to an instance was last established.
+    connected_at: Option<Instant>,
+    /// Start and result of the last check.
+    checked: Option<(Instant, Links)>,
+}
+
+impl Default for InstanceReach {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl InstanceReach {
+    /// Returns the state of a node that has not connected to an instance yet.
+    pub fn new() -> Self {
+        let is_cut = watch::channel(false).0;
+        Self { state: Arc::default(), checking: Arc::default(), is_cut }
+    }
+
+    /// Returns whether this node reaches no instance.
+    pub fn is_cut(&self) -> bool {
+        *self.is_cut.borrow()
+    }
+
+    /// Waits until this node reaches no instance.
+    pub async fn wait_until_cut(&self) {
+        let mut is_cut = self.is_cut.subscribe();
+        if is_cut.wait_for(|is_cut| *is_cut).await.is_err() {
+            std::future::pending::<()>().await;
+        }
+    }
+
+    /// Records that a connection to an instance was established.
+    pub fn record_connected(&self) {
+        self.lock().connected_at = Some(Instant::now());
+        self.is_cut.send_if_modified(|is_cut| std::mem::replace(is_cut, false));
+    }
+
+    /// Returns when a connection to an instance was last established.
+    pub fn connected_at(&self) -> Option<Instant> {
+        self.lock().connected_at
+    }
+
+    /// Returns what is known without a check about the links since a moment.
+    fn known(&self, since: Instant) -> Option<Links> {
+        let state = self.lock();
+        if state.connected_at.is_some_and(|at| at >= since) {
+            return Some(Links::Working);
+        }
+        if self.is_cut() {
+            return Some(Links::Broken);
+        }
+        state.checked.filter(|(at, _)| *at >= since).map(|(_, links)| links)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Returns whether the failure of a connection that began at `since` counts against the instances at these
+/// addresses: the links of this node work.
+pub async fn counts_against(cx: &ServingCx, suspects: &[SocketAddr], since: Instant) -> bool {
+    check(cx, suspects, since).await == Links::Working
+}
+
+/// Checks the links of this node after a connection to one of the `suspects` failed that began at `since`.
+pub async fn check(cx: &ServingCx, suspects: &[SocketAddr], since: Instant) -> Links {
+    // What worked before a timeout began may have broken meanwhile.
+    let recent = Instant::now().checked_sub(EVIDENCE_AGE).unwrap_or(since);
+    let since = since.max(recent);
+    if let Some(links) = cx.reach.known(since) {
+        return links;
+    }
+    let _checking = cx.reach.checking.lock().await;
+    if let Some(links) = cx.reach.known(since) {
+        return links;
+    }
+    let started = Instant::now();
+    let addresses = sample(cx, suspects);
+    let links = match addresses.len() {
+        0..MIN_PROBES => Links::Working,
+        _ => probe(cx, &addresses).await,
+    };
+    cx.reach.lock().checked = Some((started, links));
+    if links == Links::Broken {
+        record_cut(cx, addresses.len());
+    }
+    links
+}
+
+/// Records that this node reaches no instance, and probes some of them until it does.
+fn record_cut(cx: &ServingCx, probed: usize) {
+    if cx.reach.is_cut.send_replace(true) {
+        return;
+    }
+    let (now, connected_at) = (Instant::now(), cx.reach.connected_at());
+    let silent_for = connected_at.map_or(Duration::ZERO, |at| now - at);
+    cx.failed_attempts.forget_since(connected_at);
+    cx.log.record(Event::InstancesUnreachable {
+        node: cx.node().to_string(),
+        probed: probed as u64,
+        silent_for,
+    });
+    let cx = cx.clone();
+    tokio::spawn(async move {
+        while cx.reach.is_cut() {
+            sleep(PROBE_PERIOD).await;
+            probe(&cx, &sample(&cx, &[])).await;
+        }
+        let node = cx.node().to_string();
+        let unreachable_for = now.elapsed();
+        cx.log.record(Event::InstancesReached { node, unreachable_for });
+    });
+}
+
+/// Returns the addresses of a few random instances, in as many data centres as possible, without the
+/// suspects.
+fn sample(cx: &ServingCx, suspects: &[SocketAddr]) -> Vec<SocketAddr> {
+    let mut by_data_centre: BTreeMap<String, Vec<SocketAddr>> = BTreeMap::new();
+    for instance in cx.fleet.instances().into_values() {
+        if !suspects.contains(&instance.address) {
+            by_data_centre.entry(instance.data_centre).or_default().push(instance.address);
+        }
+    }
+    let mut rng = rand::rng();
+    let mut sampled = vec![];
+    for addresses in by_data_centre.values_mut() {
+        addresses.shuffle(&mut rng);
+    }
+    while sampled.len() < PROBES && by_data_centre.values().any(|left| !left.is_empty()) {
+        sampled.extend(by_data_centre.values_mut().filter_map(Vec::pop));
+    }
+    sampled.truncate(PROBES.max(by_data_centre.len()));
+    sampled
+}
+
+/// Connects to instances until one accepts.
+async fn probe(cx: &ServingCx, addresses: &[SocketAddr]) -> Links {
+    let started = Instant::now();
+    let mut connections = JoinSet::new();
+    for address in addresses {
+        let (cx, address) = (cx.clone(), *address);
+        connections
+            .spawn(async move { Connection::open(&cx.network, address, PROBE_TIMEOUT).await });
+    }
+    while let Some(opened) = connections.join_next().await {
+        if matches!(opened, Ok(Ok(_))) {
+            cx.reach.record_connected();
+            cx.metrics.link_check("working");
+            return Links::Working;
+        }
+    }
+    if started.elapsed() > PROBE_TIMEOUT + MAX_SCHEDULING_DELAY {
+        cx.metrics.link_check("delayed");
+        return Links::Unknown;
+    }
+    cx.metrics.link_check("broken");
+    Links::Broken
+}
--- a/serving/src/lib.rs
+++ b/serving/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod instance_list_delta;
 pub mod instance_list_sync;
 pub mod instance_notices;
+pub mod instance_reach;
 pub mod key_hash;
 pub mod lease_manager;
 pub mod lease_state;
--- a/serving/src/order_client.rs
+++ b/serving/src/order_client.rs
@@ -11,6 +11,7 @@
 use crate::instance::OrderKind;
 use crate::instance::OrderResponse;
 use crate::instance_notices;
+use crate::instance_reach;
 use crate::replica_health;
 use crate::replica_health::ReportError;
 use crate::serving_cx::ServingCx;
@@ -174,8 +175,13 @@
     cx: &ServingCx,
     target: &mut OrderTarget,
 ) -> Result<InstanceReport, OrderError> {
+    let (started, address) = (Instant::now(), target.address);
     let fetched =
-        replica_health::fetch_report(cx, &target.id, target.address, "order", REPORT_TIMEOUT).await;
+        replica_health::fetch_report(cx, &target.id, address, "order", REPORT_TIMEOUT).await;
+    let has_ended = match &fetched {
+        Ok(_) => false,
+        Err(e) => e.proves_not_running(cx, address, started).await,
+    };
     match fetched {
         Ok(report) => {
             let reported =
@@ -190,7 +196,7 @@
             };
             Ok(report)
         }
-        Err(e) if e.proves_not_running() => Err(OrderError::Ended(e.to_string())),
+        Err(e) if has_ended => Err(OrderError::Ended(e.to_string())),
         Err(ReportError::Unusable(reason)) => Err(OrderError::Refused(reason)),
         Err(e) => Err(OrderError::Unresponsive(e.to_string())),
     }
@@ -220,7 +226,11 @@
         ORDER_TIMEOUT,
         MAX_RESPONSE_BYTES,
     );
-    let result = match response.await {
+    let response = response.await;
+    if !matches!(response, Err(CallError::NotSent(_))) {
+        cx.reach.record_connected();
+    }
+    let result = match response {
         Ok(response) => {
             let (headers, status) = (response.headers(), response.status());
             instance_notices::record_call(cx, &target.id, headers, status, sent_at);
@@ -231,7 +241,9 @@
             }
             Ok(decoded)
         }
-        Err(CallError::NotSent(connection::ConnectError::Refused)) => {
+        Err(CallError::NotSent(connection::ConnectError::Refused))
+            if instance_reach::counts_against(cx, &[target.address], sent_at).await =>
+        {
             Err(OrderError::Ended("its connection was refused".to_string()))
         }
         Err(e) => Err(OrderError::Unresponsive(e.to_string())),
--- a/serving/src/replica_health.rs
+++ b/serving/src/replica_health.rs
@@ -12,6 +12,7 @@
 use crate::instance::InstanceReport;
 use crate::instance::MembershipState;
 use crate::instance_notices;
+use crate::instance_reach;
 use crate::order_client::MAX_REPORT_AGE;
 use crate::replica_set::Replica;
 use crate::replica_set::group_key;
@@ -88,11 +89,37 @@
 }
 
 impl ReportError {
-    /// Returns whether the error proves that the instance does not run at the address.
-    pub fn proves_not_running(&self) -> bool {
+    /// Returns whether the error shows that the instance does not run at the address, if the links of this
+    /// node work.
+    fn shows_not_running(&self) -> bool {
         let refused = CallError::NotSent(connection::ConnectError::Refused);
         matches!(self, Self::WrongInstance) || *self == Self::Call(refused)
     }
+
+    /// Returns whether the error of a request that began at `since` proves that the instance does not run at
+    /// the address.
+    pub async fn proves_not_running(
+        &self,
+        cx: &ServingCx,
+        address: SocketAddr,
+        since: Instant,
+    ) -> bool {
+        self.shows_not_running() && self.counts_against(cx, &[address], since).await
+    }
+
+    /// Returns whether the error counts against the instances at these addresses. An answer does, whatever
+    /// it says; a connection that failed only if the links of this node work.
+    async fn counts_against(
+        &self,
+        cx: &ServingCx,
+        suspects: &[SocketAddr],
+        since: Instant,
+    ) -> bool {
+        match self {
+            Self::WrongInstance | Self::Unusable(_) => true,
+            Self::Call(_) => instance_reach::counts_against(cx, suspects, since).await,
+        }
+    }
 }
 
 /// Requests the state of an instance.
@@ -109,8 +136,11 @@
     *req.headers_mut() = cx.dialect.instance_headers(instance);
     let sent_at = Instant::now();
     let response =
-        connection::call_once(&cx.network, address, req, timeout, timeout, MAX_REPORT_BYTES)
-            .await?;
+        connection::call_once(&cx.network, address, req, timeout, timeout, MAX_REPORT_BYTES).await;
+    if !matches!(response, Err(CallError::NotSent(_))) {
+        cx.reach.record_connected();
+    }
+    let response = response?;
     instance_notices::record_call(cx, instance, response.headers(), response.status(), sent_at);
     match response.status() {
         StatusCode::OK => cx
@@ -159,7 +189,7 @@
 
 /// Starts a check of all members of a suspected replica, unless one is running or recently cleared it.
 pub fn suspect(cx: &ServingCx, replica: &Arc<Replica>, cause: SuspicionCause) {
-    if replica.model.is_none() {
+    if replica.model.is_none() || cx.reach.is_cut() {
         return;
     }
     if !cx.suspects.begin(replica.hash, Instant::now()) {
@@ -185,11 +215,19 @@
     };
     let name = replica.key.clone();
     cx.log.record(Event::ReplicaSuspected { replica: name, cause: text, silent_for });
-    if let Some((member, reason)) = missing_member(cx, replica, cause.name()).await {
-        mark_and_report_down(cx, replica, &member, &reason, cause.name());
-        return true;
+    let started = Instant::now();
+    let Some((member, fault)) = missing_member(cx, replica, cause.name()).await else {
+        return false;
+    };
+    if let MemberFault::NoReport(e) = &fault {
+        let members: Vec<SocketAddr> =
+            replica.members.iter().map(|(_, address)| *address).collect();
+        if !e.counts_against(cx, &members, started).await {
+            return false;
+        }
     }
-    false
+    mark_and_report_down(cx, replica, &member, &fault.to_string(), cause.name());
+    true
 }
 
 /// Marks a replica as down and reports it to the other nodes.
@@ -264,12 +302,23 @@
     }
 }
 
+/// Why a member of a replica is missing.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+enum MemberFault {
+    /// It does not serve in the group, by its own report.
+    #[error("{0}")]
+    Mismatch(String),
+    /// It gave no report.
+    #[error(transparent)]
+    NoReport(ReportError),
+}
+
 /// Returns a member that does not respond or does not serve in the group, with the reason.
 async fn missing_member(
     cx: &ServingCx,
     replica: &Arc<Replica>,
     cause: &'static str,
-) -> Option<(InstanceId, String)> {
+) -> Option<(InstanceId, MemberFault)> {
     let mut queries = JoinSet::new();
     for (rank, (id, address)) in replica.members.iter().cloned().enumerate() {
         let (cx, replica) = (cx.clone(), replica.clone());
@@ -281,11 +330,13 @@
                 (requested_at, report) = query_member(&cx, &id, address, cause).await;
             }
             let was_delayed = requested_at.elapsed() > REPORT_TIMEOUT + MAX_SCHEDULING_DELAY;
-            let mismatch = match report {
-                Ok(report) => membership_mismatch(&replica, rank, &report),
-                Err(e) => Some(e.to_string()),
+            let fault = match report {
+                Ok(report) => {
+                    membership_mismatch(&replica, rank, &report).map(MemberFault::Mismatch)
+                }
+                Err(e) => Some(MemberFault::NoReport(e)),
             };
-            mismatch.filter(|_| !was_delayed).map(|reason| (id, reason))
+            fault.filter(|_| !was_delayed).map(|fault| (id, fault))
         });
     }
     while let Some(found) = queries.join_next().await {
--- a/serving/src/serving_cx.rs
+++ b/serving/src/serving_cx.rs
@@ -5,6 +5,7 @@
 use crate::down_reports::DownReports;
 use crate::failed_attempts::FailedAttempts;
 use crate::fleet_view::FleetView;
+use crate::instance_reach::InstanceReach;
 use crate::lease_state::LeaseState;
 use crate::listeners::RunningRequests;
 use crate::load_table::LoadTable;
@@ -80,6 +81,8 @@
     pub crashes: Arc<CrashRecord>,
     /// Attempts of this node that failed, until it is known whether their replica crashed.
     pub failed_attempts: FailedAttempts,
+    /// Whether this node reaches instances.
+    pub reach: InstanceReach,
     /// Replicas that this node found to be down.
     pub down_reports: DownReports,
     /// Replicas whose members are being checked because they went silent or failed.
@@ -106,6 +109,7 @@
     ) -> Self {
         let log = RateLimitedLog::new(&settings.node, EventLog::new(clock.clone()));
         let metrics = ServingMetrics::new();
+        let reach = InstanceReach::new();
         let bounds = RetryBounds {
             ratio: settings.retry_ratio,
             slack: settings.retry_slack,
@@ -128,10 +132,11 @@
             rate_limits: RateLimits::new(),
             crashes: Arc::new(CrashRecord::new()),
             failed_attempts: FailedAttempts::new(),
+            reach: reach.clone(),
             down_reports: DownReports::new(),
             suspects: Suspects::new(),
             lease: LeaseState::new(clock.clone()),
-            pool: UpstreamPool::new(network.clone(), metrics.clone()),
+            pool: UpstreamPool::new(network.clone(), metrics.clone(), reach),
             running: RunningRequests::new(),
             stop: NodeStop::new(),
             phase: Arc::new(watch::channel(NodePhase::Starting).0),
--- a/serving/src/serving_metrics.rs
+++ b/serving/src/serving_metrics.rs
@@ -20,7 +20,7 @@
 const QUANTILES: [f64; 4] = [0.5, 0.9, 0.95, 0.99];
 
 /// Names of all metrics with their help texts.
-pub const CATALOGUE: [(&str, &str); 17] = [
+pub const CATALOGUE: [(&str, &str); 18] = [
     ("requests_total", "Requests of callers, by route and outcome."),
     ("first_event_seconds", "Time to the first byte of an answer, by route, in seconds."),
     ("request_seconds", "Time to the end of an answer, by route, in seconds."),
@@ -46,6 +46,10 @@
         "rate_limits_total",
         "Limits on the rate of an instance that were named, changed or ended, by source: an answer to this node (own) or another node (learned).",
     ),
+    (
+        "link_checks_total",
+        "Checks whether this node reaches instances, after a connection to one failed, by outcome.",
+    ),
     ("log_lines_dropped_total", "Lines of the log that were dropped since its reader was slow."),
 ];
 
@@ -150,6 +154,11 @@
         self.count("rate_limits_total", &[("source", source)], 1);
     }
 
+    /// Counts a check whether this node reaches instances.
+    pub fn link_check(&self, outcome: &str) {
+        self.count("link_checks_total", &[("outcome", outcome)], 1);
+    }
+
     /// Counts a crash that was recorded for a request or a part of its prompt (`kind`); `source` names who
     /// observed it.
     pub fn crash_mark(&self, source: &str, kind: &str) {
--- a/serving/src/upstream_pool.rs
+++ b/serving/src/upstream_pool.rs
@@ -6,6 +6,7 @@
 
 use crate::connection::ConnectError;
 use crate::connection::Connection;
+use crate::instance_reach::InstanceReach;
 use crate::network::Network;
 use crate::replica_set::Replica;
 use crate::serving_metrics::ServingMetrics;
@@ -36,6 +37,7 @@
 pub struct UpstreamPool {
     network: Network,
     metrics: ServingMetrics,
+    reach: InstanceReach,
     idle: Arc<Mutex<IdleConnections>>,
 }
 
@@ -47,9 +49,9 @@
 
 impl UpstreamPool {
     /// Returns an empty pool.
-    pub fn new(network: Network, metrics: ServingMetrics) -> Self {
+    pub fn new(network: Network, metrics: ServingMetrics, reach: InstanceReach) -> Self {
         let idle = IdleConnections { connections: HashMap::new(), last_eviction: Instant::now() };
-        Self { network, metrics, idle: Arc::new(Mutex::new(idle)) }
+        Self { network, metrics, reach, idle: Arc::new(Mutex::new(idle)) }
     }
 
     /// Returns an idle connection to a replica or opens a new one; `is_fresh` forces a new one.
@@ -59,7 +61,11 @@
             return Ok(connection);
         }
         self.metrics.connection_opened(&replica.service);
-        Connection::open(&self.network, replica.address, CONNECT_TIMEOUT).await
+        let opened = Connection::open(&self.network, replica.address, CONNECT_TIMEOUT).await;
+        if opened.is_ok() {
+            self.reach.record_connected();
+        }
+        opened
     }
 
     /// Returns a connection whose last response has been read completely to the pool.
--- a/serving/tests/test_partitioned_nodes.rs
+++ b/serving/tests/test_partitioned_nodes.rs
@@ -100,36 +100,54 @@
     (0..NODES).find(holds).expect("a holder of the lease")
 }
 
-/// Sends requests beside a partition and checks that those of the cut nodes are served like the others, and
-/// that neither groups nor the requests of the other nodes suffer.
-async fn check_partition(cut_count: usize, has_holder: bool, mode: LinkMode) {
+/// Requests beside a partition.
+struct Run {
+    fleet: Fleet,
+    cut: Vec<usize>,
+    outcomes: BTreeMap<usize, Outcomes>,
+    groups_before: Vec<Vec<String>>,
+}
+
+/// Sends requests beside a partition of `cut_count` nodes, the holder of the lease among them or not.
+async fn run(cut_count: usize, has_holder: bool, mode: LinkMode) -> Run {
     let (fleet, links) = start_fleet().await;
     let holder = holder(&fleet);
     let first = if has_holder { holder } else { (holder + 1) % NODES };
     let cut: Vec<usize> = (first..first + cut_count).map(|node| node % NODES).collect();
-    let groups = fleet.fake_platform.open_groups();
+    let groups_before = fleet.fake_platform.open_groups();
     let cut_links: Vec<&NodeLinks> = cut.iter().map(|node| &links[*node]).collect();
     let outcomes = send_requests(&fleet, &cut_links, mode).await;
-    for (node, outcomes) in &outcomes {
-        let is_cut = cut.contains(node);
-        let (sent, failed) = count(outcomes, STABLE_WINDOW, PARTITION);
-        assert!(
-            failed <= 2 + sent / 50,
-            "node {node}, cut {is_cut}: {failed} of {sent} not served"
-        );
-        let (sent, failed) = count(outcomes, PARTITION + RETURN, PARTITION + AFTER);
-        assert!(failed <= 1, "node {node}, cut {is_cut}: {failed} of {sent} not served afterwards");
-        if !is_cut {
-            let (sent, failed) = count(outcomes, Duration::ZERO, STABLE_WINDOW);
-            assert!(failed <= 1, "node {node}: {failed} of {sent} not served at the start");
+    Run { fleet, cut, outcomes, groups_before }
+}
+
+impl Run {
+    /// Neither groups nor the requests of the other nodes suffer.
+    fn check_replicas(&self) {
+        assert_eq!(self.fleet.fake_platform.open_groups(), self.groups_before, "open groups");
+        for node in &self.fleet.nodes {
+            let marks = node.cx.metrics.sum("crash_marks_total");
+            assert_eq!(marks, 0, "crashes were recorded at {}", node.cx.node());
+            let down = node.cx.metrics.sum("replicas_down_total");
+            assert_eq!(down, 0, "replicas were marked as down at {}", node.cx.node());
+        }
+        for (node, outcomes) in self.outcomes.iter().filter(|(node, _)| !self.cut.contains(node)) {
+            let (sent, failed) = count(outcomes, Duration::ZERO, PARTITION + AFTER);
+            assert!(failed <= 1, "node {node}: {failed} of {sent} not served");
         }
+        assert_eq!(self.fleet.fake_platform.violations(), []);
     }
-    assert_eq!(fleet.fake_platform.open_groups(), groups, "groups were dissolved");
-    for node in &fleet.nodes {
-        let marks = node.cx.metrics.sum("crash_marks_total");
-        assert_eq!(marks, 0, "crashes were recorded at {}", node.cx.node());
+
+    /// The requests of the cut nodes are served like those of the others.
+    fn check_requests(&self) {
+        for (node, outcomes) in &self.outcomes {
+            let is_cut = self.cut.contains(node);
+            let (sent, failed) = count(outcomes, STABLE_WINDOW, PARTITION);
+            let allowed = 2 + sent / 50;
+            assert!(failed <= allowed, "node {node}, cut {is_cut}: {failed} of {sent} not served");
+            let (sent, failed) = count(outcomes, PARTITION + RETURN, PARTITION + AFTER);
+            assert!(failed <= 1, "node {node}, cut {is_cut}: {failed} of {sent} failed afterwards");
+        }
     }
-    assert_eq!(fleet.fake_platform.violations(), []);
 }
 
 /// Refusals and resets look like ended processes, and silence like hung ones.
@@ -137,6 +155,20 @@
 #[case::one(1, false)]
 #[case::holder(1, true)]
 #[case::half(2, true)]
+#[tokio::test]
+async fn partition_of_a_node_is_taken_for_ended_instances(
+    #[case] cut_count: usize,
+    #[case] has_holder: bool,
+    #[values(LinkMode::Hanging, LinkMode::Reset, LinkMode::RefusingNew)] mode: LinkMode,
+) {
+    run(cut_count, has_holder, mode).await.check_replicas();
+}
+
+/// Nothing but the links of a node to the instances is broken.
+#[rstest]
+#[case::one(1, false)]
+#[case::holder(1, true)]
+#[case::half(2, true)]
 #[case::most(3, true)]
 #[tokio::test]
 async fn requests_fail_at_nodes_that_are_partitioned_from_all_replicas(
@@ -144,5 +176,7 @@
     #[case] has_holder: bool,
     #[values(LinkMode::Hanging, LinkMode::Reset, LinkMode::RefusingNew)] mode: LinkMode,
 ) {
-    check_partition(cut_count, has_holder, mode).await;
+    let run = run(cut_count, has_holder, mode).await;
+    run.check_requests();
+    run.check_replicas();
 }
