lease_manager: a holder that reaches no instance releases the lease

Cause: the holder renews its lease in the store, which it still reaches, and its orders get no response for as long as the partition lasts.

A holder that reaches no instance releases the lease at once, a node that reaches none doesn't acquire it, and a holder makes no plan meanwhile.

--- a/serving/src/group_control.rs
+++ b/serving/src/group_control.rs
@@ -117,6 +117,8 @@
                 self.handle_outcome(term, outcome);
             }
             match self.cx.lease.term() {
+                // The lease is about to be released, and silence says nothing about instances.
+                Some(_) if self.cx.reach.is_cut() => {}
                 Some(term) if self.has_current_list(term) => self.plan(),
                 Some(_) => {}
                 None => self.clear_holder_state(),
--- a/serving/src/lease_manager.rs
+++ b/serving/src/lease_manager.rs
@@ -2,7 +2,8 @@
 //!
 //! The holder renews the lease by replacing the object. Another node acquires it when the holder has
 //! released it, or when the object has not changed for the lease duration by that node's own clock.
-//! The term increases with each holder and is the fencing token of its orders.
+//! The term increases with each holder and is the fencing token of its orders. A holder that reaches no
+//! instance can't give orders, and releases the lease.
 
 use crate::dialect::ObjectKind;
 use crate::dialect::StoredObject;
@@ -82,7 +83,7 @@
     /// Acquires and renews the lease until the task is aborted.
     pub async fn run(mut self) {
         loop {
-            if self.cx.phase() == NodePhase::Leaving {
+            if !self.may_hold() {
                 sleep(POLL_PERIOD).await;
                 continue;
             }
@@ -177,8 +178,11 @@
         cx.lease.set_held(record.term, revision, sent, sent + LEASE_DURATION - SAFETY_MARGIN);
         let mut delay = RENEW_PERIOD;
         let reason = loop {
-            sleep(delay).await;
-            if cx.phase() == NodePhase::Leaving {
+            tokio::select! {
+                () = sleep(delay) => {}
+                () = cx.reach.wait_until_cut() => {}
+            }
+            if !self.may_hold() {
                 break self.release(&record, revision).await;
             }
             let sent = cx.clock.now();
@@ -217,6 +221,11 @@
         cx.log.record(Event::LeaseLost { lease, term: record.term, reason });
     }
 
+    /// Returns whether this node can use the lease: it does not stop, and its orders reach instances.
+    fn may_hold(&self) -> bool {
+        self.cx.phase() != NodePhase::Leaving && !self.cx.reach.is_cut()
+    }
+
     async fn release(&mut self, record: &LeaseRecord, revision: u64) -> String {
         self.cx.lease.release();
         let released = LeaseRecord { is_released: true, ..record.clone() };
--- a/serving/tests/test_partitioned_nodes.rs
+++ b/serving/tests/test_partitioned_nodes.rs
@@ -26,6 +26,8 @@
 const STABLE_WINDOW: Duration = Duration::from_secs(3);
 const RETURN: Duration = Duration::from_secs(1);
 const AFTER: Duration = Duration::from_secs(3);
+/// Time within which a group is assembled again, the change of the holder included.
+const REPAIR_TIME: Duration = Duration::from_secs(4);
 
 /// Requests to one node: when each was sent, counted from the start of the partition, and its status.
 type Outcomes = Vec<(Duration, u16)>;
@@ -164,6 +166,36 @@
     run(cut_count, has_holder, mode).await.check_replicas();
 }
 
+/// A member is lost while the node that plans the groups reaches no instance.
+#[rstest]
+#[case::hanging(LinkMode::Hanging)]
+#[case::reset(LinkMode::Reset)]
+#[tokio::test]
+async fn groups_are_not_repaired_while_their_holder_is_partitioned(#[case] mode: LinkMode) {
+    let mut fleet = Fleet::new(7).await;
+    let mut links = vec![];
+    for _ in 0..NODES {
+        links.push(fleet.add_linked_node().await);
+    }
+    for node in 0..NODES {
+        fleet.wait_for_replicas(node, "drafting", 3).await;
+    }
+    let holder = holder(&fleet);
+    links[holder].set_mode(mode);
+    // The holder notices by the requests that it gets.
+    for _ in 0..10 {
+        Call::new(Method::POST, "/draft/x").status(fleet.callers(holder)).await;
+    }
+    let lost = fleet.fake_platform.open_groups()[0][1].clone();
+    fleet.fake_platform.kill(&lost);
+    fleet.fake_platform.expire_entry(&lost);
+    sleep(REPAIR_TIME).await;
+    let groups = fleet.fake_platform.complete_groups();
+    let whole = groups.iter().filter(|(_, members)| !members.contains(&lost));
+    assert_eq!(whole.count(), 3, "{groups:?}");
+    assert_eq!(fleet.fake_platform.violations(), []);
+}
+
 /// Nothing but the links of a node to the instances is broken.
 #[rstest]
 #[case::one(1, false)]
