node_relay: a node that reaches no instance passes requests on to others

Cause: such a node had nobody to turn to, although the nodes next to it reach all replicas. Leaving the directory would not do: callers keep an answer of it for up to three times its TTL, and their open connections for longer.

A node that reaches no instance sends each request as it came to another node, on the TCP port for messages between nodes, and relays the response. To its own request path that node is a replica: streams are resumed, calls that may run once are sent once, the caller's close and deadline reach the replica. The other node treats the request like one of its own callers and never passes it on again. A ticket, authenticated by the fleet key, carries the attempts that are left, whether the retry budget has counted the request, and whether its response has begun. Refusals and failures of the other node are final, unless it states that it can't pass requests on. Streams whose replica is silent for 350 ms meanwhile go on elsewhere, and a connection that fails is no failure of the replica.

Ways weighed: leaving the directory alone (above); a refusal with a short Retry-After (a first try fails all the same); calls of an own protocol between nodes (a second request path).

--- a/serving/src/attempt.rs
+++ b/serving/src/attempt.rs
@@ -10,6 +10,7 @@
 use crate::instance::ResponseHead;
 use crate::instance_notices;
 use crate::instance_notices::InstanceAnswer;
+use crate::node_relay;
 use crate::placement::NoCapacity;
 use crate::placement::Occupancy;
 use crate::replica_set::Replica;
@@ -24,6 +25,7 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::time::Instant;
 
 /// Largest request body, in bytes, after which the connection is reused. A replica may respond before
@@ -87,6 +89,21 @@
     /// The replica was marked as down during the attempt; the request may already have run there.
     #[error("the replica was found to be down")]
     Down,
+    /// This node reaches no instance; the request may have run.
+    #[error("this node reaches no instance")]
+    Unreachable,
+    /// The node that the request was passed on to refused it, and it has not run.
+    #[error("another node refused it")]
+    RefusedByNode {
+        /// Delay after which the caller should retry.
+        retry_after: Duration,
+    },
+    /// The node that the request was passed on to had no success with it; it may have run.
+    #[error("another node returned status {status}")]
+    FailedAtNode {
+        /// HTTP status code.
+        status: u16,
+    },
     /// Another replica responded first; the request may have run here as well.
     #[error("another replica responded first")]
     Superseded,
@@ -102,13 +119,16 @@
             Self::Broken(_) => "broken",
             Self::TimedOut(_) | Self::Silent => "silent",
             Self::Down => "down",
+            Self::Unreachable => "unreachable",
+            Self::RefusedByNode { .. } => "refused_by_node",
+            Self::FailedAtNode { .. } => "failed_at_node",
             Self::Superseded => "superseded",
         }
     }
 
     /// Returns whether it is certain that the request did not run.
     pub fn is_not_run(&self) -> bool {
-        matches!(self, Self::NotSent(_) | Self::NotRun { .. })
+        matches!(self, Self::NotSent(_) | Self::NotRun { .. } | Self::RefusedByNode { .. })
     }
 
     /// Returns whether the request is not running at the replica: it did not run, or the replica, a group,
@@ -119,7 +139,7 @@
 
     /// Returns whether the request reached the replica, even if the replica refused it.
     pub fn has_reached_replica(&self) -> bool {
-        !matches!(self, Self::NotSent(_))
+        !matches!(self, Self::NotSent(_) | Self::RefusedByNode { .. })
     }
 }
 
@@ -200,6 +220,11 @@
         self.runs_at_live_replicas + self.stalled.iter().filter(may_run).count() as u32
     }
 
+    /// Returns the number of attempts that a request may still make at another node.
+    pub fn left(&self, cx: &ServingCx, task: &RequestTask) -> u32 {
+        task.max_attempts.saturating_sub(self.counted_runs(cx)).max(1)
+    }
+
     /// Returns why the request may not be sent again, apart from the retry budget.
     pub fn limit(&self, cx: &ServingCx, task: &RequestTask) -> Option<Withheld> {
         let is_allowed = match task.kind {
@@ -213,7 +238,9 @@
         if task.time_left(Instant::now()).is_zero() {
             return Some(Withheld::Deadline);
         }
-        (!is_allowed || self.tried.len() >= MAX_SENDS).then_some(Withheld::Attempts)
+        // The other node has made all attempts.
+        let is_final = matches!(self.last_error, Some(AttemptError::FailedAtNode { .. }));
+        (!is_allowed || is_final || self.tried.len() >= MAX_SENDS).then_some(Withheld::Attempts)
     }
 
     /// Withdraws the next attempt from the retry budget; returns false if none is left. Sending again is
@@ -259,6 +286,7 @@
     replica: &Replica,
     task: &RequestTask,
     last_event_id: Option<u64>,
+    attempts_left: u32,
     is_fresh: bool,
 ) -> Result<UpstreamResponse, AttemptError> {
     let mut connection = cx.pool.get(replica, is_fresh).await?;
@@ -267,10 +295,19 @@
         deadline: task.upstream_deadline(Instant::now()),
         customer: task.customer.as_deref(),
         // Resuming a stream that the caller has partly received gets the highest priority.
-        urgency: if last_event_id > task.head.last_event_id { 0 } else { task.urgency },
+        urgency: match task.has_begun() || last_event_id > task.head.last_event_id {
+            true => 0,
+            false => task.urgency,
+        },
         last_event_id,
     };
-    let req = build_request(cx, task, &params)?;
+    let req = match replica.is_node {
+        true => {
+            cx.metrics.relayed("sent");
+            node_relay::build_request(cx, task, last_event_id, attempts_left)?
+        }
+        false => build_request(cx, task, &params)?,
+    };
     let sent_at = Instant::now();
     let response = connection.send(req).await.map_err(|e| match e {
         CallError::NotSent(e) => AttemptError::NotSent(e),
@@ -279,7 +316,10 @@
     let head = cx.dialect.decode_response_head(response.status(), response.headers());
     let (status, is_run) = (response.status(), head.is_signed && !head.is_not_run);
     let answer = InstanceAnswer { sent_at, status, is_run };
-    instance_notices::record(cx, replica.run, &head.notice, answer);
+    match replica.is_node {
+        true => node_relay::check_response(task, status, response.headers(), &head)?,
+        false => instance_notices::record(cx, replica.run, &head.notice, answer),
+    }
     let is_reusable = !head.closes && task.body.len() <= MAX_BODY_FOR_CONNECTION_REUSE;
     validate_response(task, response.status(), &head)?;
     Ok(UpstreamResponse { response, head, connection, is_reusable })
--- a/serving/src/attempt_loop.rs
+++ b/serving/src/attempt_loop.rs
@@ -7,6 +7,8 @@
 use crate::attempt::AttemptError;
 use crate::attempt::Attempts;
 use crate::failed_attempts;
+use crate::instance_reach;
+use crate::instance_reach::Links;
 use crate::next_replica;
 use crate::next_replica::NextStep;
 use crate::replica_set::Replica;
@@ -20,6 +22,7 @@
 use std::sync::Arc;
 use std::task::Poll;
 use std::time::Duration;
+use tokio::time::Instant;
 use tokio::time::sleep;
 
 /// Interval at which it is checked whether a request that waits for a silent replica can be sent to
@@ -131,6 +134,7 @@
                 NextStep::Respond(response) => return Err(NoResponse::Respond(response)),
                 NextStep::Fail(cause) => return Err(NoResponse::Failed(cause)),
             };
+            let started = Instant::now();
             let mut attempt = self.kind.start(&replica, self.attempts);
             match self.race(&mut attempt, &mut silent).await {
                 Raced::Responded(response) => return Ok(response),
@@ -139,7 +143,10 @@
                     return Ok(response);
                 }
                 Raced::Failed(e) => {
-                    self.end_attempt(&replica, &e);
+                    match self.is_unreachable(&replica, &e, started).await {
+                        true => self.trace.end_attempt(),
+                        false => self.end_attempt(&replica, &e),
+                    }
                     self.attempts.record_failure(e);
                 }
                 Raced::Silent(e) => {
@@ -203,6 +210,19 @@
         }
     }
 
+    /// Returns whether an attempt failed since this node reaches no instance, which says nothing about the
+    /// replica.
+    async fn is_unreachable(
+        &self,
+        replica: &Replica,
+        error: &AttemptError,
+        started: Instant,
+    ) -> bool {
+        matches!(error, AttemptError::NotSent(_))
+            && !replica.is_node
+            && instance_reach::check(self.cx, &[replica.address], started).await == Links::Broken
+    }
+
     fn end_attempt(&mut self, replica: &Arc<Replica>, error: &AttemptError) {
         self.kind.record_failure(self.trace, replica, error);
         self.trace.end_attempt();
--- a/serving/src/candidates.rs
+++ b/serving/src/candidates.rs
@@ -1,5 +1,6 @@
 //! The candidates for a request: the replicas of its service and model, with their load and health.
 
+use crate::node_relay;
 use crate::placement;
 use crate::placement::Candidate;
 use crate::placement::NoCapacity;
@@ -20,6 +21,10 @@
     tried: &[ReplicaKey],
     timeliness: Timeliness,
 ) -> Result<Arc<Replica>, (NoCapacity, Occupancy)> {
+    if cx.reach.is_cut() {
+        let node = node_relay::choose(cx, &task.service, tried).filter(|_| task.ticket.is_none());
+        return node.ok_or((NoCapacity::Unreachable, Occupancy::default()));
+    }
     let now = Instant::now();
     let candidates = candidates(cx, task, tried, timeliness, now);
     let table = cx.config.get();
--- a/serving/src/dialect.rs
+++ b/serving/src/dialect.rs
@@ -201,6 +201,14 @@
     fn decode_request(&self, headers: &HeaderMap) -> RequestHead;
     /// Returns the headers of a request that is forwarded to a replica.
     fn upstream_headers(&self, received: &HeaderMap, params: &UpstreamParams<'_>) -> HeaderMap;
+    /// Returns the headers of a request that is passed on to another node, with the time left until the
+    /// caller's deadline and the id of the last event that was delivered.
+    fn relay_headers(
+        &self,
+        received: &HeaderMap,
+        deadline: Duration,
+        last_event_id: Option<u64>,
+    ) -> HeaderMap;
     /// Decodes the status and headers of a replica's response.
     fn decode_response_head(&self, status: StatusCode, headers: &HeaderMap) -> ResponseHead;
     /// Returns the headers of a replica's response that is forwarded to the caller.
--- a/serving/src/lib.rs
+++ b/serving/src/lib.rs
@@ -42,6 +42,7 @@
 pub mod network;
 pub mod next_replica;
 pub mod node_registry;
+pub mod node_relay;
 pub mod node_stop;
 pub mod node_table;
 pub mod order_client;
--- a/serving/src/listeners.rs
+++ b/serving/src/listeners.rs
@@ -46,6 +46,8 @@
 pub enum ListenerRole {
     /// Requests of callers.
     Callers,
+    /// Requests of callers that other nodes pass on.
+    Relay,
     /// Readiness probes and resolve queries.
     Directory,
     /// Metrics in text format.
@@ -115,7 +117,10 @@
     role: ListenerRole,
     shutdown: CancellationToken,
 ) {
-    let max_connections = cx.settings.max_descriptors / 2;
+    let max_connections = match role {
+        ListenerRole::Relay => cx.settings.max_descriptors / 8,
+        _ => cx.settings.max_descriptors / 2,
+    };
     let connections = TaskTracker::new();
     // The connections that wait to be accepted are served like the others before the listener closes.
     let closed = async {
@@ -195,8 +200,11 @@
     req: Request<Incoming>,
 ) -> Response<ResponseBody> {
     match role {
-        ListenerRole::Callers => {
-            let mut response = request_handler::handle(cx, req).await;
+        ListenerRole::Callers | ListenerRole::Relay => {
+            let mut response = match role {
+                ListenerRole::Relay => request_handler::handle_relayed(cx, req).await,
+                _ => request_handler::handle(cx, req).await,
+            };
             if cx.stop.times().is_some() {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(header::CONNECTION, close);
--- a/serving/src/next_replica.rs
+++ b/serving/src/next_replica.rs
@@ -8,6 +8,7 @@
 use crate::crash_keys::CrashSubject;
 use crate::crash_record::CrashRefusal;
 use crate::local_response;
+use crate::node_relay;
 use crate::placement;
 use crate::placement::NoCapacity;
 use crate::placement::Occupancy;
@@ -61,6 +62,12 @@
             _ => NextStep::Respond(refuse_crashing_request(task, trace, attempts, refusal)),
         };
     }
+    if let Some(AttemptError::RefusedByNode { retry_after }) = attempts.last_error
+        && attempts.runs == 0
+    {
+        let reason = last_error(attempts);
+        return NextStep::Respond(refuse(trace, &reason, retry_after, Occupancy::default()));
+    }
     let withheld = match choose(cx, task, attempts, progress) {
         Ok(replica) => {
             if let Some(e) = &attempts.last_error {
@@ -99,7 +106,7 @@
     if let Some(limit) = attempts.limit(cx, task).filter(|_| is_retry) {
         return Err(limit);
     }
-    let timeliness = match progress.has_begun {
+    let timeliness = match progress.has_begun || task.has_begun() {
         true => Timeliness::Begun,
         false => task.timeliness(attempts.tried.len()),
     };
@@ -155,9 +162,13 @@
         return refuse(trace, &reason, retry_after, Occupancy::default());
     }
     let status = match attempts.last_error {
-        Some(AttemptError::TimedOut(_) | AttemptError::Silent | AttemptError::Down) => {
-            StatusCode::GATEWAY_TIMEOUT
-        }
+        Some(
+            AttemptError::TimedOut(_)
+            | AttemptError::Silent
+            | AttemptError::Down
+            | AttemptError::Unreachable,
+        ) => StatusCode::GATEWAY_TIMEOUT,
+        Some(AttemptError::FailedAtNode { status: 504 }) => StatusCode::GATEWAY_TIMEOUT,
         _ => StatusCode::BAD_GATEWAY,
     };
     trace.record_lost(status.as_u16(), &reason);
@@ -171,6 +182,15 @@
     no_capacity: NoCapacity,
     occupancy: Occupancy,
 ) -> Response<ResponseBody> {
+    if no_capacity == NoCapacity::Unreachable && task.ticket.is_some() {
+        trace.record_refused(
+            StatusCode::SERVICE_UNAVAILABLE.as_u16(),
+            no_capacity.name(),
+            Duration::ZERO,
+            occupancy,
+        );
+        return node_relay::unavailable();
+    }
     let time_left = task.time_left(Instant::now());
     let retry_after = placement::retry_after_refusal(no_capacity, time_left);
     refuse(trace, no_capacity.name(), retry_after, occupancy)
--- a/serving/src/node_table.rs
+++ b/serving/src/node_table.rs
@@ -86,6 +86,17 @@
     pub data_centre: String,
 }
 
+/// Node that serves callers and is not silent.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LiveNode {
+    /// Id of the node.
+    pub node: String,
+    /// IP address that messages are sent to.
+    pub address: IpAddr,
+    /// Data centre of the node.
+    pub data_centre: String,
+}
+
 impl NodeTable {
     /// Returns an empty table for the node `own_id`.
     pub fn new(own_id: &str, log: RateLimitedLog) -> Self {
@@ -199,6 +210,22 @@
         serving.filter_map(entry).collect()
     }
 
+    /// Returns the other nodes that serve callers and are not silent, with the addresses for messages.
+    pub fn serving(&self, now: Instant, period: Duration) -> Vec<LiveNode> {
+        let max_age = silent_after(period);
+        let nodes = self.lock();
+        let live = nodes.values().filter_map(|peer| {
+            let heartbeat = peer.recent_heartbeat(now, max_age)?;
+            let is_serving = heartbeat.phase == NodePhase::Serving;
+            is_serving.then(|| LiveNode {
+                node: peer.node.clone(),
+                address: peer.address,
+                data_centre: heartbeat.data_centre.clone(),
+            })
+        });
+        live.collect()
+    }
+
     /// Returns the renewal of the lease on the groups with the highest term, out of the heartbeats
     /// that are not older than `max_age`.
     pub fn lease_holder(&self, now: Instant, max_age: Duration) -> Option<LeaseRenewal> {
--- a/serving/src/placement.rs
+++ b/serving/src/placement.rs
@@ -87,6 +87,8 @@
     NoReplica,
     /// Every replica has as many requests as it can start in time, or its rate is used up.
     AllBusy,
+    /// This node reaches no instance, and no other node that does.
+    Unreachable,
     /// The rate of every replica is used up.
     RateLimited {
         /// Time after which this node may send the next request to one of them; `None` if other nodes send
@@ -102,6 +104,7 @@
             Self::NoReplica => "no_replica",
             Self::AllBusy => "all_busy",
             Self::RateLimited { .. } => "rate_limited",
+            Self::Unreachable => "unreachable",
         }
     }
 }
@@ -119,9 +122,10 @@
         NoCapacity::RateLimited { next: Some(next) } => {
             latest.min(next.mul_f64(rand::random_range(1.0..2.0)))
         }
-        NoCapacity::RateLimited { next: None } | NoCapacity::AllBusy | NoCapacity::NoReplica => {
-            latest
-        }
+        NoCapacity::RateLimited { next: None }
+        | NoCapacity::AllBusy
+        | NoCapacity::NoReplica
+        | NoCapacity::Unreachable => latest,
     }
 }
 
--- a/serving/src/plain_forward.rs
+++ b/serving/src/plain_forward.rs
@@ -66,7 +66,10 @@
         attempts: &Attempts,
     ) -> PendingAttempt<'static, Self::Response> {
         let is_idempotent = self.task.kind == RouteKind::Idempotent;
-        let can_retry = is_idempotent && attempts.runs + 1 < self.task.max_attempts;
+        // Another node makes all attempts itself.
+        let can_retry =
+            is_idempotent && !replica.is_node && attempts.runs + 1 < self.task.max_attempts;
+        let attempts_left = attempts.left(&self.cx, &self.task);
         let retry_at = Instant::now() + self.task.target_latency.mul_f64(ATTEMPT_TIMEOUT_FRACTION);
         let silence = async move {
             match can_retry {
@@ -76,7 +79,7 @@
             AttemptError::TimedOut("no response within a fraction of the target latency")
         };
         let (cx, task, to) = (self.cx.clone(), self.task.clone(), replica.clone());
-        let response = async move { attempt_once(&cx, &task, &to, can_retry).await };
+        let response = async move { attempt_once(&cx, &task, &to, attempts_left, can_retry).await };
         PendingAttempt::new(replica.clone(), response, silence)
     }
 
@@ -100,13 +103,15 @@
     cx: &ServingCx,
     task: &RequestTask,
     replica: &Arc<Replica>,
+    attempts_left: u32,
     can_retry: bool,
 ) -> Result<Response<ResponseBody>, AttemptError> {
     let is_idempotent = task.kind == RouteKind::Idempotent;
     let _guard = cx.loads.begin_request(replica);
     let exchange = async {
+        let last_event_id = task.head.last_event_id;
         let upstream =
-            attempt::send(cx, replica, task, task.head.last_event_id, !is_idempotent).await?;
+            attempt::send(cx, replica, task, last_event_id, attempts_left, !is_idempotent).await?;
         let status = upstream.response.status();
         if can_retry && status.is_server_error() {
             return Err(AttemptError::Failure { status: status.as_u16() });
--- a/serving/src/replica_set.rs
+++ b/serving/src/replica_set.rs
@@ -40,6 +40,8 @@
     pub slots: u32,
     /// Model that a group serves; `None` for a plain instance.
     pub model: Option<String>,
+    /// Whether it is another node, to which a node without links to the instances passes requests on.
+    pub is_node: bool,
     /// All members with their addresses, the head first.
     pub members: Vec<(InstanceId, SocketAddr)>,
 }
@@ -115,6 +117,7 @@
         data_centre: instance.data_centre.clone(),
         slots: instance.slots,
         model: None,
+        is_node: false,
         members: vec![(instance.id.clone(), instance.address)],
     }
 }
@@ -164,6 +167,7 @@
         data_centre: head.data_centre.clone(),
         slots: engine.slots,
         model: Some(model.name.clone()),
+        is_node: false,
         members: members.iter().map(|m| (m.instance.id.clone(), m.instance.address)).collect(),
     })
 }
--- a/serving/src/request_handler.rs
+++ b/serving/src/request_handler.rs
@@ -6,6 +6,8 @@
 use crate::fleet_config::Route;
 use crate::fleet_config::RouteKind;
 use crate::local_response;
+use crate::node_relay;
+use crate::node_relay::RelayTicket;
 use crate::node_stop::NodeStop;
 use crate::plain_forward;
 use crate::request_task;
@@ -41,12 +43,33 @@
 
 /// Handles a request of a caller and returns the response.
 pub async fn handle(cx: &ServingCx, req: Request<Incoming>) -> Response<ResponseBody> {
+    handle_request(cx, req, None).await
+}
+
+/// Handles a request of a caller that another node passes on. It is not passed on again.
+pub async fn handle_relayed(cx: &ServingCx, mut req: Request<Incoming>) -> Response<ResponseBody> {
+    let ticket = node_relay::take_ticket(cx, &mut req);
+    let can_send = cx.config.get().is_some() && !cx.reach.is_cut();
+    match ticket.filter(|_| can_send && !cx.stop.is_refusing(Instant::now())) {
+        Some(ticket) => {
+            cx.metrics.relayed("received");
+            handle_request(cx, req, Some(ticket)).await
+        }
+        None => node_relay::unavailable(),
+    }
+}
+
+async fn handle_request(
+    cx: &ServingCx,
+    req: Request<Incoming>,
+    ticket: Option<RelayTicket>,
+) -> Response<ResponseBody> {
     let received = Instant::now();
     let table = cx.config.get();
     let (parts, body) = req.into_parts();
     let head = cx.dialect.decode_request(&parts.headers);
     let config = table.as_ref().map_or(0, |table| table.config.version);
-    let incoming = IncomingRequest { cx, request: head.id.clone(), config };
+    let incoming = IncomingRequest { cx, request: head.id.clone(), config, ticket };
     let Some(table) = table else {
         return incoming.reject("unknown", &Rejection::NoConfiguration);
     };
@@ -103,6 +126,8 @@
     request: String,
     /// Version of the configuration used to match the request; 0 if there is none.
     config: u64,
+    /// Ticket of a request that another node passes on.
+    ticket: Option<RelayTicket>,
 }
 
 impl IncomingRequest<'_> {
@@ -128,7 +153,10 @@
 }
 
 async fn dispatch(cx: &ServingCx, task: RequestTask) -> Response<ResponseBody> {
-    cx.budgets.count_request(&task.service, task.received);
+    let is_counted_elsewhere = task.ticket.is_some_and(|ticket| ticket.is_counted);
+    if task.is_counted && !is_counted_elsewhere {
+        cx.budgets.count_request(&task.service, task.received);
+    }
     let task = Arc::new(task);
     match task.kind {
         RouteKind::Streaming { .. } => stream_forward::forward(cx, task).await,
@@ -175,7 +203,9 @@
         service,
         customer: customer.map(str::to_string),
         urgency,
-        max_attempts: route.max_attempts,
+        max_attempts: incoming.ticket.map_or(route.max_attempts, |t| t.attempts),
+        ticket: incoming.ticket,
+        is_counted: incoming.ticket.is_some() || !incoming.cx.reach.is_cut(),
         target_latency: route.target_latency,
         config_version: table.config.version,
         is_likely_retry: head.deadline.is_some_and(|d| d + route.target_latency < route.timeout),
--- a/serving/src/request_task.rs
+++ b/serving/src/request_task.rs
@@ -14,6 +14,7 @@
 use crate::fleet_config::RouteKind;
 use crate::key_hash::key_hash;
 use crate::listeners::RunningRequestGuard;
+use crate::node_relay::RelayTicket;
 use crate::node_stop::NodeStop;
 use crate::node_stop::StopTimes;
 use crate::placement::Occupancy;
@@ -57,6 +58,11 @@
     pub urgency: u8,
     /// Maximum number of attempts in which the request may run.
     pub max_attempts: u32,
+    /// Ticket of a request that another node passes on.
+    pub ticket: Option<RelayTicket>,
+    /// Whether the request counts for the retry budget of this node. One that is passed on counts for that of
+    /// the other node.
+    pub is_counted: bool,
     /// Target latency of the route.
     pub target_latency: Duration,
     /// Version of the configuration used to match the request.
@@ -109,6 +115,12 @@
         }
     }
 
+    /// Returns whether the caller has received a part of the response.
+    pub fn has_begun(&self) -> bool {
+        let has_begun_elsewhere = self.ticket.is_some_and(|ticket| ticket.has_begun);
+        has_begun_elsewhere || self.has_begun.load(Ordering::Relaxed)
+    }
+
     /// Records that the caller receives the start of a stream.
     pub fn record_begun(&self) {
         self.has_begun.store(true, Ordering::Relaxed);
@@ -255,16 +267,20 @@
 
     /// Keeps the current attempt, which failed, until it is known whether its replica crashed.
     pub fn keep_failed_attempt(&self, error: &AttemptError) {
-        let Some(attempt) = self.failed_attempt(&error.to_string()) else { return };
+        let attempt = self.failed_attempt(&error.to_string());
+        let Some(attempt) = attempt.filter(|attempt| !attempt.replica.is_node) else { return };
         match error {
             AttemptError::Broken(_) => failed_attempts::add_and_check(&self.cx, attempt),
-            AttemptError::TimedOut(_) | AttemptError::Silent | AttemptError::Down => {
-                failed_attempts::add(&self.cx, attempt)
-            }
+            AttemptError::TimedOut(_)
+            | AttemptError::Silent
+            | AttemptError::Down
+            | AttemptError::Unreachable => failed_attempts::add(&self.cx, attempt),
             // The replica has responded, or has not received the request.
             AttemptError::Superseded
             | AttemptError::NotSent(_)
             | AttemptError::NotRun { .. }
+            | AttemptError::RefusedByNode { .. }
+            | AttemptError::FailedAtNode { .. }
             | AttemptError::Failure { .. } => {}
         }
     }
@@ -406,7 +422,8 @@
     pub fn record_abandoned(&mut self) {
         self.is_recorded = true;
         self.cx.metrics.request(&self.route, "abandoned");
-        if let Some(attempt) = self.failed_attempt("the caller disconnected") {
+        let attempt = self.failed_attempt("the caller disconnected");
+        if let Some(attempt) = attempt.filter(|attempt| !attempt.replica.is_node) {
             failed_attempts::add(&self.cx, attempt);
         }
         self.current = None;
--- a/serving/src/serving_cx.rs
+++ b/serving/src/serving_cx.rs
@@ -12,6 +12,7 @@
 use crate::network::Network;
 use crate::node_stop::NodeStop;
 use crate::node_table::NodeTable;
+use crate::peer_codec::PeerKey;
 use crate::rate_limited_log::RateLimitedLog;
 use crate::rate_limits::RateLimits;
 use crate::replica_health::Suspects;
@@ -26,6 +27,7 @@
 use guavaladder_lib::event_log::EventLog;
 use guavaladder_lib::generated::serving_peer::NodePhase;
 use std::sync::Arc;
+use std::sync::OnceLock;
 use std::time::Duration;
 use tokio::sync::watch;
 use tokio::time::Instant;
@@ -59,6 +61,8 @@
     pub clock: Clock,
     /// Incarnation of this run of the node: the Unix time at its start in milliseconds.
     pub incarnation: u64,
+    /// Key that authenticates messages between nodes, once it is known.
+    pub peer_key: Arc<OnceLock<PeerKey>>,
     /// Rate-limited event log of the node.
     pub log: RateLimitedLog,
     /// Metrics of the node.
@@ -116,6 +120,7 @@
             window: settings.retry_window,
         };
         Self {
+            peer_key: Arc::default(),
             incarnation: clock.unix().as_millis() as u64,
             store: Store::new(
                 dialect.clone(),
--- a/serving/src/serving_metrics.rs
+++ b/serving/src/serving_metrics.rs
@@ -20,7 +20,7 @@
 const QUANTILES: [f64; 4] = [0.5, 0.9, 0.95, 0.99];
 
 /// Names of all metrics with their help texts.
-pub const CATALOGUE: [(&str, &str); 18] = [
+pub const CATALOGUE: [(&str, &str); 19] = [
     ("requests_total", "Requests of callers, by route and outcome."),
     ("first_event_seconds", "Time to the first byte of an answer, by route, in seconds."),
     ("request_seconds", "Time to the end of an answer, by route, in seconds."),
@@ -50,6 +50,10 @@
         "link_checks_total",
         "Checks whether this node reaches instances, after a connection to one failed, by outcome.",
     ),
+    (
+        "requests_relayed_total",
+        "Requests that were passed on to another node, or received from one, by direction.",
+    ),
     ("log_lines_dropped_total", "Lines of the log that were dropped since its reader was slow."),
 ];
 
@@ -154,6 +158,11 @@
         self.count("rate_limits_total", &[("source", source)], 1);
     }
 
+    /// Counts a request that was passed on to another node, or received from one.
+    pub fn relayed(&self, direction: &str) {
+        self.count("requests_relayed_total", &[("direction", direction)], 1);
+    }
+
     /// Counts a check whether this node reaches instances.
     pub fn link_check(&self, outcome: &str) {
         self.count("link_checks_total", &[("outcome", outcome)], 1);
--- a/serving/src/serving_node.rs
+++ b/serving/src/serving_node.rs
@@ -59,6 +59,8 @@
     exchange: tokio::sync::watch::Receiver<Option<PeerExchange>>,
     /// Serves callers until `closing_callers` is cancelled and all of their connections have closed.
     callers: JoinHandle<()>,
+    /// Serves requests that other nodes pass on, for as long.
+    relay: JoinHandle<()>,
     closing_callers: CancellationToken,
     stopping: CancellationToken,
 }
@@ -73,6 +75,7 @@
         let settings = cx.settings.clone();
         let peers = UdpSocket::bind(settings.peers).await.map_err(StartError::Peers)?;
         let callers = listeners::bind(settings.callers)?;
+        let relay = listeners::bind(settings.peers)?;
         let directory = listeners::bind(settings.directory)?;
         let readiness = listeners::bind(settings.readiness)?;
         let metrics = settings.metrics.map(listeners::bind).transpose()?;
@@ -82,6 +85,7 @@
             tokio::spawn(listeners::serve(cx.clone(), listener, role, closing.clone()))
         };
         let callers = serve(callers, ListenerRole::Callers, &closing_callers);
+        let relay = serve(relay, ListenerRole::Relay, &closing_callers);
         serve(directory, ListenerRole::Directory, &stopping);
         serve(readiness, ListenerRole::Directory, &stopping);
         if let Some(metrics) = metrics {
@@ -106,6 +110,8 @@
         let (peers_cx, peers_stopping) = (cx.clone(), stopping.clone());
         spawn_until(&stopping, async move {
             let key = node_registry::peer_key(&peers_cx).await;
+            // Set once, here only.
+            let _ = peers_cx.peer_key.set(key);
             let exchange = PeerExchange::new(peers_cx, key, peers);
             spawn_until(&peers_stopping, exchange.clone().receive_loop());
             spawn_until(&peers_stopping, exchange.clone().send_loop());
@@ -114,7 +120,7 @@
             spawn_until(&peers_stopping, exchange.clone().instance_delta_loop(deltas));
             exchange_tx.send_replace(Some(exchange));
         });
-        Ok(Self { cx, exchange, callers, closing_callers, stopping })
+        Ok(Self { cx, exchange, callers, relay, closing_callers, stopping })
     }
 
     /// Shuts down within the time that the platform allows.
@@ -143,10 +149,12 @@
             sleep(STOP_POLL_PERIOD).await;
         }
         self.closing_callers.cancel();
-        match timeout_at(times.exit, self.callers).await {
-            Ok(Ok(())) => {}
-            Ok(Err(e)) => log::warn!("the listener for callers failed: {e}"),
-            Err(_) => log::info!("stopped before all callers had received their responses"),
+        for (listener, name) in [(self.callers, "callers"), (self.relay, "other nodes")] {
+            match timeout_at(times.exit, listener).await {
+                Ok(Ok(())) => {}
+                Ok(Err(e)) => log::warn!("the listener for {name} failed: {e}"),
+                Err(_) => log::info!("stopped before all {name} had received their responses"),
+            }
         }
         if timeout_at(times.exit, unregistered).await.is_err() {
             log::info!("stopped before the store confirmed that this node is unregistered");
--- a/serving/src/stream_forward.rs
+++ b/serving/src/stream_forward.rs
@@ -12,6 +12,7 @@
 use crate::attempt_loop::NoResponse;
 use crate::attempt_loop::PendingAttempt;
 use crate::local_response;
+use crate::node_relay;
 use crate::replica_health;
 use crate::replica_health::SuspicionCause;
 use crate::replica_set::Replica;
@@ -25,8 +26,15 @@
 use http::Response;
 use http::StatusCode;
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::sync::watch;
 use tokio::time::Instant;
+use tokio::time::sleep;
+use tokio::time::sleep_until;
+
+/// Time without an event after which a stream is sent elsewhere while this node reaches no instance. Its old
+/// connection may still work.
+const UNREACHABLE_SILENCE: Duration = Duration::from_millis(350);
 
 /// A stream with its next item.
 pub type OpenStream = (UpstreamStream, StreamItem);
@@ -66,15 +74,19 @@
 impl AttemptKind for StreamAttempts {
     type Response = OpenStream;
 
-    fn start(&self, replica: &Arc<Replica>, _: &Attempts) -> PendingAttempt<'static, OpenStream> {
-        let down = self.cx.loads.watch_down(replica.hash);
+    fn start(
+        &self,
+        replica: &Arc<Replica>,
+        attempts: &Attempts,
+    ) -> PendingAttempt<'static, OpenStream> {
+        let attempts_left = attempts.left(&self.cx, &self.task);
         let (cx, task, last_event_id) = (self.cx.clone(), self.task.clone(), self.last_event_id);
         let to = replica.clone();
         let response = async move {
-            let opened = UpstreamStream::open(&cx, &task, &to, last_event_id);
+            let opened = UpstreamStream::open(&cx, &task, &to, last_event_id, attempts_left);
             task.run_until_due(opened).await
         };
-        PendingAttempt::new(replica.clone(), response, wait_until_down(down))
+        PendingAttempt::new(replica.clone(), response, silence(self.cx.clone(), replica))
     }
 
     fn record_failure(&self, trace: &RequestTrace, replica: &Arc<Replica>, error: &AttemptError) {
@@ -90,8 +102,33 @@
     }
 }
 
+/// Waits until a replica that has not begun to respond counts as silent.
+fn silence(cx: ServingCx, replica: &Arc<Replica>) -> impl Future<Output = AttemptError> + use<> {
+    let (is_node, hash, started) = (replica.is_node, replica.hash, Instant::now());
+    async move {
+        if is_node {
+            sleep(node_relay::SILENCE).await;
+            return AttemptError::TimedOut("no event of the stream from another node");
+        }
+        wait_until_silent(&cx, hash, started).await
+    }
+}
+
+/// Waits until a replica is marked as down, or this node reaches no instance and the replica has been silent
+/// since `silent_since` for long enough.
+pub async fn wait_until_silent(cx: &ServingCx, hash: u64, silent_since: Instant) -> AttemptError {
+    let is_unreachable = async {
+        cx.reach.wait_until_cut().await;
+        sleep_until(silent_since + UNREACHABLE_SILENCE).await;
+    };
+    tokio::select! {
+        e = wait_until_down(cx.loads.watch_down(hash)) => e,
+        () = is_unreachable => AttemptError::Unreachable,
+    }
+}
+
 /// Waits until a replica is marked as down.
-pub async fn wait_until_down(mut down: watch::Receiver<Option<Instant>>) -> AttemptError {
+async fn wait_until_down(mut down: watch::Receiver<Option<Instant>>) -> AttemptError {
     let is_down = |until: &Option<Instant>| until.is_some_and(|until| until > Instant::now());
     if down.wait_for(is_down).await.is_err() {
         std::future::pending::<()>().await;
@@ -114,6 +151,9 @@
         AttemptError::TimedOut(_)
         | AttemptError::Silent
         | AttemptError::Down
+        | AttemptError::Unreachable
+        | AttemptError::RefusedByNode { .. }
+        | AttemptError::FailedAtNode { .. }
         | AttemptError::Superseded => {}
         AttemptError::NotRun { at_fault: Some(at_fault), .. } => {
             replica_health::suspect(cx, replica, SuspicionCause::Blamed(at_fault.clone()));
--- a/serving/src/stream_relay.rs
+++ b/serving/src/stream_relay.rs
@@ -161,15 +161,18 @@
     ) -> Option<Result<StreamItem, AttemptError>> {
         let now = Instant::now();
         let until = now + MAX_EVENT_GAP;
-        let down = self.cx.loads.watch_down(stream.replica.hash);
-        let down = async {
+        let (hash, is_node) = (stream.replica.hash, stream.replica.is_node);
+        let silent = async {
             // A mark is no reason to leave a replica that makes progress on this stream.
             sleep_until(now + MIN_SILENCE).await;
-            stream_forward::wait_until_down(down).await
+            match is_node {
+                true => std::future::pending().await,
+                false => stream_forward::wait_until_silent(&self.cx, hash, now).await,
+            }
         };
         tokio::select! {
             next = stream.next_until_due(&self.cx, &self.task) => Some(next),
-            e = down => Some(Err(e)),
+            e = silent => Some(Err(e)),
             () = sleep_until(until) => Some(Err(AttemptError::Silent)),
             () = self.tx.closed() => None,
         }
@@ -207,7 +210,9 @@
         stream_forward::record_failure(&self.cx, &self.trace, &self.task, &stream.replica, &error);
         self.trace.end_attempt();
         let silent = match error {
-            AttemptError::Down | AttemptError::Silent => Some(self.wait_for(stream)),
+            AttemptError::Down | AttemptError::Silent | AttemptError::Unreachable => {
+                Some(self.wait_for(stream))
+            }
             _ => None,
         };
         self.attempts.record_stream_failure(error);
--- a/serving/src/upstream_pool.rs
+++ b/serving/src/upstream_pool.rs
@@ -62,7 +62,7 @@
         }
         self.metrics.connection_opened(&replica.service);
         let opened = Connection::open(&self.network, replica.address, CONNECT_TIMEOUT).await;
-        if opened.is_ok() {
+        if opened.is_ok() && !replica.is_node {
             self.reach.record_connected();
         }
         opened
--- a/serving/src/upstream_stream.rs
+++ b/serving/src/upstream_stream.rs
@@ -45,9 +45,11 @@
         task: &RequestTask,
         replica: &Arc<Replica>,
         last_event_id: Option<u64>,
+        attempts_left: u32,
     ) -> Result<(Self, StreamItem), AttemptError> {
         let guard = cx.loads.begin_request(replica);
-        let upstream = attempt::send(cx, replica, task, last_event_id, false).await?;
+        let upstream =
+            attempt::send(cx, replica, task, last_event_id, attempts_left, false).await?;
         let decoder = EventDecoder::new();
         let last_event_at = Instant::now();
         cx.loads.record_activity(replica.hash, last_event_at);
--- a/serving/tests/test_partitioned_nodes.rs
+++ b/serving/tests/test_partitioned_nodes.rs
@@ -166,6 +166,42 @@
     run(cut_count, has_holder, mode).await.check_replicas();
 }
 
+/// No node can pass requests on: they are refused at once, and not passed around.
+#[tokio::test]
+async fn requests_are_held_while_all_nodes_are_partitioned() {
+    let (fleet, links) = start_fleet().await;
+    links.iter().for_each(|links| links.set_mode(LinkMode::Hanging));
+    let warm_up = (0..NODES).map(|node| {
+        let to = fleet.callers(node);
+        tokio::spawn(async move { Call::new(Method::POST, "/draft/x").status(to).await })
+    });
+    for call in warm_up.collect::<Vec<_>>() {
+        call.await.expect("a task that ends");
+    }
+    for node in 0..NODES {
+        let started = Instant::now();
+        let response = Call::new(Method::POST, "/book/x").send(fleet.callers(node)).await;
+        let response = response.expect("a response");
+        assert_eq!(response.status(), 503);
+        assert!(response.headers().contains_key("retry-after"));
+        assert!(started.elapsed() < Duration::from_millis(300), "{:?}", started.elapsed());
+    }
+    let sent: u64 = fleet.nodes.iter().map(|n| n.cx.metrics.sum("requests_relayed_total")).sum();
+    assert!(sent <= 4 * 4 * NODES as u64, "{sent} requests passed on");
+}
+
+/// The port for other nodes takes no request without a ticket that has a valid tag.
+#[tokio::test]
+async fn requests_without_a_ticket_are_not_passed_on() {
+    let mut fleet = Fleet::new(0).await;
+    fleet.add_first_node("orders", 2).await;
+    let call = Call::new(Method::POST, "/book/x");
+    let response = call.send(fleet.nodes[0].cx.settings.peers).await.expect("a response");
+    assert_eq!(response.status(), 503);
+    assert_eq!(response.headers()["guavaladder-relay"], "unavailable");
+    assert_eq!(fleet.fake_platform.arrivals(), []);
+}
+
 /// A member is lost while the node that plans the groups reaches no instance.
 #[rstest]
 #[case::hanging(LinkMode::Hanging)]
--- a/serving/tests/test_placement.rs
+++ b/serving/tests/test_placement.rs
@@ -26,6 +26,7 @@
         data_centre: data_centre.to_string(),
         slots: 26,
         model: Some("large".to_string()),
+        is_node: false,
         members: vec![],
     };
     let state = ReplicaState { remote: running, ..ReplicaState::unknown() };
