directory: nodes that reach no instance are left out

What callers saw: the directory went on sending callers to nodes that were partitioned from all replicas.

A node that reaches no instance tells the others in each heartbeat period, and three times that it does again. The directory leaves such nodes out unless all are, and requests are not passed on to them. A node that is not heard of for 2 s counts as reaching instances again.

--- a/serving/src/directory.rs
+++ b/serving/src/directory.rs
@@ -47,9 +47,18 @@
     let mut entries = cx.nodes.entry_nodes(Instant::now(), cx.heartbeat_period());
     if cx.phase() == NodePhase::Serving {
         let address = cx.settings.callers;
-        entries.push(EntryNode { address, data_centre: cx.settings.data_centre.clone() });
+        let (data_centre, is_cut) = (cx.settings.data_centre.clone(), cx.reach.is_cut());
+        entries.push(EntryNode { address, data_centre, is_cut });
+    }
+    reaching_instances(entries)
+}
+
+/// Returns the nodes that reach instances, or all if none does. The others still pass requests on.
+pub fn reaching_instances(entries: Vec<EntryNode>) -> Vec<EntryNode> {
+    match entries.iter().any(|entry| !entry.is_cut) {
+        true => entries.into_iter().filter(|entry| !entry.is_cut).collect(),
+        false => entries,
     }
-    entries
 }
 
 /// Selects the addresses for a caller in `data_centre`: only those in the same data centre if there
--- a/serving/src/instance_reach.rs
+++ b/serving/src/instance_reach.rs
@@ -88,6 +88,14 @@
         }
     }
 
+    /// Waits until this node reaches instances.
+    pub async fn wait_until_reached(&self) {
+        let mut is_cut = self.is_cut.subscribe();
+        if is_cut.wait_for(|is_cut| !is_cut).await.is_err() {
+            std::future::pending::<()>().await;
+        }
+    }
+
     /// Records that a connection to an instance was established.
     pub fn record_connected(&self) {
         self.lock().connected_at = Some(Instant::now());
--- a/serving/src/node_table.rs
+++ b/serving/src/node_table.rs
@@ -1,5 +1,6 @@
 //! Table of the other nodes: which are registered in the store, and the last heartbeat of each.
 
+use crate::peer_codec::ReachNews;
 use crate::rate_limited_log::RateLimitedLog;
 use guavaladder_lib::generated::events::Event;
 use guavaladder_lib::generated::serving_peer::NodeBeat;
@@ -25,6 +26,8 @@
 const CUT_OFF_AFTER: Duration = Duration::from_millis(2000);
 /// A node may be cut off if one in this many registered nodes is silent.
 const CUT_OFF_DIVISOR: usize = 10;
+/// Time for which a node that reached no instance is taken to reach none.
+const CUT_TTL: Duration = Duration::from_secs(2);
 /// Time without a heartbeat after which a registered node no longer shares the rates of instances.
 const SHARES_FOR: Duration = Duration::from_secs(3);
 /// Time without a heartbeat after which a node that is not registered is removed from the table.
@@ -41,11 +44,18 @@
     pub last_heartbeat: Option<(Instant, NodeBeat)>,
     /// Whether it is registered in the store.
     pub is_registered: bool,
+    /// Time until which it is taken to reach no instance.
+    cut_until: Option<Instant>,
     /// Whether its silence is already in the log.
     is_silence_logged: bool,
 }
 
 impl PeerNode {
+    /// Returns whether it reaches no instance, as it last told.
+    fn is_cut(&self, now: Instant) -> bool {
+        self.cut_until.is_some_and(|until| until > now)
+    }
+
     /// Returns the last heartbeat unless it is older than `max_age`.
     pub fn recent_heartbeat(&self, now: Instant, max_age: Duration) -> Option<&NodeBeat> {
         self.last_heartbeat
@@ -84,9 +94,11 @@
     pub address: SocketAddr,
     /// Data centre of the node.
     pub data_centre: String,
+    /// Whether it reaches no instance, and passes requests on.
+    pub is_cut: bool,
 }
 
-/// Node that serves callers and is not silent.
+/// Node that serves callers, reaches instances and is not silent.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct LiveNode {
     /// Id of the node.
@@ -121,6 +133,7 @@
                 address: *address,
                 last_heartbeat: None,
                 is_registered: true,
+                cut_until: None,
                 is_silence_logged: false,
             });
             peer.is_registered = true;
@@ -141,6 +154,7 @@
             address: from,
             last_heartbeat: None,
             is_registered: false,
+            cut_until: None,
             is_silence_logged: false,
         });
         let last = peer.last_heartbeat.as_ref().map(|(_, last)| (last.incarnation, last.sequence));
@@ -158,6 +172,13 @@
         true
     }
 
+    /// Records whether a known node reaches instances.
+    pub fn record_reach(&self, news: &ReachNews, now: Instant) {
+        if let Some(peer) = self.lock().get_mut(&news.node) {
+            peer.cut_until = news.is_cut.then_some(now + CUT_TTL);
+        }
+    }
+
     /// Returns the addresses of all other nodes that are known.
     pub fn addresses(&self) -> Vec<IpAddr> {
         self.lock().values().map(|peer| peer.address).collect()
@@ -201,22 +222,24 @@
     pub fn entry_nodes(&self, now: Instant, period: Duration) -> Vec<EntryNode> {
         let max_age = silent_after(period);
         let nodes = self.lock();
-        let heartbeats = nodes.values().filter_map(|peer| peer.recent_heartbeat(now, max_age));
-        let serving = heartbeats.filter(|heartbeat| heartbeat.phase == NodePhase::Serving);
-        let entry = |heartbeat: &NodeBeat| {
+        let entry = |peer: &PeerNode| {
+            let heartbeat = peer.recent_heartbeat(now, max_age)?;
             let address = heartbeat.caller_address.parse().ok()?;
-            Some(EntryNode { address, data_centre: heartbeat.data_centre.clone() })
+            let (data_centre, is_cut) = (heartbeat.data_centre.clone(), peer.is_cut(now));
+            let is_serving = heartbeat.phase == NodePhase::Serving;
+            is_serving.then_some(EntryNode { address, data_centre, is_cut })
         };
-        serving.filter_map(entry).collect()
+        nodes.values().filter_map(entry).collect()
     }
 
-    /// Returns the other nodes that serve callers and are not silent, with the addresses for messages.
+    /// Returns the other nodes that serve callers, reach instances and are not silent, with the addresses for
+    /// messages.
     pub fn serving(&self, now: Instant, period: Duration) -> Vec<LiveNode> {
         let max_age = silent_after(period);
         let nodes = self.lock();
         let live = nodes.values().filter_map(|peer| {
             let heartbeat = peer.recent_heartbeat(now, max_age)?;
-            let is_serving = heartbeat.phase == NodePhase::Serving;
+            let is_serving = heartbeat.phase == NodePhase::Serving && !peer.is_cut(now);
             is_serving.then(|| LiveNode {
                 node: peer.node.clone(),
                 address: peer.address,
--- a/serving/src/peer_codec.rs
+++ b/serving/src/peer_codec.rs
@@ -27,6 +27,17 @@
     Crashes(CrashMessage),
     /// Rates that instances name.
     Rates(Vec<RateNews>),
+    /// Whether the sender reaches instances.
+    Reach(ReachNews),
+}
+
+/// Whether a node reaches instances. Sent in each heartbeat period while it does not, and for a while after.
+#[common_derives(Eq)]
+pub struct ReachNews {
+    /// Id of the sending node.
+    pub node: String,
+    /// Whether it reaches no instance.
+    pub is_cut: bool,
 }
 
 /// Errors of encoding or decoding a message.
--- a/serving/src/peer_exchange.rs
+++ b/serving/src/peer_exchange.rs
@@ -13,6 +13,7 @@
 use crate::peer_codec;
 use crate::peer_codec::PeerKey;
 use crate::peer_codec::PeerMessage;
+use crate::peer_codec::ReachNews;
 use crate::rate_limit_sync;
 use crate::replica_health;
 use crate::serving_cx::ServingCx;
@@ -31,6 +32,9 @@
 use tokio::time::Instant;
 use tokio::time::sleep;
 
+/// Number of times that the other nodes are told that this one reaches instances again.
+const REACHED_REPEATS: usize = 3;
+
 /// Sends and receives the messages of this node.
 #[derive(Debug, Clone)]
 pub struct PeerExchange {
@@ -69,6 +73,28 @@
         }
     }
 
+    /// Tells the other nodes that this one reaches no instance, until the task is cancelled.
+    pub async fn reach_loop(self) {
+        let cx = self.heartbeats.cx.clone();
+        let node = cx.node().to_string();
+        loop {
+            cx.reach.wait_until_cut().await;
+            while cx.reach.is_cut() {
+                let news = ReachNews { node: node.clone(), is_cut: true };
+                self.send(PeerMessage::Reach(news)).await;
+                tokio::select! {
+                    () = sleep(cx.heartbeat_period()) => {}
+                    () = cx.reach.wait_until_reached() => {}
+                }
+            }
+            for _ in 0..REACHED_REPEATS {
+                let news = ReachNews { node: node.clone(), is_cut: cx.reach.is_cut() };
+                self.send(PeerMessage::Reach(news)).await;
+                sleep(cx.heartbeat_period()).await;
+            }
+        }
+    }
+
     /// Sends a heartbeat to each other node.
     pub async fn send_heartbeat(&self) {
         self.send(PeerMessage::Beat(self.heartbeats.next_heartbeat())).await;
@@ -142,6 +168,9 @@
                     Ok(PeerMessage::Rates(news)) => {
                         rate_limit_sync::apply(&self.heartbeats.cx, &news, &from.ip().to_string());
                     }
+                    Ok(PeerMessage::Reach(news)) => {
+                        self.heartbeats.cx.nodes.record_reach(&news, Instant::now());
+                    }
                     Err(e) => log::debug!("rejected a message from {from}: {e}"),
                 },
                 // An earlier datagram that this node sent reached a closed port.
--- a/serving/tests/test_partitioned_nodes.rs
+++ b/serving/tests/test_partitioned_nodes.rs
@@ -202,6 +202,35 @@
     assert_eq!(fleet.fake_platform.arrivals(), []);
 }
 
+/// Returns the number of addresses that a node's directory returns.
+async fn resolve(fleet: &Fleet, node: usize) -> usize {
+    let to = fleet.nodes[node].cx.settings.directory;
+    let path = "/-/resolve?name=a.example&region=r&zone=east";
+    let response = Call::new(Method::GET, path).send(to).await.expect("a response");
+    let body: serde_json::Value = serde_json::from_slice(response.body()).expect("JSON");
+    body["addresses"].as_array().map_or(0, Vec::len)
+}
+
+/// The other nodes reach the instances without a detour.
+#[tokio::test]
+async fn callers_are_sent_to_nodes_that_are_partitioned() {
+    let (fleet, links) = start_fleet().await;
+    assert_eq!(resolve(&fleet, 0).await, NODES);
+    for cut in [0, 1] {
+        links[cut].set_mode(LinkMode::Reset);
+        Call::new(Method::POST, "/book/x").status(fleet.callers(cut)).await;
+    }
+    sleep(Duration::from_millis(500)).await;
+    for node in 0..NODES {
+        assert_eq!(resolve(&fleet, node).await, NODES - 2, "at node {node}");
+    }
+    links.iter().for_each(|links| links.set_mode(LinkMode::Up));
+    sleep(Duration::from_millis(700)).await;
+    for node in 0..NODES {
+        assert_eq!(resolve(&fleet, node).await, NODES, "at node {node}");
+    }
+}
+
 /// A member is lost while the node that plans the groups reaches no instance.
 #[rstest]
 #[case::hanging(LinkMode::Hanging)]
