peer_exchange: requests that hang at a cut node are not told as load

Cause: a request that hangs on a broken link counts as running at its replica until its deadline, in the heartbeats too. The replica has ended it, or runs it for a moment more, and the others leave its slots to it.

A node that reaches no instance tells the load of those replicas only of which an event has arrived in the last 500 ms: connections that live on while new ones are refused.

test_partitioned_nodes::hanging_requests_of_a_cut_node_keep_the_others_from_a_replica failed before (503 at the other node, its only replica idle) and passes.

--- a/serving/src/load_table.rs
+++ b/serving/src/load_table.rs
@@ -276,10 +276,14 @@
         inner.entries.entry(hash).or_insert_with(Entry::new).down.subscribe()
     }
 
-    /// Returns the number of this node's requests at each replica that has any.
-    pub fn own_loads(&self) -> Vec<(u64, u32)> {
+    /// Returns the number of this node's requests at each replica that has any, and of which an event has
+    /// arrived since `active_since`, if given.
+    pub fn own_loads(&self, active_since: Option<Instant>) -> Vec<(u64, u32)> {
         let inner = self.lock();
-        let busy = inner.entries.iter().filter(|(_, entry)| entry.own > 0);
+        let is_active = |entry: &Entry| {
+            active_since.is_none_or(|since| entry.last_event.is_some_and(|at| at >= since))
+        };
+        let busy = inner.entries.iter().filter(|(_, entry)| entry.own > 0 && is_active(entry));
         busy.map(|(hash, entry)| (*hash, entry.own)).collect()
     }
 
--- a/serving/src/peer_exchange.rs
+++ b/serving/src/peer_exchange.rs
@@ -27,11 +27,14 @@
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 use tokio::time::sleep;
 
+/// Time since the last event for which a replica counts as used by a node that reaches no instance.
+const ACTIVE_AGE: Duration = Duration::from_millis(500);
 /// Number of times that the other nodes are told that this one reaches instances again.
 const REACHED_REPEATS: usize = 3;
 
@@ -194,7 +197,9 @@
     pub fn next_heartbeat(&self) -> NodeBeat {
         let now = Instant::now();
         let cx = &self.cx;
-        let replica_loads = cx.loads.own_loads().into_iter();
+        // Requests that hang on broken links would keep the others from replicas that don't run them.
+        let active_since = cx.reach.is_cut().then(|| now.checked_sub(ACTIVE_AGE)).flatten();
+        let replica_loads = cx.loads.own_loads(active_since).into_iter();
         let loads =
             replica_loads.map(|(replica, running)| ReplicaUse { replica, running }).collect();
         let (lease_revision, lease_age) = cx.lease.renewal().unwrap_or_default();
--- a/serving/tests/test_partitioned_nodes.rs
+++ b/serving/tests/test_partitioned_nodes.rs
@@ -2,9 +2,11 @@
 //! nodes still reach them.
 
 use crate::fleet::Fleet;
+use crate::fleet::start_streams;
 use guavaladder_platform_testutils::Call;
 use guavaladder_platform_testutils::LinkMode;
 use guavaladder_platform_testutils::NodeLinks;
+use guavaladder_platform_testutils::config;
 use http::Method;
 use rstest::rstest;
 use std::collections::BTreeMap;
@@ -202,6 +204,31 @@
     assert_eq!(fleet.fake_platform.arrivals(), []);
 }
 
+/// Streams that can't be resumed hang at a cut node until their deadline, while the replica has ended them.
+#[tokio::test]
+async fn hanging_requests_of_a_cut_node_keep_the_others_from_a_replica() {
+    let mut fleet = Fleet::new(2).await;
+    let mut changed = config(6);
+    changed["routes"][0]["resumable"] = false.into();
+    fleet.store.put("config", "main", changed);
+    let links = fleet.add_linked_node().await;
+    fleet.add_node().await;
+    for node in 0..2 {
+        fleet.wait_for_replicas(node, "drafting", 1).await;
+    }
+    // As many as the group takes.
+    let hanging = start_streams(fleet.callers(0), 9);
+    sleep(Duration::from_millis(100)).await;
+    links.set_mode(LinkMode::Hanging);
+    Call::new(Method::POST, "/book/x").status(fleet.callers(0)).await;
+    sleep(Duration::from_millis(500)).await;
+    assert_eq!(fleet.fake_platform.running_streams(), 0);
+    for _ in 0..5 {
+        assert_eq!(Call::new(Method::POST, "/draft/x").status(fleet.callers(1)).await, 200);
+    }
+    drop(hanging);
+}
+
 /// Returns the number of addresses that a node's directory returns.
 async fn resolve(fleet: &Fleet, node: usize) -> usize {
     let to = fleet.nodes[node].cx.settings.directory;
