replica_health: a replica that another node reports is asked before it is marked

Cause: a report that a replica is down was applied as it came. A node that is cut from some instances only reaches others, so that its own links seem to work, and its report is wrong for everyone else.

A node that gets a report asks the member that is missed. It marks the replica if the member does not respond within 25 ms, is in another group, or has ended, and removes the mark if the member responds after that. A node that reaches no instance ignores reports. Cost: one report for each node and lost member; streams of a dark member leave 25 ms later.

test_partitioned_nodes::replica_is_lost_to_all_nodes_since_one_does_not_reach_it failed in 2 of 2 cases before and passes.

--- a/serving/src/replica_health.rs
+++ b/serving/src/replica_health.rs
@@ -32,6 +32,7 @@
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 use tokio::time::sleep;
+use tokio::time::timeout;
 
 /// Interval at which the replicas that run requests are checked.
 const REVIEW_PERIOD: Duration = Duration::from_millis(40);
@@ -43,6 +44,8 @@
 const FIRST_EVENT_SILENCE: Duration = Duration::from_millis(320);
 /// Time for which a replica is not suspected again after its members proved to be healthy.
 const SUSPICION_COOLDOWN: Duration = Duration::from_millis(500);
+/// Time that a member gets to respond before a replica is marked as down that another node reported.
+const VERIFICATION_TIME: Duration = Duration::from_millis(25);
 /// Delay after a check of a replica that is marked as down until it may be checked again.
 const RECHECK_DELAY: Duration = Duration::from_millis(150);
 /// Timeout for a member's report; a healthy instance responds within one or two milliseconds.
@@ -245,13 +248,47 @@
 }
 
 /// Marks a replica as down that another node found to be down, unless streams of this node make progress
-/// there.
+/// there, or the member that the other node misses serves by its own report to this one.
 pub fn mark_reported_down(cx: &ServingCx, replica: &Arc<Replica>, member: &str, node: &str) {
     let now = Instant::now();
-    let last_event = cx.loads.state(replica, now).last_event;
-    if last_event.is_none_or(|at| now - at >= MIN_SILENCE) {
-        mark_replica_down(cx, replica, member, &format!("reported by {node}"), "peer");
+    let state = cx.loads.state(replica, now);
+    let is_progressing = state.last_event.is_some_and(|at| now - at < MIN_SILENCE);
+    if state.is_down || is_progressing || cx.reach.is_cut() {
+        return;
+    }
+    if !cx.suspects.begin(replica.hash, now) {
+        return;
     }
+    let (cx, replica, member) = (cx.clone(), replica.clone(), member.to_string());
+    let reason = format!("reported by {node}");
+    tokio::spawn(async move {
+        let serves = {
+            let serves = member_serves(&cx, &replica, &member);
+            let mut serves = std::pin::pin!(serves);
+            match timeout(VERIFICATION_TIME, &mut serves).await {
+                Ok(serves) => serves,
+                Err(_) => {
+                    mark_replica_down(&cx, &replica, &member, &reason, "peer");
+                    serves.await
+                }
+            }
+        };
+        match serves {
+            true => record_return(&cx, &replica),
+            false => drop(mark_replica_down(&cx, &replica, &member, &reason, "peer")),
+        }
+        cx.suspects.end(replica.hash, !serves);
+    });
+}
+
+/// Returns whether a member of a replica responds to this node and serves in the group.
+async fn member_serves(cx: &ServingCx, replica: &Replica, member: &str) -> bool {
+    let mut members = replica.members.iter().enumerate();
+    let Some((rank, (id, address))) = members.find(|(_, (id, _))| id == member) else {
+        return false;
+    };
+    let (_, report) = query_member(cx, id, *address, "reported").await;
+    report.is_ok_and(|report| membership_mismatch(replica, rank, &report).is_none())
 }
 
 /// Asks the members of a replica that is marked as down again, and removes the mark if all of them serve.
--- a/serving/tests/test_partitioned_nodes.rs
+++ b/serving/tests/test_partitioned_nodes.rs
@@ -204,6 +204,33 @@
     assert_eq!(fleet.fake_platform.arrivals(), []);
 }
 
+/// One node is cut from one group alone, so that its links work as far as it can tell.
+#[rstest]
+#[case::hanging(LinkMode::Hanging)]
+#[case::reset(LinkMode::Reset)]
+#[tokio::test]
+async fn replica_is_lost_to_all_nodes_since_one_does_not_reach_it(#[case] mode: LinkMode) {
+    let (fleet, links) = start_fleet().await;
+    let groups = fleet.fake_platform.open_groups();
+    let cut = (holder(&fleet) + 1) % NODES;
+    for member in &groups[0] {
+        let address = fleet.fake_platform.address(member).expect("a member");
+        links[cut].set_mode_to(address, mode);
+    }
+    for streams in (0..3).map(|_| start_streams(fleet.callers(cut), 2 * GROUPS)) {
+        for stream in streams {
+            stream.await.expect("a task that ends").expect("a response");
+        }
+    }
+    assert!(fleet.nodes[cut].cx.metrics.sum("replicas_down_total") > 0, "the cut node notices");
+    sleep(Duration::from_secs(2)).await;
+    for node in (0..NODES).filter(|node| *node != cut) {
+        let down = fleet.nodes[node].cx.metrics.sum("replicas_down_total");
+        assert_eq!(down, 0, "replicas were marked as down at node {node}");
+    }
+    assert_eq!(fleet.fake_platform.open_groups(), groups);
+}
+
 /// Streams that can't be resumed hang at a cut node until their deadline, while the replica has ended them.
 #[tokio::test]
 async fn hanging_requests_of_a_cut_node_keep_the_others_from_a_replica() {
