serving-soak: daemons that are partitioned from all instances

The soak cuts the links of one, several or seldom all daemons to the instances, among planned work as well as among all faults; connections hang, are reset, or live on while new ones are refused. It checks that undisturbed daemons that are cut serve at least two thirds of what the others do, or fail in no more than 10 + 1 in 50 requests.

--- a/bench/src/serving_soak.rs
+++ b/bench/src/serving_soak.rs
@@ -7,7 +7,8 @@
 //! an undisturbed daemon sends on requests that crash replicas as a whole or by a part of their prompt, if
 //! sound requests suffer from them, if a service gets more retries than its budget, if an
 //! instance gets more requests than the rate that it names allows, if requests are left
-//! unanswered beside planned work, or if a kind of request gets no response during the recovery at the end.
+//! unanswered beside planned work, if requests at daemons that are partitioned from all instances are served far
+//! worse than others, or if a kind of request gets no response during the recovery at the end.
 
 use crate::daemon_process;
 use crate::serving_soak_callers::Caller;
@@ -32,6 +33,8 @@
 use guavaladder_platform_testutils::Arrival;
 use guavaladder_platform_testutils::FakePlatform;
 use guavaladder_platform_testutils::FakeStore;
+use guavaladder_platform_testutils::LinkMode;
+use guavaladder_platform_testutils::NodeLinks;
 use guavaladder_platform_testutils::spawn_instance;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -42,6 +45,7 @@
 use std::process::ExitCode;
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::sync::watch;
 use tokio::time::Instant;
 use tokio::time::sleep;
 
@@ -66,6 +70,9 @@
 pub const PLAIN_INSTANCES: usize = 3;
 /// Slacks of the retry budgets of the services, by seed.
 const RETRY_SLACKS: [usize; 3] = [200, 100, 50];
+/// Largest number of daemons whose links to the instances can be cut. In a larger fleet, daemons tell each other
+/// the addresses of instances, which differ between daemons with such links.
+const MAX_LINKED_NODES: usize = 12;
 /// Every how many seeds requests come that crash replicas by a part of their prompt.
 const PART_SEEDS: u64 = 3;
 
@@ -119,13 +126,24 @@
     };
     let configuration = Configuration::new(store.clone(), log.clone());
     let fake_platform = start_instances(plan.seed, store.clone()).await;
-    let (proxy, proxy_address) = start_proxy(store.address).await?;
+    let proxy = watch::channel(ProxyMode::Forward).0;
+    let (mut links, mut stores) = (vec![], vec![]);
+    for _ in 0..plan.nodes {
+        let address = match usize::from(plan.nodes) <= MAX_LINKED_NODES {
+            true => {
+                links.push(NodeLinks::new());
+                store.serve_with_links(&links[links.len() - 1]).await
+            }
+            false => store.address,
+        };
+        stores.push(start_proxy(address, proxy.subscribe()).await?);
+    }
     let directory = daemon_process::RunDirectory::new("serving-soak")?;
     let node_plan = NodePlan {
         program: plan.daemon.clone().map_or_else(daemon_process::daemon_program, Ok)?,
         directory: directory.path().to_path_buf(),
         logs: plan.logs.clone(),
-        store: proxy_address,
+        stores,
         retry_slack: RETRY_SLACKS[(plan.seed % RETRY_SLACKS.len() as u64) as usize],
     };
     let mut nodes = vec![];
@@ -155,6 +173,7 @@
         fake_platform: fake_platform.clone(),
         proxy: proxy.clone(),
         nodes: nodes.clone(),
+        links: links.clone(),
         addresses,
         recorder: recorder.clone(),
         disturbances: disturbances.clone(),
@@ -168,6 +187,7 @@
     };
     faults.inject_until(start + plan.length.saturating_sub(RECOVERY)).await?;
     proxy.send_replace(ProxyMode::Forward);
+    links.iter().for_each(|links| links.set_mode(LinkMode::Up));
     for caller in callers {
         caller.await.context("a caller task failed")?;
     }
--- a/bench/src/serving_soak_nodes.rs
+++ b/bench/src/serving_soak_nodes.rs
@@ -37,6 +37,8 @@
     Stop,
     /// The daemon got SIGHUP.
     HangUp,
+    /// The daemon's links to all instances were cut; callers, the store and the other daemons reach it.
+    Partition,
     /// Anything that is not planned.
     Unplanned,
 }
@@ -51,12 +53,13 @@
 #[derive(Debug, Clone)]
 pub struct Disturbance {
     /// Number of the daemon; `None` for the store.
-    node: Option<usize>,
+    pub node: Option<usize>,
     /// What disturbed it.
     pub cause: Cause,
     /// When it began.
     pub from: Instant,
-    until: Option<Instant>,
+    /// When it ended.
+    pub until: Option<Instant>,
 }
 
 impl Disturbances {
@@ -73,9 +76,16 @@
         periods[number].until = Some(Instant::now());
     }
 
-    /// Returns whether neither the daemon nor the store was disturbed between two moments.
+    /// Returns whether neither the daemon nor the store was disturbed between two moments. A daemon that is
+    /// partitioned from the instances counts as undisturbed.
     pub fn are_absent(&self, node: usize, from: Instant, until: Instant) -> bool {
-        self.between(node, from, until).is_empty()
+        self.between(node, from, until).iter().all(|d| d.cause == Cause::Partition)
+    }
+
+    /// Returns the partitions of daemons from the instances.
+    pub fn partitions(&self) -> Vec<Disturbance> {
+        let periods = self.periods.lock().expect("the lock is not poisoned");
+        periods.iter().filter(|d| d.cause == Cause::Partition).cloned().collect()
     }
 
     /// Returns the disturbances of a daemon and of the store that overlap with a period.
@@ -101,8 +111,8 @@
     pub directory: PathBuf,
     /// Directory of the logs, if they are kept.
     pub logs: Option<PathBuf>,
-    /// Address of the store.
-    pub store: SocketAddr,
+    /// Address of the store for each daemon.
+    pub stores: Vec<SocketAddr>,
     /// Slack of the retry budgets.
     pub retry_slack: usize,
 }
@@ -129,7 +139,7 @@
         let caller_address = free_address(host).await?;
         let settings = json!({
             "node": format!("n{number}"), "data_centre": "east", "peer_port": PEER_PORT,
-            "store": plan.store.to_string(),
+            "store": plan.stores[usize::from(number)].to_string(),
             "listen": {
                 "callers": caller_address.to_string(),
                 "readiness": free_address(host).await?.to_string(),
@@ -194,9 +204,11 @@
     Stalled,
 }
 
-/// Starts a proxy for connections to the store and returns the sender of its mode and its address.
-pub async fn start_proxy(store: SocketAddr) -> Result<(watch::Sender<ProxyMode>, SocketAddr)> {
-    let (mode, modes) = watch::channel(ProxyMode::Forward);
+/// Starts a proxy for connections to the store and returns its address.
+pub async fn start_proxy(
+    store: SocketAddr,
+    modes: watch::Receiver<ProxyMode>,
+) -> Result<SocketAddr> {
     let listener = TcpListener::bind("127.0.0.1:0").await?;
     let address = listener.local_addr()?;
     tokio::spawn(async move {
@@ -204,7 +216,7 @@
             tokio::spawn(forward(client, store, modes.clone()));
         }
     });
-    Ok((mode, address))
+    Ok(address)
 }
 
 /// Forwards the bytes of a connection while the proxy is not stalled.
--- a/bench/src/serving_soak_oracle.rs
+++ b/bench/src/serving_soak_oracle.rs
@@ -27,6 +27,9 @@
 const MAX_LATER_ARRIVALS: usize = 3;
 /// Minimum number of sound requests of which a share is taken, according to the platform's rules.
 const MIN_SOUND: usize = 20;
+/// Maximum number of requests that fail at partitioned daemons, besides one in 50, according to the platform's
+/// rules.
+const MAX_FAILED_AT_CUT: usize = 10;
 /// Window of the retry budget.
 const BUDGET_WINDOW: Duration = Duration::from_secs(10);
 /// Retries that are allowed per request.
@@ -81,6 +84,7 @@
     let mut found: Vec<String> = evidence.violations.iter().map(|v| format!("{v:?}")).collect();
     found.extend(serving_soak_cuts::check(evidence));
     found.extend(check_rate_limits(evidence));
+    found.extend(check_partitions(evidence));
     found.extend(check_retry_budgets(evidence));
     found.extend(check_crashing_requests(evidence));
     for part in crashing_parts(evidence) {
@@ -135,6 +139,54 @@
     found
 }
 
+/// Requests at undisturbed daemons that are partitioned from all instances must be served like those at the
+/// others at the same time, according to the platform's rules.
+fn check_partitions(evidence: &Evidence) -> Vec<String> {
+    let partitions = evidence.disturbances.partitions();
+    let is_cut = |node: usize, at: Instant| {
+        partitions.iter().any(|d| {
+            let is_over = d.until.is_some_and(|until| until <= at);
+            d.node == Some(node) && d.from + STABLE_WINDOW <= at && !is_over
+        })
+    };
+    let is_partitioned = |at: Instant| {
+        partitions
+            .iter()
+            .any(|d| d.from + STABLE_WINDOW <= at && d.until.is_none_or(|until| until > at))
+    };
+    let (mut cut, mut others) = (Shares::default(), Shares::default());
+    for request in &evidence.requests {
+        let at = request.sent;
+        let counts = request.purpose.is_harmless() && is_partitioned(at);
+        if !counts || !evidence.is_in_touch(request, request.ended) {
+            continue;
+        }
+        let shares = if is_cut(request.node, at) { &mut cut } else { &mut others };
+        shares.sent += 1;
+        shares.served += usize::from(request.outcome == Outcome::Answered);
+    }
+    // A share of less than two thirds: cut / all cut < others / all others * 2 / 3.
+    let is_worse = 3 * cut.served * others.sent < 2 * others.served * cut.sent;
+    let failed = cut.sent - cut.served;
+    let is_many = failed > MAX_FAILED_AT_CUT + cut.sent / 50;
+    (is_worse && is_many)
+        .then(|| {
+            format!(
+                "RECOVER: partitioned daemons served {} of {}, the others {} of {}",
+                cut.served, cut.sent, others.served, others.sent
+            )
+        })
+        .into_iter()
+        .collect()
+}
+
+/// Requests that were sent and served.
+#[derive(Debug, Default)]
+struct Shares {
+    sent: usize,
+    served: usize,
+}
+
 /// In any window, a service must not get more arrivals beyond the first of each request than its budget.
 fn check_retry_budgets(evidence: &Evidence) -> Vec<String> {
     let mut services: Vec<&str> = KINDS.iter().map(|(_, _, service)| *service).collect();
