silent_upstreams: an unreachable upstream has ended only if another one responds

That nothing listens at an address, or responds for ten seconds, counts only while one of three other upstreams responds to the node, or none is known.

--- a/lib/src/silent_upstreams.rs
+++ b/lib/src/silent_upstreams.rs
@@ -1,6 +1,7 @@
 //! Upstreams that interrupted a request and do not respond to a probe. They may have crashed, or go on a
 //! second later, so the requests that were running there count as running at a crash only once the crash
-//! is known: nothing listens at the address, or the engine has lost its group.
+//! is known: nothing listens at the address, or the engine has lost its group. That nothing listens, or
+//! responds for long, counts only while this node reaches another upstream: otherwise its own links are broken.
 
 use crate::engine::UpstreamError;
 use crate::generated::events::Event;
@@ -8,11 +9,13 @@
 use crate::replica::Replica;
 use crate::request::Request;
 use crate::request_path::RequestPath;
+use rand::seq::IteratorRandom;
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
 use std::time::Duration;
+use tokio::task::JoinSet;
 use tokio::time::Instant;
 use tokio::time::sleep;
 use tokio::time::timeout;
@@ -21,6 +24,9 @@
 const PROBE_PERIOD: Duration = Duration::from_millis(500);
 /// Silence after which an upstream counts as crashed.
 const MAX_SILENCE: Duration = Duration::from_secs(10);
+/// Number of other upstreams that an unreachable one is compared with, and the time that they get to respond.
+const COMPARED: usize = 3;
+const COMPARISON_TIMEOUT: Duration = Duration::from_millis(200);
 /// Maximum number of requests that wait for the result of a check.
 const MAX_REQUESTS: usize = 4096;
 
@@ -112,11 +118,45 @@
     };
     match timeout(bound, probing).await {
         Ok(Ok(true)) => Liveness::Serving,
-        Ok(Ok(false) | Err(UpstreamError::Unreachable { .. })) => Liveness::Ended,
+        Ok(Ok(false)) => Liveness::Ended,
+        Ok(Err(UpstreamError::Unreachable { .. })) => match reaches_another(path, replica).await {
+            true => Liveness::Ended,
+            false => Liveness::Silent,
+        },
         Ok(Err(_)) | Err(_) => Liveness::Silent,
     }
 }
 
+/// Returns whether one of a few other upstreams responds to this node, or there is none to compare with.
+async fn reaches_another(path: &RequestPath, suspect: &Replica) -> bool {
+    let services = path.routes().services().into_iter();
+    let replicas = services.flat_map(|service| path.routes().replicas(&service).to_vec());
+    let others = replicas.filter(|r| r.identity.address != suspect.identity.address);
+    let sampled = others.sample(&mut rand::rng(), COMPARED);
+    let is_alone = sampled.is_empty();
+    let mut probes = JoinSet::new();
+    for replica in sampled {
+        let path = path.clone();
+        probes.spawn(async move {
+            let address = &replica.identity.address;
+            let probing = async {
+                match replica.identity.epoch {
+                    0 => path.plain().takes_work(address).await.map(|_| ()),
+                    _ => path.engine().status(address).await.map(|_| ()),
+                }
+            };
+            let reached = timeout(COMPARISON_TIMEOUT, probing).await;
+            reached.is_ok_and(|reached| !matches!(reached, Err(UpstreamError::Unreachable { .. })))
+        });
+    }
+    while let Some(reached) = probes.join_next().await {
+        if matches!(reached, Ok(true)) {
+            return true;
+        }
+    }
+    is_alone
+}
+
 /// Records a crash under a request, and returns the number of crashes known for it.
 pub fn record_crash(path: &RequestPath, replica: &Replica, running: &RunningRequest) -> usize {
     let RunningRequest { id, fingerprint, prefix } = running;
@@ -165,5 +205,5 @@
             Liveness::Silent => sleep(PROBE_PERIOD).await,
         }
     }
-    true
+    reaches_another(path, replica).await
 }
--- a/lib/tests/test_silent_replicas.rs
+++ b/lib/tests/test_silent_replicas.rs
@@ -171,3 +171,29 @@
     sleep(Duration::from_secs(10)).await;
     assert_eq!(path.suspects().crashes(fingerprint), 0);
 }
+
+/// The links between the node and all upstreams are broken for a while; no replica has ended.
+#[rstest]
+#[case::short(200)]
+#[case::long(4000)]
+#[tokio::test(start_paused = true)]
+async fn harmless_request_counts_as_crashing_since_its_node_was_partitioned(#[case] cut_ms: u64) {
+    let rig = RequestRig::new(1, REPLICAS, 2, EngineOptions::new()).await;
+    let req = drafting("r1", "c0", "inspect length:200", 300);
+    let fingerprint = req.fingerprint;
+    let (fake_instances, path) = (rig.fake_instances.clone(), rig.nodes[0].path.clone());
+    let partition = tokio::spawn(async move {
+        sleep(Duration::from_millis(300)).await;
+        fake_instances.set_partitioned(true);
+        sleep(Duration::from_millis(cut_ms)).await;
+        let crashes = path.suspects().crashes(fingerprint);
+        fake_instances.set_partitioned(false);
+        crashes
+    });
+    // It may fail if the partition lasts, but not as one that crashes replicas.
+    let result = run_with_pauses(&rig, req, 0).await;
+    assert!(!result.clone().is_err_and(|e| e.contains("Poison")), "{result:?}");
+    assert_eq!(partition.await.expect("a task that ends"), 0, "{result:?}");
+    sleep(Duration::from_secs(15)).await;
+    assert_eq!(rig.nodes[0].path.suspects().crashes(fingerprint), 0, "{result:?}");
+}
--- a/lib/testutils/src/fake_instances.rs
+++ b/lib/testutils/src/fake_instances.rs
@@ -50,6 +50,7 @@
             list_log: vec![],
             list_lag: LIST_LAG,
             is_list_unavailable: false,
+            is_partitioned: false,
             oracle: Oracle::default(),
             rng: StdRng::seed_from_u64(FAULT_SEED),
         };
--- a/lib/testutils/src/fake_state.rs
+++ b/lib/testutils/src/fake_state.rs
@@ -36,6 +36,8 @@
     pub(crate) list_log: Vec<(Duration, Vec<InstanceInfo>)>,
     pub(crate) list_lag: Duration,
     pub(crate) is_list_unavailable: bool,
+    /// Whether all connections to instances are reset or refused.
+    pub(crate) is_partitioned: bool,
     pub(crate) oracle: Oracle,
     pub(crate) rng: StdRng,
 }
--- a/lib/testutils/src/fault_injection.rs
+++ b/lib/testutils/src/fault_injection.rs
@@ -88,6 +88,16 @@
         state.record_list(now);
     }
 
+    /// Resets and refuses the connections to all instances while `is_partitioned` is set; the instances go on.
+    pub fn set_partitioned(&self, is_partitioned: bool) {
+        let mut state = self.lock();
+        state.is_partitioned = is_partitioned;
+        for stream in state.streams.values_mut().filter(|_| is_partitioned) {
+            stream.interruption = Some("the connection was reset".to_string());
+            stream.wake.notify_one();
+        }
+    }
+
     /// Makes the instance list refuse reads while `is_unavailable` is set.
     pub fn set_list_unavailable(&self, is_unavailable: bool) {
         self.lock().is_list_unavailable = is_unavailable;
--- a/lib/testutils/src/trait_impls.rs
+++ b/lib/testutils/src/trait_impls.rs
@@ -35,7 +35,7 @@
         loop {
             let wake = {
                 let state = self.lock();
-                match state.instances.get(address) {
+                match state.instances.get(address).filter(|_| !state.is_partitioned) {
                     Some(instance) if instance.is_alive && !instance.is_paused => return Ok(()),
                     Some(instance) if instance.is_alive => instance.wake.clone().notified_owned(),
                     _ => return unreachable_instance(address),
