fleet_view: an instance that says in its answers that it leaves is draining

Cause: only the entry in the store was read.

Server-Leaving is read where all answers are recorded (instance_notices): responses, refusals, errors, reports and answers to orders. The run of the instance counts as draining at once, so that it gets no new requests and the planner takes its group apart gracefully, also for a member that only its reports show. That holds against older lists and newer entries of the same run; another run starts clean.

Other nodes learn by their own answers.

--- a/serving/src/fleet_view.rs
+++ b/serving/src/fleet_view.rs
@@ -15,11 +15,14 @@
 use crate::instance_list_delta::InstanceListDelta;
 use crate::instance_list_delta::ListSyncState;
 use crate::rate_limited_log::RateLimitedLog;
+use crate::rate_limits::RunHash;
+use crate::rate_limits::run_hash;
 use crate::replica_set::Replica;
 use crate::replica_set::ReplicaSet;
 use guavaladder_lib::generated::events::Event;
 use guavaladder_proc_macros::common_derives;
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -39,6 +42,9 @@
 /// off from the store for longer is treated as lost.
 const EXPIRED_MEMBER_RETENTION: Duration = Duration::from_secs(15);
 
+/// Time for which it is remembered that an instance without an entry said that it leaves.
+const LEAVING_RETENTION: Duration = Duration::from_secs(60);
+
 /// Change of one entry of the instance list.
 #[common_derives]
 pub enum EntryChange {
@@ -66,6 +72,8 @@
     changed_at: HashMap<InstanceId, Instant>,
     /// Missing entries that are held after an outage of the store, with the end of the hold.
     held: HashMap<InstanceId, Instant>,
+    /// Runs of instances that said that they leave, with the time at which they first did.
+    leaving: HashMap<RunHash, Instant>,
     /// Members of groups whose entries were removed, with the time of removal.
     expired: HashMap<InstanceId, (Instant, Instance)>,
     config: Option<Arc<FleetConfig>>,
@@ -133,6 +141,21 @@
         });
     }
 
+    /// Treats a run of an instance as draining, whatever its entry says; returns the instance's id if this is
+    /// new.
+    pub fn mark_leaving(&self, run: RunHash) -> Option<InstanceId> {
+        {
+            let mut inner = self.lock();
+            if inner.leaving.contains_key(&run) {
+                return None;
+            }
+            inner.leaving.insert(run, Instant::now());
+        }
+        self.update(|_, _| {});
+        let inner = self.lock();
+        inner.instances.values().find(|i| run_of(i) == run).map(|instance| instance.id.clone())
+    }
+
     /// Drops held entries whose hold has ended, and expired members after `EXPIRED_MEMBER_RETENTION`.
     pub fn expire_held(&self, now: Instant) {
         let is_over = |(since, _): &(Instant, Instance)| now - *since >= EXPIRED_MEMBER_RETENTION;
@@ -274,6 +297,7 @@
     fn update(&self, change: impl FnOnce(&mut Inner, &RateLimitedLog)) {
         let mut inner = self.lock();
         change(&mut inner, &self.log);
+        inner.apply_leaving();
         if let Some(config) = inner.config.clone() {
             let expired = inner.expired.values().map(|(_, instance)| instance);
             let replicas = ReplicaSet::derive(inner.instances.values(), expired, &config);
@@ -290,6 +314,22 @@
 }
 
 impl Inner {
+    /// Marks the instances as draining that said that they leave. An entry may be older than what they said.
+    fn apply_leaving(&mut self) {
+        if self.leaving.is_empty() {
+            return;
+        }
+        let mut registered = HashSet::new();
+        for instance in self.instances.values_mut() {
+            let run = run_of(instance);
+            if self.leaving.contains_key(&run) {
+                instance.is_draining = true;
+                registered.insert(run);
+            }
+        }
+        self.leaving.retain(|run, at| registered.contains(run) || at.elapsed() < LEAVING_RETENTION);
+    }
+
     fn record_status_change(&mut self, before: Option<&Instance>, after: &Instance) {
         if before.is_none_or(|before| before.engine != after.engine) {
             self.changed_at.insert(after.id.clone(), Instant::now());
@@ -297,6 +337,11 @@
     }
 }
 
+/// Returns the hash of the run of an instance.
+fn run_of(instance: &Instance) -> RunHash {
+    run_hash(&instance.id, instance.engine.born_ms)
+}
+
 /// Holds a missing entry until `hold_until`, or removes it if that has passed or is not set.
 fn handle_missing(
     inner: &mut Inner,
--- a/serving/src/instance.rs
+++ b/serving/src/instance.rs
@@ -234,4 +234,6 @@
 pub struct InstanceNotice {
     /// Rate at which it takes requests.
     pub rate: RateNotice,
+    /// Whether it leaves: it takes no new requests.
+    pub is_leaving: bool,
 }
--- a/serving/src/instance_notices.rs
+++ b/serving/src/instance_notices.rs
@@ -6,6 +6,7 @@
 use crate::rate_limits;
 use crate::rate_limits::RunHash;
 use crate::serving_cx::ServingCx;
+use guavaladder_lib::generated::events::Event;
 use http::HeaderMap;
 use http::StatusCode;
 use tokio::time::Instant;
@@ -32,6 +33,11 @@
     if let Some(change) = change {
         rate_limit_sync::log_change(cx, run, change, "answer");
     }
+    if notice.is_leaving
+        && let Some(instance) = cx.fleet.mark_leaving(run)
+    {
+        cx.log.record(Event::InstanceLeaving { instance });
+    }
 }
 
 /// Records what the answer of a registered instance to a call of its own interface states.
--- a/serving/tests/runner.rs
+++ b/serving/tests/runner.rs
@@ -13,6 +13,7 @@
 mod test_group_faults;
 mod test_group_plan;
 mod test_instance_list_delta;
+mod test_instance_notices;
 mod test_lease_state;
 mod test_load_table;
 mod test_node_table;
--- /dev/null
+++ b/serving/tests/test_instance_notices.rs
@@ -0,0 +1,103 @@
+//! End-to-end tests of instances that say in their answers that they leave, or that they need time.
+
+use crate::fleet::Fleet;
+use crate::fleet::eventually;
+use crate::fleet::spec;
+use guavaladder_platform_testutils::Call;
+use guavaladder_platform_testutils::FakePlatform;
+use guavaladder_platform_testutils::spawn_instance;
+use http::Method;
+use rstest::rstest;
+use std::time::Duration;
+use tokio::task::JoinSet;
+use tokio::time::Instant;
+
+/// Number of rounds of requests, and of requests at the same time in each, which reach both replicas.
+const ROUNDS: usize = 4;
+const AT_ONCE: usize = 8;
+const REQUESTS: usize = ROUNDS * AT_ONCE;
+
+/// Sends requests and returns the number of those that were served.
+async fn send_requests(fleet: &Fleet, method: &Method, path: &str) -> usize {
+    let mut served = 0;
+    for _ in 0..ROUNDS {
+        let mut requests = JoinSet::new();
+        for _ in 0..AT_ONCE {
+            let (call, to) = (Call::new(method.clone(), path), fleet.callers(0));
+            requests.spawn(async move { call.status(to).await });
+        }
+        let statuses = requests.join_all().await;
+        served += statuses.into_iter().filter(|status| *status == 200).count();
+    }
+    served
+}
+
+/// Returns the number of requests that arrived at an instance since a moment.
+fn arrivals_since(fake_platform: &FakePlatform, id: &str, since: Instant) -> usize {
+    let arrivals = fake_platform.arrivals();
+    arrivals.iter().filter(|a| a.instance == id && a.at >= since).count()
+}
+
+/// The entry of the instance still shows it as ready.
+#[rstest]
+#[case::plain(Method::POST, "/book/x")]
+#[case::head_of_a_group(Method::POST, "/draft/x")]
+#[tokio::test]
+async fn replica_that_says_that_it_leaves_gets_requests(
+    #[case] method: Method,
+    #[case] path: &str,
+) {
+    let is_stream = path.starts_with("/draft/");
+    let mut fleet = Fleet::new(if is_stream { 4 } else { 0 }).await;
+    fleet.add_first_node(if is_stream { "drafting" } else { "orders" }, 2).await;
+    let platform = fleet.fake_platform.clone();
+    let leaving = match is_stream {
+        true => platform.open_groups()[0][0].clone(),
+        false => "p-00".to_string(),
+    };
+    platform.set_leaving(&leaving);
+    assert_eq!(send_requests(&fleet, &method, path).await, REQUESTS);
+    let since = Instant::now();
+    // A newer entry of the same run changes nothing.
+    platform.register(&leaving);
+    assert_eq!(send_requests(&fleet, &method, path).await, REQUESTS);
+    assert_eq!(arrivals_since(&platform, &leaving, since), 0);
+    assert_eq!(platform.violations(), []);
+}
+
+/// A new run under the same id has not said that it leaves.
+#[tokio::test]
+async fn run_after_the_one_that_left_gets_requests() {
+    let mut fleet = Fleet::new(0).await;
+    fleet.add_first_node("orders", 2).await;
+    fleet.fake_platform.set_leaving("p-00");
+    send_requests(&fleet, &Method::POST, "/book/x").await;
+    fleet.wait_for_replicas(0, "orders", 1).await;
+    spawn_instance(&fleet.fake_platform, spec("p-00", "orders", None)).await;
+    fleet.wait_for_replicas(0, "orders", 2).await;
+    let since = Instant::now();
+    send_requests(&fleet, &Method::POST, "/book/x").await;
+    assert!(arrivals_since(&fleet.fake_platform, "p-00", since) > 0);
+}
+
+/// A member other than the head says so in its reports only.
+#[tokio::test]
+async fn group_of_a_member_that_says_that_it_leaves_serves_on() {
+    let mut fleet = Fleet::new(6).await;
+    fleet.add_first_node("drafting", 3).await;
+    let platform = fleet.fake_platform.clone();
+    let group = platform.open_groups()[0].clone();
+    platform.set_leaving(&group[1]);
+    let cx = &fleet.nodes[0].cx;
+    let address = cx.fleet.instance(&group[1]).expect("a member").address;
+    let report = guavaladder_serving::replica_health::fetch_report(
+        cx,
+        &group[1],
+        address,
+        "test",
+        Duration::from_secs(1),
+    );
+    report.await.expect("a report");
+    eventually(|| !platform.open_groups().contains(&group)).await;
+    assert_eq!(platform.violations(), []);
+}
