instance_deferrals: an instance that asks for time gets no requests for as long

Cause: Retry-After of a replica was not read, and its refusal counted as a failure.

Where all replicas ask for time, or their rates are used up, callers are refused at once with the shortest remaining time. Such a refusal is no failure of the replica.

--- a/serving/src/candidates.rs
+++ b/serving/src/candidates.rs
@@ -7,6 +7,7 @@
 use crate::placement::Occupancy;
 use crate::placement::PlacementInput;
 use crate::placement::Timeliness;
+use crate::rate_limits::RateAllowance;
 use crate::replica_set::Replica;
 use crate::replica_set::ReplicaKey;
 use crate::request_task::RequestTask;
@@ -54,7 +55,10 @@
     let candidate = |replica: &Arc<Replica>| Candidate {
         replica: replica.clone(),
         state: cx.loads.state(replica, now),
-        rate: cx.rate_limits.allowance(replica.run, timeliness == Timeliness::Begun, now),
+        rate: match cx.deferrals.wait(replica.run, now) {
+            Some(wait) => RateAllowance::After(wait),
+            None => cx.rate_limits.allowance(replica.run, timeliness == Timeliness::Begun, now),
+        },
     };
     let of_service = replicas.of_service(&task.service).iter();
     of_service.filter(serves).filter(is_untried).map(candidate).collect()
--- a/serving/src/instance.rs
+++ b/serving/src/instance.rs
@@ -236,4 +236,6 @@
     pub rate: RateNotice,
     /// Whether it leaves: it takes no new requests.
     pub is_leaving: bool,
+    /// Time for which it wants no requests of this node, if it refuses one.
+    pub retry_after: Option<Duration>,
 }
--- a/serving/src/instance_notices.rs
+++ b/serving/src/instance_notices.rs
@@ -2,6 +2,7 @@
 //! reports and answers to orders are all recorded here.
 
 use crate::instance::InstanceNotice;
+use crate::instance_deferrals::MAX_DEFERRAL;
 use crate::rate_limit_sync;
 use crate::rate_limits;
 use crate::rate_limits::RunHash;
@@ -33,6 +34,13 @@
     if let Some(change) = change {
         rate_limit_sync::log_change(cx, run, change, "answer");
     }
+    let asks_for_time = answer.status == StatusCode::SERVICE_UNAVAILABLE;
+    if let Some(time) = notice.retry_after.filter(|_| asks_for_time)
+        && cx.deferrals.record(run, time, Instant::now())
+    {
+        let instance = rate_limit_sync::instance_of(cx, run);
+        cx.log.record(Event::InstanceDeferred { instance, time: time.min(MAX_DEFERRAL) });
+    }
     if notice.is_leaving
         && let Some(instance) = cx.fleet.mark_leaving(run)
     {
--- a/serving/src/lib.rs
+++ b/serving/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod group_plan;
 pub mod group_steps;
 pub mod instance;
+pub mod instance_deferrals;
 pub mod instance_list_delta;
 pub mod instance_list_sync;
 pub mod instance_notices;
--- a/serving/src/plain_forward.rs
+++ b/serving/src/plain_forward.rs
@@ -86,7 +86,11 @@
     fn record_failure(&self, trace: &RequestTrace, replica: &Arc<Replica>, error: &AttemptError) {
         trace.keep_failed_attempt(error);
         self.cx.metrics.send(&self.task.service, error.name());
-        self.cx.loads.record_failure(replica.hash, Instant::now());
+        let now = Instant::now();
+        // An instance that asked for time is avoided for as long, and no longer.
+        if self.cx.deferrals.wait(replica.run, now).is_none() {
+            self.cx.loads.record_failure(replica.hash, now);
+        }
     }
 
     fn record_return(&self, replica: &Arc<Replica>) {
--- a/serving/src/rate_limit_sync.rs
+++ b/serving/src/rate_limit_sync.rs
@@ -4,6 +4,7 @@
 //! changes or ends. Each node tells a few random nodes what it knows; nothing is sent while no instance
 //! names a limit.
 
+use crate::instance::InstanceId;
 use crate::rate_limits;
 use crate::rate_limits::RateChange;
 use crate::rate_limits::RateNews;
@@ -63,12 +64,7 @@
 
 /// Logs a change of the rate of an instance, learned from `source`.
 pub fn log_change(cx: &ServingCx, run: RunHash, change: RateChange, source: &str) {
-    let instances = cx.fleet.instances();
-    let has_run = |id: &&String| {
-        instances.get(*id).is_some_and(|i| rate_limits::run_hash(id, i.engine.born_ms) == run)
-    };
-    let instance = instances.keys().find(has_run).cloned();
-    let instance = instance.unwrap_or_else(|| format!("run {run:016x}"));
+    let instance = instance_of(cx, run);
     let source = source.to_string();
     cx.metrics.rate_limit(if source == "answer" { "own" } else { "learned" });
     cx.log.record(match change {
@@ -82,3 +78,10 @@
         RateChange::Ended { lasted } => Event::RateLimitEnded { instance, lasted, source },
     });
 }
+
+/// Returns the id of the instance with this run, for the log.
+pub fn instance_of(cx: &ServingCx, run: RunHash) -> InstanceId {
+    let instances = cx.fleet.instances().into_values();
+    let mut with_run = instances.filter(|i| rate_limits::run_hash(&i.id, i.engine.born_ms) == run);
+    with_run.next().map_or_else(|| format!("run {run:016x}"), |instance| instance.id)
+}
--- a/serving/src/serving_cx.rs
+++ b/serving/src/serving_cx.rs
@@ -5,6 +5,7 @@
 use crate::down_reports::DownReports;
 use crate::failed_attempts::FailedAttempts;
 use crate::fleet_view::FleetView;
+use crate::instance_deferrals::InstanceDeferrals;
 use crate::instance_reach::InstanceReach;
 use crate::lease_state::LeaseState;
 use crate::listeners::RunningRequests;
@@ -81,6 +82,8 @@
     pub budgets: Arc<RetryBudgets>,
     /// Rates at which instances take requests.
     pub rate_limits: RateLimits,
+    /// Instances that asked this node for time.
+    pub deferrals: InstanceDeferrals,
     /// Requests that ran at a replica while it crashed.
     pub crashes: Arc<CrashRecord>,
     /// Attempts of this node that failed, until it is known whether their replica crashed.
@@ -135,6 +138,7 @@
             nodes: NodeTable::new(&settings.node, log.clone()),
             budgets: Arc::new(RetryBudgets::new(bounds)),
             rate_limits: RateLimits::new(),
+            deferrals: InstanceDeferrals::new(),
             crashes: Arc::new(CrashRecord::new()),
             failed_attempts: FailedAttempts::new(),
             reach: reach.clone(),
--- a/serving/src/stream_forward.rs
+++ b/serving/src/stream_forward.rs
@@ -158,6 +158,7 @@
         AttemptError::NotRun { at_fault: Some(at_fault), .. } => {
             replica_health::suspect(cx, replica, SuspicionCause::Blamed(at_fault.clone()));
         }
+        AttemptError::NotRun { .. } if cx.deferrals.wait(replica.run, now).is_some() => {}
         _ => {
             cx.loads.record_failure(replica.hash, now);
             replica_health::suspect(cx, replica, SuspicionCause::Failed(e.to_string()));
--- a/serving/tests/test_instance_notices.rs
+++ b/serving/tests/test_instance_notices.rs
@@ -5,12 +5,14 @@
 use crate::fleet::spec;
 use guavaladder_platform_testutils::Call;
 use guavaladder_platform_testutils::FakePlatform;
+use guavaladder_platform_testutils::InstanceMode;
 use guavaladder_platform_testutils::spawn_instance;
 use http::Method;
 use rstest::rstest;
 use std::time::Duration;
 use tokio::task::JoinSet;
 use tokio::time::Instant;
+use tokio::time::sleep;
 
 /// Number of rounds of requests, and of requests at the same time in each, which reach both replicas.
 const ROUNDS: usize = 4;
@@ -101,3 +103,69 @@
     eventually(|| !platform.open_groups().contains(&group)).await;
     assert_eq!(platform.violations(), []);
 }
+
+/// The instance refuses requests and asks for two seconds.
+#[tokio::test]
+async fn replica_that_asks_for_time_gets_requests() {
+    let mut fleet = Fleet::new(0).await;
+    fleet.add_first_node("orders", 2).await;
+    let platform = fleet.fake_platform.clone();
+    platform.set_mode("p-00", InstanceMode::Refuses);
+    platform.set_retry_after("p-00", Some("2"));
+    let begin = Instant::now();
+    while arrivals_since(&platform, "p-00", begin) == 0 {
+        send_requests(&fleet, &Method::POST, "/book/x").await;
+    }
+    let refused = Instant::now();
+    while refused.elapsed() < Duration::from_millis(1700) {
+        assert_eq!(send_requests(&fleet, &Method::POST, "/book/x").await, REQUESTS);
+        sleep(Duration::from_millis(20)).await;
+    }
+    assert_eq!(arrivals_since(&platform, "p-00", refused), 0);
+    platform.set_mode("p-00", InstanceMode::Up);
+    sleep(Duration::from_millis(500)).await;
+    let returned = Instant::now();
+    while arrivals_since(&platform, "p-00", returned) == 0 {
+        send_requests(&fleet, &Method::POST, "/book/x").await;
+        assert!(returned.elapsed() < Duration::from_secs(5), "it gets no requests any more");
+    }
+}
+
+/// Callers learn how long it takes.
+#[tokio::test]
+async fn requests_wait_while_all_replicas_ask_for_time() {
+    let mut fleet = Fleet::new(0).await;
+    fleet.add_first_node("orders", 2).await;
+    for id in ["p-00", "p-01"] {
+        fleet.fake_platform.set_mode(id, InstanceMode::Refuses);
+        fleet.fake_platform.set_retry_after(id, Some("0.4"));
+    }
+    Call::new(Method::POST, "/book/x").status(fleet.callers(0)).await;
+    let begin = Instant::now();
+    let response = Call::new(Method::POST, "/book/x").send(fleet.callers(0)).await;
+    let response = response.expect("a response");
+    assert!(begin.elapsed() < Duration::from_millis(100), "{:?}", begin.elapsed());
+    assert_eq!(response.status(), 503);
+    let retry_after = response.headers()["retry-after"].to_str().expect("text");
+    let seconds: f64 = retry_after.parse().expect("a number");
+    assert!((0.2..=0.8).contains(&seconds), "{seconds}");
+    assert_eq!(fleet.fake_platform.arrivals().len(), 2);
+    for id in ["p-00", "p-01"] {
+        fleet.fake_platform.set_retry_after(id, Some("2"));
+    }
+    sleep(Duration::from_millis(400)).await;
+    let begin = Instant::now();
+    send_requests(&fleet, &Method::POST, "/book/x").await;
+    for id in ["p-00", "p-01"] {
+        let arrivals = arrivals_since(&fleet.fake_platform, id, begin);
+        assert!(arrivals <= AT_ONCE, "{arrivals} requests at {id}");
+    }
+    let later = begin + Duration::from_millis(500);
+    while begin.elapsed() < Duration::from_millis(1800) {
+        send_requests(&fleet, &Method::POST, "/book/x").await;
+        sleep(Duration::from_millis(20)).await;
+    }
+    for id in ["p-00", "p-01"] {
+        assert_eq!(arrivals_since(&fleet.fake_platform, id, later), 0, "at {id}");
+    }
+}
