--- a/bench/src/serving_soak.rs
+++ b/bench/src/serving_soak.rs
@@ -214,6 +214,7 @@
         violations: fake_platform.violations(),
         crash_runs: fake_platform.crash_runs(),
         disturbances,
+        nodes: nodes.len(),
         changes: configuration.changes(),
         retry_slack: node_plan.retry_slack,
     };
--- a/bench/src/serving_soak_oracle.rs
+++ b/bench/src/serving_soak_oracle.rs
@@ -6,6 +6,7 @@
 use crate::serving_soak_callers::Purpose;
 use crate::serving_soak_callers::RequestRecord;
 use crate::serving_soak_cuts;
+use crate::serving_soak_nodes::Disturbance;
 use crate::serving_soak_nodes::Disturbances;
 use guavaladder_platform_testutils::Arrival;
 use guavaladder_platform_testutils::ArrivalEnd;
@@ -13,6 +14,7 @@
 use guavaladder_platform_testutils::LimitPeriod;
 use guavaladder_platform_testutils::Violation;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -30,6 +32,8 @@
 /// Maximum number of requests that fail at partitioned daemons, besides one in 50, according to the platform's
 /// rules.
 const MAX_FAILED_AT_CUT: usize = 10;
+/// Time after the end of a partition within which a daemon uses the instances again.
+const RETURN_TIME: Duration = Duration::from_millis(500);
 /// Window of the retry budget.
 const BUDGET_WINDOW: Duration = Duration::from_secs(10);
 /// Retries that are allowed per request.
@@ -56,6 +60,8 @@
     pub executions: BTreeMap<String, usize>,
     /// Disturbances of the daemons and of the store.
     pub disturbances: Disturbances,
+    /// Number of daemons.
+    pub nodes: usize,
     /// Times of the changes of the configuration.
     pub changes: Vec<Instant>,
     /// Slack of the retry budgets.
@@ -73,6 +79,17 @@
         self.disturbances.are_absent(request.node, at - STABLE_WINDOW, at)
     }
 
+    /// Returns whether no daemon reached an instance at some time of a request, so that nothing could serve it.
+    fn is_unservable(&self, request: &RequestRecord) -> bool {
+        let overlaps = |d: &Disturbance| {
+            let is_over = d.until.is_some_and(|until| until + RETURN_TIME < request.sent);
+            d.from <= request.ended && !is_over
+        };
+        let partitions = self.disturbances.partitions();
+        let cut: BTreeSet<_> = partitions.iter().filter(|d| overlaps(d)).map(|d| d.node).collect();
+        cut.len() == self.nodes
+    }
+
     /// Describes a moment.
     pub fn time(&self, at: Instant) -> String {
         format!("{:.3} s", at.saturating_duration_since(self.start).as_secs_f64())
@@ -296,6 +313,7 @@
             request.purpose == Purpose::Sound
                 && is_meant(request)
                 && evidence.is_in_touch(request, request.sent)
+                && !evidence.is_unservable(request)
         });
         let all: Vec<bool> = sound.map(|r| begins_at_once(evidence, r)).collect();
         (all.iter().filter(|begins| **begins).count(), all.len())
