serving_settings: the port for nodes must not be that of a listener

Nodes use the port for messages between them for TCP since they pass requests on. Settings that name the same number for a listener on the same address, which UDP alone allowed, are reported by the check with path, value and hint instead of a failed start.

serving-soak: partitioned daemons are compared at times at which another one was sound.

--- a/bench/src/serving_soak_oracle.rs
+++ b/bench/src/serving_soak_oracle.rs
@@ -90,6 +90,13 @@
         cut.len() == self.nodes
     }
 
+    /// Returns whether some daemon reached the instances and was undisturbed during a request and for long
+    /// enough before: the daemons that are cut off have no other to compare with, and to turn to.
+    fn has_sound_daemon(&self, request: &RequestRecord) -> bool {
+        let (from, until) = (request.sent - STABLE_WINDOW, request.ended);
+        (0..self.nodes).any(|node| self.disturbances.between(node, from, until).is_empty())
+    }
+
     /// Describes a moment.
     pub fn time(&self, at: Instant) -> String {
         format!("{:.3} s", at.saturating_duration_since(self.start).as_secs_f64())
@@ -175,7 +182,10 @@
     for request in &evidence.requests {
         let at = request.sent;
         let counts = request.purpose.is_harmless() && is_partitioned(at);
-        if !counts || !evidence.is_in_touch(request, request.ended) {
+        if !counts
+            || !evidence.has_sound_daemon(request)
+            || !evidence.is_in_touch(request, request.ended)
+        {
             continue;
         }
         let shares = if is_cut(request.node, at) { &mut cut } else { &mut others };
--- a/daemon/tests/process.rs
+++ b/daemon/tests/process.rs
@@ -40,11 +40,11 @@
 
     /// Returns valid settings of a node on the users' platform, with the store at the given address.
     pub fn serving_settings(&self, store: &str) -> Value {
-        let address: SocketAddr = free_address().parse().unwrap();
+        let peers: SocketAddr = free_address().parse().unwrap();
         json!({
-            "node": "entry-1", "data_centre": "east", "peer_port": address.port(), "store": store,
+            "node": "entry-1", "data_centre": "east", "peer_port": peers.port(), "store": store,
             "listen": {
-                "callers": address.to_string(), "readiness": free_address(),
+                "callers": free_address(), "readiness": free_address(),
                 "directory": free_address(),
             },
             "bounds": {"shutdown_s": 2, "retry_slack": 100000},
--- a/serving/src/serving_settings.rs
+++ b/serving/src/serving_settings.rs
@@ -27,7 +27,8 @@
     pub readiness: SocketAddr,
     /// Listen address for resolve queries of callers.
     pub directory: SocketAddr,
-    /// UDP address for messages between nodes; all nodes use the same port.
+    /// UDP address for messages between nodes, and TCP address for requests that they pass on; all nodes use
+    /// the same port.
     pub peers: SocketAddr,
     /// Listen address for metrics; `None` if they are not served.
     pub metrics: Option<SocketAddr>,
@@ -89,6 +90,20 @@
     let readiness = address("/listen/readiness", &settings.listen.readiness);
     let directory = address("/listen/directory", &settings.listen.directory);
     let store = address("/store", &settings.store);
+    for (path, other) in [
+        ("/listen/callers", callers),
+        ("/listen/readiness", readiness),
+        ("/listen/directory", directory),
+    ] {
+        if other.ip() == callers.ip() && other.port() == settings.peer_port {
+            problems.push(Problem::new(
+                "/peer_port",
+                &format!("the port of {path}, {other}"),
+                "a port that no address under /listen has",
+                "nodes use it for TCP, too",
+            ));
+        }
+    }
     if !problems.is_empty() {
         return Err(problems);
     }
--- a/serving/tests/test_serving_settings.rs
+++ b/serving/tests/test_serving_settings.rs
@@ -32,6 +32,7 @@
 #[case::out_of_range("/peer_port", json!(70000), "/peer_port: found 70000")]
 #[case::no_address("/listen/callers", json!("localhost:1"), "/listen/callers: found \"localhost:1\"")]
 #[case::no_store_address("/store", json!("10.0.0.9"), "/store: found \"10.0.0.9\"")]
+#[case::port_of_a_listener("/peer_port", json!(3), "/peer_port: found the port of /listen/directory")]
 #[case::negative_bound("/bounds/retry_slack", json!(-1), "/bounds/retry_slack: found -1")]
 fn problem_is_reported_in_one_line_with_a_hint(
     #[case] path: &str,
