next_replica: a resumed stream that another node passes on has begun for rates, too

Found by reading: the choice let such a request take the next interval of a limited replica in advance, and the withdrawal then did not, so that it would have been refused. No run has shown it.

--- a/serving/src/next_replica.rs
+++ b/serving/src/next_replica.rs
@@ -106,7 +106,8 @@
     if let Some(limit) = attempts.limit(cx, task).filter(|_| is_retry) {
         return Err(limit);
     }
-    let timeliness = match progress.has_begun || task.has_begun() {
+    let has_begun = progress.has_begun || task.has_begun();
+    let timeliness = match has_begun {
         true => Timeliness::Begun,
         false => task.timeliness(attempts.tried.len()),
     };
@@ -115,7 +116,7 @@
     if is_retry && !attempts.withdraw(cx, task) {
         return Err(Withheld::Budget);
     }
-    match cx.rate_limits.withdraw(replica.run, progress.has_begun, Instant::now()) {
+    match cx.rate_limits.withdraw(replica.run, has_begun, Instant::now()) {
         true => Ok(replica),
         // Another request has taken it since the choice.
         false => {
