plain_forward: refusals of another node are no failures of it

Cause: a call that another node refuses, since its service has no replica, counted as a failure of that node. After three it was ejected for 1 to 8 s, and the cut node refused all requests with the reason unreachable, streams too.

A refusal or a final failure of another node no longer counts against it, as for streams. test_partitioned_nodes::node_gets_no_requests_since_it_refused_some failed before (503) and passes.

--- a/serving/src/plain_forward.rs
+++ b/serving/src/plain_forward.rs
@@ -87,9 +87,12 @@
         trace.keep_failed_attempt(error);
         self.cx.metrics.send(&self.task.service, error.name());
         let now = Instant::now();
-        // An instance that asked for time is avoided for as long, and no longer.
-        if self.cx.deferrals.wait(replica.run, now).is_none() {
-            self.cx.loads.record_failure(replica.hash, now);
+        match error {
+            // The other node has no fault.
+            AttemptError::RefusedByNode { .. } | AttemptError::FailedAtNode { .. } => {}
+            // An instance that asked for time is avoided for as long, and no longer.
+            _ if self.cx.deferrals.wait(replica.run, now).is_some() => {}
+            _ => drop(self.cx.loads.record_failure(replica.hash, now)),
         }
     }
 
--- a/serving/tests/test_partitioned_nodes.rs
+++ b/serving/tests/test_partitioned_nodes.rs
@@ -4,6 +4,7 @@
 use crate::fleet::Fleet;
 use crate::fleet::start_streams;
 use guavaladder_platform_testutils::Call;
+use guavaladder_platform_testutils::InstanceMode;
 use guavaladder_platform_testutils::LinkMode;
 use guavaladder_platform_testutils::NodeLinks;
 use guavaladder_platform_testutils::config;
@@ -249,6 +250,25 @@
     drop(hanging);
 }
 
+/// Another node refuses calls since their service has no replica; it has no fault, and takes other requests.
+#[tokio::test]
+async fn node_gets_no_requests_since_it_refused_some() {
+    let mut fleet = Fleet::new(4).await;
+    let links = fleet.add_linked_node().await;
+    fleet.add_node().await;
+    for node in 0..2 {
+        fleet.wait_for_replicas(node, "drafting", 2).await;
+    }
+    links.set_mode(LinkMode::Reset);
+    for id in ["p-00", "p-01"] {
+        fleet.fake_platform.set_mode(id, InstanceMode::Refuses);
+    }
+    for _ in 0..5 {
+        assert_eq!(Call::new(Method::POST, "/book/x").status(fleet.callers(0)).await, 503);
+    }
+    assert_eq!(Call::new(Method::POST, "/draft/x").status(fleet.callers(0)).await, 200);
+}
+
 /// Returns the number of addresses that a node's directory returns.
 async fn resolve(fleet: &Fleet, node: usize) -> usize {
     let to = fleet.nodes[node].cx.settings.directory;
