serving-soak: a partitioned daemon without a sound one to turn to can't serve

Traced: from 6.22 s to 9.58 s two daemons were partitioned while the third was paused, stopping and paused again; all 374 refusals of that time have the reason unreachable. The check of crashing parts leaves out requests at a partitioned daemon while no undisturbed daemon reached the instances. Before, it left them out only while all daemons were partitioned.

--- a/bench/src/serving_soak_oracle.rs
+++ b/bench/src/serving_soak_oracle.rs
@@ -6,7 +6,7 @@
 use crate::serving_soak_callers::Purpose;
 use crate::serving_soak_callers::RequestRecord;
 use crate::serving_soak_cuts;
-use crate::serving_soak_nodes::Disturbance;
+use crate::serving_soak_nodes::Cause;
 use crate::serving_soak_nodes::Disturbances;
 use guavaladder_platform_testutils::Arrival;
 use guavaladder_platform_testutils::ArrivalEnd;
@@ -14,7 +14,6 @@
 use guavaladder_platform_testutils::LimitPeriod;
 use guavaladder_platform_testutils::Violation;
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -79,15 +78,12 @@
         self.disturbances.are_absent(request.node, at - STABLE_WINDOW, at)
     }
 
-    /// Returns whether no daemon reached an instance at some time of a request, so that nothing could serve it.
+    /// Returns whether the daemon of a request was partitioned from the instances and had no sound one to turn
+    /// to, so that nothing could serve the request.
     fn is_unservable(&self, request: &RequestRecord) -> bool {
-        let overlaps = |d: &Disturbance| {
-            let is_over = d.until.is_some_and(|until| until + RETURN_TIME < request.sent);
-            d.from <= request.ended && !is_over
-        };
-        let partitions = self.disturbances.partitions();
-        let cut: BTreeSet<_> = partitions.iter().filter(|d| overlaps(d)).map(|d| d.node).collect();
-        cut.len() == self.nodes
+        let (from, until) = (request.sent - RETURN_TIME, request.ended);
+        let disturbances = self.disturbances.between(request.node, from, until);
+        disturbances.iter().any(|d| d.cause == Cause::Partition) && !self.has_sound_daemon(request)
     }
 
     /// Returns whether some daemon reached the instances and was undisturbed during a request and for long
