silent_upstreams: compare with upstreams of other services

Cause: an upstream that nothing listens at, or that is silent, counts as crashed only while the node reaches another one. The three others were drawn from all upstreams, so all three could be of the one service that was lost as a whole, or paused together. A crash was then taken for a broken link, and the requests that it interrupted were not recorded.

Change: one upstream of each of up to four services is compared with.

--- a/lib/src/silent_upstreams.rs
+++ b/lib/src/silent_upstreams.rs
@@ -6,10 +6,12 @@
 use crate::engine::UpstreamError;
 use crate::generated::events::Event;
 use crate::generation::is_group_ready;
+use crate::ids::ServiceId;
 use crate::replica::Replica;
 use crate::request::Request;
 use crate::request_path::RequestPath;
 use rand::seq::IteratorRandom;
+use rand::seq::SliceRandom;
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -24,8 +26,9 @@
 const PROBE_PERIOD: Duration = Duration::from_millis(500);
 /// Silence after which an upstream counts as crashed.
 const MAX_SILENCE: Duration = Duration::from_secs(10);
-/// Number of other upstreams that an unreachable one is compared with, and the time that they get to respond.
-const COMPARED: usize = 3;
+/// Number of services with an upstream that an unreachable one is compared with, and the time that these get to
+/// respond.
+const COMPARED: usize = 4;
 const COMPARISON_TIMEOUT: Duration = Duration::from_millis(200);
 /// Maximum number of requests that wait for the result of a check.
 const MAX_REQUESTS: usize = 4096;
@@ -127,15 +130,26 @@
     }
 }
 
+/// Returns a random upstream of each of a few services, without the suspect. All upstreams of one service may be
+/// lost together.
+fn sample_others(path: &RequestPath, suspect: &Replica) -> Vec<Arc<Replica>> {
+    let mut rng = rand::rng();
+    let mut services = path.routes().services();
+    services.shuffle(&mut rng);
+    let other_of = |service: &ServiceId| {
+        let replicas = path.routes().replicas(service);
+        let others = replicas.iter().filter(|r| r.identity.address != suspect.identity.address);
+        others.choose(&mut rng).cloned()
+    };
+    services.iter().filter_map(other_of).take(COMPARED).collect()
+}
+
 /// Returns whether one of a few other upstreams responds to this node, or there is none to compare with.
 async fn reaches_another(path: &RequestPath, suspect: &Replica) -> bool {
-    let services = path.routes().services().into_iter();
-    let replicas = services.flat_map(|service| path.routes().replicas(&service).to_vec());
-    let others = replicas.filter(|r| r.identity.address != suspect.identity.address);
-    let sampled = others.sample(&mut rand::rng(), COMPARED);
-    let is_alone = sampled.is_empty();
+    let others = sample_others(path, suspect);
+    let is_alone = others.is_empty();
     let mut probes = JoinSet::new();
-    for replica in sampled {
+    for replica in others {
         let path = path.clone();
         probes.spawn(async move {
             let address = &replica.identity.address;
