instance_reach: the loss of a service is no partition

Callers: requests to the plain services got 503 at a single node while all engines were lost, though the plain instances were alive and reachable (`loss_of_a_service_is_taken_for_a_partition`; with other nodes they would have been passed on).

Cause: the instances that a node compares itself with were chosen by data centre only. Engines are nearly all instances, so all four were engines, and the loss of the one service looked like broken links.

Change: one instance of each of up to four services, then of the data centres that are missing, at most ten.

Evidence: the test failed (503) and passes with this. `rare_services_are_not_compared` draws from 6,200 engines and 6 others: by data centre alone 1 of 3 services is compared, with this all three and all seven data centres. The 30 other tests of partitions pass as before.

--- a/serving/src/instance_reach.rs
+++ b/serving/src/instance_reach.rs
@@ -6,10 +6,11 @@
 //! the same time.
 
 use crate::connection::Connection;
+use crate::instance::Instance;
 use crate::serving_cx::ServingCx;
 use guavaladder_lib::generated::events::Event;
 use rand::seq::SliceRandom;
-use std::collections::BTreeMap;
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -27,8 +28,9 @@
 const PROBE_TIMEOUT: Duration = Duration::from_millis(110);
 /// Maximum scheduling delay of this process, beyond which its timeouts are no evidence.
 const MAX_SCHEDULING_DELAY: Duration = Duration::from_millis(60);
-/// Number of instances that are probed at once.
+/// Number of instances that are probed at once, and its maximum where there are many data centres.
 const PROBES: usize = 4;
+const MAX_PROBES: usize = 10;
 /// Minimum number of other instances that have to be known for a comparison.
 const MIN_PROBES: usize = 2;
 /// Interval between the probes of a node that reaches no instance.
@@ -143,7 +145,7 @@
         return links;
     }
     let started = Instant::now();
-    let addresses = sample(cx, suspects);
+    let addresses = others(cx, suspects);
     let links = match addresses.len() {
         0..MIN_PROBES => Links::Working,
         _ => probe(cx, &addresses).await,
@@ -172,7 +174,7 @@
     tokio::spawn(async move {
         while cx.reach.is_cut() {
             sleep(PROBE_PERIOD).await;
-            probe(&cx, &sample(&cx, &[])).await;
+            probe(&cx, &others(&cx, &[])).await;
         }
         let node = cx.node().to_string();
         let unreachable_for = now.elapsed();
@@ -180,25 +182,31 @@
     });
 }
 
-/// Returns the addresses of a few random instances, in as many data centres as possible, without the
-/// suspects.
-fn sample(cx: &ServingCx, suspects: &[SocketAddr]) -> Vec<SocketAddr> {
-    let mut by_data_centre: BTreeMap<String, Vec<SocketAddr>> = BTreeMap::new();
-    for instance in cx.fleet.instances().into_values() {
-        if !suspects.contains(&instance.address) {
-            by_data_centre.entry(instance.data_centre).or_default().push(instance.address);
-        }
-    }
-    let mut rng = rand::rng();
-    let mut sampled = vec![];
-    for addresses in by_data_centre.values_mut() {
-        addresses.shuffle(&mut rng);
-    }
-    while sampled.len() < PROBES && by_data_centre.values().any(|left| !left.is_empty()) {
-        sampled.extend(by_data_centre.values_mut().filter_map(Vec::pop));
-    }
-    sampled.truncate(PROBES.max(by_data_centre.len()));
-    sampled
+/// Returns the addresses of a few random instances without the suspects. All instances of a service or data
+/// centre may be lost together, so they are of as many services as possible, then of as many data centres.
+pub fn sample<'a>(
+    instances: impl Iterator<Item = &'a Instance>,
+    suspects: &[SocketAddr],
+) -> Vec<SocketAddr> {
+    let mut others: Vec<&Instance> = instances.filter(|i| !suspects.contains(&i.address)).collect();
+    others.shuffle(&mut rand::rng());
+    let (mut services, mut data_centres) = (HashSet::new(), HashSet::new());
+    let (mut sampled, others): (Vec<&Instance>, Vec<&Instance>) =
+        others.into_iter().partition(|instance| services.insert(&instance.service));
+    sampled.truncate(PROBES);
+    data_centres.extend(sampled.iter().map(|instance| &instance.data_centre));
+    let (of_others, rest): (Vec<&Instance>, Vec<&Instance>) =
+        others.into_iter().partition(|instance| data_centres.insert(&instance.data_centre));
+    sampled.extend(of_others);
+    sampled.truncate(MAX_PROBES);
+    let missing = PROBES.saturating_sub(sampled.len());
+    sampled.extend(rest.into_iter().take(missing));
+    sampled.into_iter().map(|instance| instance.address).collect()
+}
+
+/// Returns the addresses of instances to compare with the suspects.
+fn others(cx: &ServingCx, suspects: &[SocketAddr]) -> Vec<SocketAddr> {
+    sample(cx.fleet.instances().values(), suspects)
 }
 
 /// Connects to instances until one accepts.
--- a/serving/tests/test_partitioned_nodes.rs
+++ b/serving/tests/test_partitioned_nodes.rs
@@ -3,14 +3,18 @@
 
 use crate::fleet::Fleet;
 use crate::fleet::start_streams;
+use crate::util::instance;
 use guavaladder_platform_testutils::Call;
 use guavaladder_platform_testutils::InstanceMode;
 use guavaladder_platform_testutils::LinkMode;
 use guavaladder_platform_testutils::NodeLinks;
 use guavaladder_platform_testutils::config;
+use guavaladder_serving::instance::Instance;
+use guavaladder_serving::instance_reach;
 use http::Method;
 use rstest::rstest;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::time::Duration;
 use tokio::task::JoinSet;
 use tokio::time::Instant;
@@ -250,6 +254,48 @@
     drop(hanging);
 }
 
+/// All engines end at once, and the plain instances go on: the links of the node work.
+#[tokio::test]
+async fn loss_of_a_service_is_taken_for_a_partition() {
+    let mut fleet = Fleet::new(2 * GROUPS).await;
+    fleet.add_first_node("drafting", GROUPS).await;
+    fleet.wait_for_replicas(0, "orders", 2).await;
+    for engine in fleet.fake_platform.open_groups().iter().flatten() {
+        fleet.fake_platform.kill(engine);
+    }
+    for _ in 0..10 {
+        Call::new(Method::POST, "/draft/x").status(fleet.callers(0)).await;
+        assert_eq!(Call::new(Method::POST, "/book/x").status(fleet.callers(0)).await, 200);
+        assert!(!fleet.nodes[0].cx.reach.is_cut());
+        sleep(Duration::from_millis(60)).await;
+    }
+}
+
+/// The instances of two services are one in a thousand, in data centres that have others.
+#[test]
+fn rare_services_are_not_compared() {
+    let engines = (0..6200).map(|n| at_port(n, "drafting"));
+    let plain = (6200..6206).map(|n| at_port(n, if n % 2 == 0 { "orders" } else { "stock" }));
+    let instances: Vec<Instance> = engines.chain(plain).collect();
+    for _ in 0..50 {
+        let sampled = instance_reach::sample(instances.iter(), &[instances[0].address]);
+        let compared: Vec<&Instance> =
+            instances.iter().filter(|i| sampled.contains(&i.address)).collect();
+        let services: BTreeSet<&str> = compared.iter().map(|i| i.service.as_str()).collect();
+        let data_centres: BTreeSet<&str> =
+            compared.iter().map(|i| i.data_centre.as_str()).collect();
+        assert_eq!(services.len(), 3);
+        assert_eq!(data_centres.len(), 7);
+        assert!(compared.len() <= 10 && compared.iter().all(|i| i.id != instances[0].id));
+    }
+}
+
+fn at_port(n: u16, service: &str) -> Instance {
+    let address = ([127, 0, 0, 1], 10_000 + n).into();
+    let data_centre = format!("dc-{}", n % 7);
+    Instance { address, data_centre, ..instance(&format!("{service}-{n}"), service) }
+}
+
 /// Another node refuses calls since their service has no replica; it has no fault, and takes other requests.
 #[tokio::test]
 async fn node_gets_no_requests_since_it_refused_some() {
