node_relay: tell the first node that the answering instance leaves

Callers: requests went to a replica of whose leaving their node had passed an answer on, and were cut when it ended (DRAIN: such a node is bound by it).

Cause: a node without links to the instances passes requests on to another node, which drops what the instance states about itself, like any header for nodes. Once its links are back, the first node knows nothing of it, and the entry of an instance that can't reach the store still shows it as ready.

Change: the response to a node that passed a request on names the run of the instance in a header, if its answer states that it leaves. The first node marks that run as its own answers would, and drops the header.

--- a/serving/src/attempt.rs
+++ b/serving/src/attempt.rs
@@ -317,7 +317,10 @@
     let (status, is_run) = (response.status(), head.is_signed && !head.is_not_run);
     let answer = InstanceAnswer { sent_at, status, is_run };
     match replica.is_node {
-        true => node_relay::check_response(task, status, response.headers(), &head)?,
+        true => {
+            node_relay::record_notice(cx, response.headers());
+            node_relay::check_response(task, status, response.headers(), &head)?;
+        }
         false => instance_notices::record(cx, replica.run, &head.notice, answer),
     }
     let is_reusable = !head.closes && task.body.len() <= MAX_BODY_FOR_CONNECTION_REUSE;
--- a/serving/src/instance_notices.rs
+++ b/serving/src/instance_notices.rs
@@ -41,9 +41,14 @@
         let instance = rate_limit_sync::instance_of(cx, run);
         cx.log.record(Event::InstanceDeferred { instance, time: time.min(MAX_DEFERRAL) });
     }
-    if notice.is_leaving
-        && let Some(instance) = cx.fleet.mark_leaving(run)
-    {
+    if notice.is_leaving {
+        record_leaving(cx, run);
+    }
+}
+
+/// Records that a run of an instance leaves.
+pub fn record_leaving(cx: &ServingCx, run: RunHash) {
+    if let Some(instance) = cx.fleet.mark_leaving(run) {
         cx.log.record(Event::InstanceLeaving { instance });
     }
 }
--- a/serving/src/node_relay.rs
+++ b/serving/src/node_relay.rs
@@ -6,16 +6,20 @@
 //! of the other one treats the request like one of its own callers, and never passes it on again.
 //!
 //! The request carries a ticket in a header: what is left of its attempts, whether it counts for the retry
-//! budget of the first node, and whether its response has begun. A tag with the fleet key authenticates it.
+//! budget of the first node, and whether its response has begun. A tag with the fleet key authenticates it. The
+//! response tells the first node if the instance that answered leaves: both nodes have passed that answer on.
 
 use crate::attempt::AttemptError;
 use crate::connection::ConnectError;
 use crate::fleet_config::RouteKind;
+use crate::instance::InstanceNotice;
 use crate::instance::ResponseHead;
+use crate::instance_notices;
 use crate::key_hash::key_hash;
 use crate::local_response;
 use crate::node_table::LiveNode;
 use crate::peer_codec::PeerKey;
+use crate::rate_limits::RunHash;
 use crate::replica_set::Replica;
 use crate::replica_set::ReplicaKey;
 use crate::request_task::RequestTask;
@@ -42,6 +46,9 @@
 const TICKET: HeaderName = HeaderName::from_static("guavaladder-relay");
 /// Value of the header in such a response.
 const UNAVAILABLE: HeaderValue = HeaderValue::from_static("unavailable");
+/// Header of a response to a node that passed a request on: the run of the instance that answered, in
+/// hexadecimal digits, if the answer states that it leaves.
+const LEAVING: HeaderName = HeaderName::from_static("guavaladder-leaving");
 /// Length of the tag of a ticket, in hexadecimal digits.
 const TAG_LEN: usize = 32;
 /// Factor on the cost of a node in another data centre.
@@ -180,6 +187,31 @@
     Ok(())
 }
 
+/// Returns the headers with which the response of a replica to a request is passed on.
+pub fn response_headers(
+    cx: &ServingCx,
+    task: &RequestTask,
+    replica: &Replica,
+    response: &HeaderMap,
+    notice: &InstanceNotice,
+) -> HeaderMap {
+    let mut headers = cx.dialect.caller_headers(response);
+    headers.remove(LEAVING);
+    if task.ticket.is_some() && notice.is_leaving {
+        let run = format!("{:016x}", replica.run);
+        headers.extend(HeaderValue::from_str(&run).ok().map(|run| (LEAVING, run)));
+    }
+    headers
+}
+
+/// Records what the response of another node states about the instance that answered.
+pub fn record_notice(cx: &ServingCx, headers: &HeaderMap) {
+    let run = headers.get(LEAVING).and_then(|value| value.to_str().ok());
+    if let Some(run) = run.and_then(|run| RunHash::from_str_radix(run, 16).ok()) {
+        instance_notices::record_leaving(cx, run);
+    }
+}
+
 /// Removes the ticket from a request that another node passes on and returns it; `None` if there is none
 /// with a valid tag.
 pub fn take_ticket<B>(cx: &ServingCx, req: &mut Request<B>) -> Option<RelayTicket> {
--- a/serving/src/plain_forward.rs
+++ b/serving/src/plain_forward.rs
@@ -12,6 +12,7 @@
 use crate::failed_attempts;
 use crate::fleet_config::RouteKind;
 use crate::local_response;
+use crate::node_relay;
 use crate::replica_set::Replica;
 use crate::request_task::RequestTask;
 use crate::request_task::RequestTrace;
@@ -124,7 +125,7 @@
             return Err(AttemptError::Failure { status: status.as_u16() });
         }
         let is_unframed = upstream.is_unframed();
-        Ok((read_response(cx, replica, upstream).await?, is_unframed))
+        Ok((read_response(cx, task, replica, upstream).await?, is_unframed))
     };
     let (response, is_unframed) = task.run_until_due(exchange).await?;
     match is_unframed {
@@ -144,6 +145,7 @@
 /// Reads the whole response and returns the connection to the pool.
 async fn read_response(
     cx: &ServingCx,
+    task: &RequestTask,
     replica: &Replica,
     upstream: UpstreamResponse,
 ) -> Result<Response<ResponseBody>, AttemptError> {
@@ -157,6 +159,7 @@
     }
     let mut response = Response::new(ResponseBody::complete(body));
     *response.status_mut() = parts.status;
-    *response.headers_mut() = cx.dialect.caller_headers(&parts.headers);
+    *response.headers_mut() =
+        node_relay::response_headers(cx, task, replica, &parts.headers, &head.notice);
     Ok(response)
 }
--- a/serving/src/stream_relay.rs
+++ b/serving/src/stream_relay.rs
@@ -7,6 +7,7 @@
 use crate::attempt_loop::NoResponse;
 use crate::attempt_loop::PendingAttempt;
 use crate::failed_attempts;
+use crate::node_relay;
 use crate::replica_health::MIN_SILENCE;
 use crate::request_task::RequestTask;
 use crate::request_task::RequestTrace;
@@ -50,7 +51,8 @@
     trace.record_begun();
     task.record_begun();
     let status = stream.status();
-    let headers = cx.dialect.caller_headers(stream.headers());
+    let (replica, received) = (&stream.replica, stream.headers());
+    let headers = node_relay::response_headers(cx, &task, replica, received, stream.notice());
     let (tx, rx) = mpsc::channel(EVENT_QUEUE_LEN);
     let relay =
         Relay { cx: cx.clone(), last_event_id: task.head.last_event_id, task, trace, attempts, tx };
--- a/serving/src/upstream_stream.rs
+++ b/serving/src/upstream_stream.rs
@@ -3,6 +3,7 @@
 use crate::attempt;
 use crate::attempt::AttemptError;
 use crate::attempt::UpstreamResponse;
+use crate::instance::InstanceNotice;
 use crate::load_table::RequestGuard;
 use crate::replica_health;
 use crate::replica_set::Replica;
@@ -126,6 +127,11 @@
         self.upstream.response.headers()
     }
 
+    /// Returns what the replica stated about itself when the response began.
+    pub fn notice(&self) -> &InstanceNotice {
+        &self.upstream.head.notice
+    }
+
     /// Returns the connection of a completed stream to the pool.
     pub async fn return_connection(self, cx: &ServingCx) {
         let UpstreamResponse { mut connection, head, is_reusable, .. } = self.upstream;
--- a/serving/tests/runner.rs
+++ b/serving/tests/runner.rs
@@ -15,6 +15,7 @@
 mod test_instance_list_delta;
 mod test_instance_notices;
 mod test_lease_state;
+mod test_leaving_replicas;
 mod test_load_table;
 mod test_node_table;
 mod test_pages;
