fleet_view: a list doesn't undo changes that arrived during its read

Cause: in fleets of more than twelve nodes most nodes follow the instance list by changes that others forward. If such a node reads the list from the store meanwhile, the list may be older than those changes, and replaced them. The revision that the node had reached stayed the later one, so it never noticed.

Change: changes that arrive while a list is read are kept, and those after the revision of the list are applied again on top of it.

A property test draws changes, messages and reads; it fails without the second application.

--- a/serving/src/fleet_view.rs
+++ b/serving/src/fleet_view.rs
@@ -78,11 +78,22 @@
     expired: HashMap<InstanceId, (Instant, Instance)>,
     config: Option<Arc<FleetConfig>>,
     replicas: Arc<ReplicaSet>,
+    /// Changes that other nodes forwarded while the complete list is being read.
+    list_read: Option<ListRead>,
     /// When the complete list was read for the first and for the last time.
     first_listed: Option<Instant>,
     last_listed: Option<Instant>,
 }
 
+/// A read of the complete list that has not ended.
+#[derive(Debug, Default)]
+struct ListRead {
+    /// Revision that the view had reached when it began.
+    from: u64,
+    /// Changes that were applied since.
+    deltas: Vec<InstanceListDelta>,
+}
+
 impl FleetView {
     /// Creates an empty view.
     pub fn new(log: RateLimitedLog) -> Self {
@@ -97,8 +108,22 @@
         }
     }
 
-    /// Replaces all entries by a complete list; entries missing from it are held until `hold_until`.
-    pub fn replace_all(&self, instances: Vec<Instance>, hold_until: Option<Instant>) {
+    /// Records that a read of the complete list begins. Changes that are applied until `replace_all` may be
+    /// newer than the list.
+    pub fn begin_list(&self) {
+        let from = self.lock_sync_state().revision;
+        self.lock().list_read = Some(ListRead { from, deltas: vec![] });
+    }
+
+    /// Replaces all entries by the complete list of a revision, and applies the later changes that arrived
+    /// during its read again; missing entries are held until `hold_until`.
+    pub fn replace_all(
+        &self,
+        instances: Vec<Instance>,
+        revision: u64,
+        hold_until: Option<Instant>,
+    ) {
+        let mut state = self.lock_sync_state();
         self.update(|inner, log| {
             let mut before = std::mem::take(&mut inner.instances);
             for instance in instances {
@@ -113,32 +138,20 @@
             let now = Instant::now();
             inner.first_listed.get_or_insert(now);
             inner.last_listed = Some(now);
+            let read = inner.list_read.take().unwrap_or_default();
+            let is_later = |delta: &InstanceListDelta| read.from <= revision && delta.to > revision;
+            for delta in read.deltas.into_iter().filter(is_later) {
+                inner.apply(log, delta.changes, hold_until);
+            }
         });
+        state.advance_to(revision);
     }
 
     /// Applies changes of entries; removed entries are held until `hold_until`.
     pub fn apply(&self, changes: Vec<EntryChange>, hold_until: Option<Instant>) {
-        if changes.is_empty() {
-            return;
+        if !changes.is_empty() {
+            self.update(|inner, log| inner.apply(log, changes, hold_until));
         }
-        self.update(|inner, log| {
-            for change in changes {
-                match change {
-                    EntryChange::Put(instance) => {
-                        inner.held.remove(&instance.id);
-                        inner.expired.remove(&instance.id);
-                        let before = inner.instances.remove(&instance.id);
-                        inner.record_status_change(before.as_ref(), &instance);
-                        inner.instances.insert(instance.id.clone(), *instance);
-                    }
-                    EntryChange::Removed(id) => {
-                        if let Some(instance) = inner.instances.remove(&id) {
-                            handle_missing(inner, log, id, instance, hold_until);
-                        }
-                    }
-                }
-            }
-        });
     }
 
     /// Treats a run of an instance as draining, whatever its entry says; returns the instance's id if this is
@@ -244,7 +257,9 @@
             DeltaFit::Applicable => {
                 state.advance_to(delta.to);
                 state.watcher_heard_at = Some(now);
-                drop(state);
+                if let Some(read) = &mut self.lock().list_read {
+                    read.deltas.push(delta.clone());
+                }
                 self.apply(delta.changes, hold_until);
             }
         }
@@ -314,6 +329,31 @@
 }
 
 impl Inner {
+    /// Applies changes of entries; removed entries are held until `hold_until`.
+    fn apply(
+        &mut self,
+        log: &RateLimitedLog,
+        changes: Vec<EntryChange>,
+        hold_until: Option<Instant>,
+    ) {
+        for change in changes {
+            match change {
+                EntryChange::Put(instance) => {
+                    self.held.remove(&instance.id);
+                    self.expired.remove(&instance.id);
+                    let before = self.instances.remove(&instance.id);
+                    self.record_status_change(before.as_ref(), &instance);
+                    self.instances.insert(instance.id.clone(), *instance);
+                }
+                EntryChange::Removed(id) => {
+                    if let Some(instance) = self.instances.remove(&id) {
+                        handle_missing(self, log, id, instance, hold_until);
+                    }
+                }
+            }
+        }
+    }
+
     /// Marks the instances as draining that said that they leave. An entry may be older than what they said.
     fn apply_leaving(&mut self) {
         if self.leaving.is_empty() {
--- a/serving/src/instance_list_sync.rs
+++ b/serving/src/instance_list_sync.rs
@@ -43,11 +43,11 @@
 pub async fn run(cx: ServingCx, deltas: mpsc::Sender<InstanceListDelta>) {
     let mut sync = InstanceListSync { cx: cx.clone(), deltas, skipped: HashMap::new() };
     loop {
+        cx.fleet.begin_list();
         match cx.store.list(ObjectKind::Instances).await {
             Ok((objects, revision)) => {
                 let instances = objects.iter().filter_map(|object| sync.decode(object)).collect();
-                cx.fleet.replace_all(instances, hold_until(&cx));
-                cx.fleet.advance_to(revision);
+                cx.fleet.replace_all(instances, revision, hold_until(&cx));
                 cx.update_phase();
                 sync.follow(revision).await;
                 cx.fleet.set_watching(false);
--- a/serving/tests/test_fleet_view.rs
+++ b/serving/tests/test_fleet_view.rs
@@ -11,7 +11,7 @@
 fn view() -> FleetView {
     let view = FleetView::new(log());
     view.set_config(config(1));
-    view.replace_all(vec![instance("x", "orders"), instance("y", "orders")], None);
+    view.replace_all(vec![instance("x", "orders"), instance("y", "orders")], 1, None);
     view
 }
 
@@ -33,7 +33,7 @@
 async fn missing_entry_is_held_until_the_grace_period_ends() {
     let view = view();
     let until = Instant::now() + Duration::from_secs(2);
-    view.replace_all(vec![instance("y", "orders")], Some(until));
+    view.replace_all(vec![instance("y", "orders")], 1, Some(until));
     view.apply(vec![EntryChange::Removed("y".to_string())], Some(until));
     assert_eq!(ids(&view), ["x", "y"]);
     view.apply(vec![EntryChange::Put(Box::new(instance("x", "orders")))], Some(until));
@@ -45,9 +45,17 @@
 #[tokio::test(start_paused = true)]
 async fn grace_period_is_not_extended_by_later_lists() {
     let view = view();
-    view.replace_all(vec![instance("y", "orders")], Some(Instant::now() + Duration::from_secs(2)));
+    view.replace_all(
+        vec![instance("y", "orders")],
+        1,
+        Some(Instant::now() + Duration::from_secs(2)),
+    );
     tokio::time::advance(Duration::from_millis(1500)).await;
-    view.replace_all(vec![instance("y", "orders")], Some(Instant::now() + Duration::from_secs(2)));
+    view.replace_all(
+        vec![instance("y", "orders")],
+        1,
+        Some(Instant::now() + Duration::from_secs(2)),
+    );
     tokio::time::advance(Duration::from_millis(600)).await;
     view.expire_held(Instant::now());
     assert_eq!(ids(&view), ["y"]);
--- a/serving/tests/test_instance_list_delta.rs
+++ b/serving/tests/test_instance_list_delta.rs
@@ -5,6 +5,7 @@
 use crate::util::log;
 use guavaladder_serving::fleet_view::EntryChange;
 use guavaladder_serving::fleet_view::FleetView;
+use guavaladder_serving::instance::Instance;
 use guavaladder_serving::instance_list_delta::InstanceListDelta;
 use guavaladder_serving::instance_list_delta::is_watcher;
 use proptest::prelude::*;
@@ -41,52 +42,95 @@
     assert!(view.sync_state().needs_relist(Instant::now()));
 }
 
-proptest! {
-    /// For any batches of the watchers and any starting revision, the node's list equals the store's list at
-    /// the revision that the node has reached. The expected list replays the history of changes one by one.
-    #[test]
-    fn list_equals_that_of_the_store_at_its_revision(
-        history in prop::collection::vec((0usize..5, any::<bool>()), 1..40),
-        ranges in prop::collection::vec((0usize..40, 0usize..40), 1..12),
-        start in 0usize..40,
-    ) {
-        let change = |(id, is_put): &(usize, bool), revision: usize| {
+/// A history of changes of five entries, each at the revision that its position gives.
+struct History(Vec<EntryChange>);
+
+impl History {
+    fn new(entries: &[(usize, bool)]) -> Self {
+        let change = |(revision, (id, is_put)): (usize, &(usize, bool))| {
             let id = format!("i{id}");
             match is_put {
                 true => {
                     let mut put = instance(&id, "orders");
-                    put.engine.born_ms = revision as u64;
+                    put.engine.born_ms = revision as u64 + 1;
                     EntryChange::Put(Box::new(put))
                 }
                 false => EntryChange::Removed(id),
             }
         };
-        let changes: Vec<EntryChange> =
-            history.iter().enumerate().map(|(i, entry)| change(entry, i + 1)).collect();
-        let list_at = |revision: usize| {
-            let mut list = BTreeMap::new();
-            for change in &changes[..revision] {
-                match change {
-                    EntryChange::Put(put) => list.insert(put.id.clone(), (**put).clone()),
-                    EntryChange::Removed(id) => list.remove(id),
-                };
-            }
-            list
-        };
-        let start = start.min(changes.len());
+        Self(entries.iter().enumerate().map(change).collect())
+    }
+
+    /// Returns the list at a revision, by replaying the changes one by one.
+    fn list_at(&self, revision: usize) -> BTreeMap<String, Instance> {
+        let mut list = BTreeMap::new();
+        for change in &self.0[..revision] {
+            match change {
+                EntryChange::Put(put) => list.insert(put.id.clone(), (**put).clone()),
+                EntryChange::Removed(id) => list.remove(id),
+            };
+        }
+        list
+    }
+
+    /// Returns up to `len` changes after a revision as a message.
+    fn delta(&self, from: usize, len: usize) -> InstanceListDelta {
+        let from = from.min(self.0.len());
+        let to = (from + len).min(self.0.len());
+        InstanceListDelta { from: from as u64, to: to as u64, changes: self.0[from..to].to_vec() }
+    }
+
+    /// Returns a view of the list at a revision.
+    fn view_at(&self, revision: usize) -> FleetView {
         let view = FleetView::new(log());
         view.set_config(config(1));
-        view.replace_all(list_at(start).into_values().collect(), None);
-        view.advance_to(start as u64);
+        view.replace_all(self.list_at(revision).into_values().collect(), revision as u64, None);
+        view
+    }
+}
+
+proptest! {
+    /// For any batches of the watchers and any starting revision, the node's list equals the store's list at
+    /// the revision that the node has reached.
+    #[test]
+    fn list_equals_that_of_the_store_at_its_revision(
+        entries in prop::collection::vec((0usize..5, any::<bool>()), 1..40),
+        ranges in prop::collection::vec((0usize..40, 0usize..40), 1..12),
+        start in 0usize..40,
+    ) {
+        let history = History::new(&entries);
+        let view = history.view_at(start.min(entries.len()));
         for (from, len) in ranges {
-            let from = from.min(changes.len());
-            let to = (from + len).min(changes.len());
-            let changes = changes[from..to].to_vec();
-            let delta = InstanceListDelta { from: from as u64, to: to as u64, changes };
-            view.apply_delta(delta, None, Instant::now());
-            let expected = list_at(view.sync_state().revision as usize);
+            view.apply_delta(history.delta(from, len), None, Instant::now());
+            let expected = history.list_at(view.sync_state().revision as usize);
             let found: BTreeMap<_, _> = view.instances().into_iter().collect();
             prop_assert_eq!(found, expected);
         }
     }
+
+    /// The same while the complete list is read again and again. Each read returns the list of a revision
+    /// that is at least the one at which it began.
+    #[test]
+    fn list_that_is_read_beside_changes_equals_that_of_the_store(
+        entries in prop::collection::vec((0usize..5, any::<bool>()), 1..40),
+        reads in prop::collection::vec(
+            (0usize..40, prop::collection::vec((0usize..40, 0usize..40), 0..4)),
+            1..8,
+        ),
+    ) {
+        let history = History::new(&entries);
+        let view = history.view_at(0);
+        let revision = || view.sync_state().revision as usize;
+        for (read_at, ranges) in reads {
+            let read_at = read_at.clamp(revision(), entries.len());
+            view.begin_list();
+            for (from, len) in ranges {
+                view.apply_delta(history.delta(from, len), None, Instant::now());
+            }
+            let list = history.list_at(read_at).into_values().collect();
+            view.replace_all(list, read_at as u64, None);
+            let found: BTreeMap<_, _> = view.instances().into_iter().collect();
+            prop_assert_eq!(found, history.list_at(revision()));
+        }
+    }
 }
--- a/serving/tests/test_leaving_replicas.rs
+++ b/serving/tests/test_leaving_replicas.rs
@@ -6,6 +6,7 @@
 use guavaladder_platform_testutils::Call;
 use guavaladder_platform_testutils::FakePlatform;
 use guavaladder_platform_testutils::LinkMode;
+use guavaladder_serving::fleet_view::FleetView;
 use http::Method;
 use rstest::rstest;
 use std::time::Duration;
@@ -15,6 +16,10 @@
 
 /// Number of requests at the same time, which reach both replicas.
 const AT_ONCE: usize = 8;
+/// Number of nodes of which only some watch the list of instances.
+const LARGE_FLEET: usize = 15;
+/// Time that the store takes to respond to some reads.
+const READ_DELAY: Duration = Duration::from_millis(800);
 
 /// Sends requests to the first node at the same time and returns the number of those that were served.
 async fn send_requests(fleet: &Fleet, method: &Method, path: &str) -> usize {
@@ -26,6 +31,12 @@
     requests.join_all().await.into_iter().filter(|status| *status == 200).count()
 }
 
+/// Returns the ids of the plain instances that get requests.
+fn plain_replicas(view: &FleetView) -> Vec<String> {
+    let replicas = view.replicas();
+    replicas.of_service("orders").iter().map(|replica| replica.instance.clone()).collect()
+}
+
 /// Returns the number of requests that arrived at an instance since a moment.
 fn arrivals_since(fake_platform: &FakePlatform, id: &str, since: Instant) -> usize {
     let arrivals = fake_platform.arrivals();
@@ -73,3 +84,46 @@
     }
     assert_eq!(arrivals_since(&platform, &leaving, returned), 0);
 }
+
+/// Starts a fleet of which only some nodes watch the list of instances, with one plain replica, and returns a
+/// node that does not watch and one that does.
+async fn start_large_fleet() -> (Fleet, usize, usize) {
+    let mut fleet = Fleet::new(0).await;
+    for _ in 0..LARGE_FLEET {
+        fleet.add_linked_node().await;
+    }
+    for node in 0..LARGE_FLEET {
+        fleet.wait_for_replicas(node, "orders", 2).await;
+    }
+    // The nodes that were started first watch the list until it changes.
+    fleet.fake_platform.drain("p-01");
+    let view = |node: usize| &fleet.nodes[node].cx.fleet;
+    eventually(|| (0..LARGE_FLEET).all(|node| plain_replicas(view(node)) == ["p-00"])).await;
+    sleep(Duration::from_secs(1)).await;
+    let (watchers, followers): (Vec<usize>, Vec<usize>) =
+        (0..LARGE_FLEET).partition(|node| view(*node).watched_revision() > 0);
+    assert!(watchers.len() > 1, "{watchers:?}");
+    (fleet, followers[0], watchers[0])
+}
+
+/// Most nodes of a large fleet follow the list of instances by changes that others forward. One of them reads
+/// the list meanwhile, and the response takes its time.
+#[rstest]
+#[case::draining(FakePlatform::drain)]
+#[case::removed(FakePlatform::expire_entry)]
+#[tokio::test]
+async fn instance_that_left_returns_with_an_older_list(#[case] leave: fn(&FakePlatform, &str)) {
+    let (fleet, follower, _) = start_large_fleet().await;
+    let cx = &fleet.nodes[follower].cx;
+    fleet.store.set_read_delay_at(cx.settings.store, READ_DELAY);
+    let requested = Instant::now();
+    cx.fleet.request_relist();
+    sleep(Duration::from_millis(100)).await;
+    leave(&fleet.fake_platform, "p-00");
+    eventually(|| plain_replicas(&cx.fleet).is_empty()).await;
+    assert!(requested.elapsed() < READ_DELAY, "the change was forwarded");
+    while requested.elapsed() < 2 * READ_DELAY {
+        sleep(Duration::from_millis(20)).await;
+        assert_eq!(plain_replicas(&cx.fleet), [""; 0], "{:?}", requested.elapsed());
+    }
+}
