instance_list_sync: a watch doesn't undo later changes from other watchers

A watcher applies the changes of its own watch whatever revision it has reached by those that other watchers forward. A response that was long on its way made a draining instance ready again, until the next one; for as long as the store was away in between.

Change: the changes of a watch are applied like those of other watchers, only if they are later than what is known. A list older than what was known when its read began shows that the store has returned from a copy; revisions then count from that list on.

--- a/serving/src/fleet_view.rs
+++ b/serving/src/fleet_view.rs
@@ -124,6 +124,9 @@
         hold_until: Option<Instant>,
     ) {
         let mut state = self.lock_sync_state();
+        let read = self.lock().list_read.take().unwrap_or_default();
+        // The store has returned from an older copy: what is known of its later revisions is void.
+        let is_restored = revision < read.from;
         self.update(|inner, log| {
             let mut before = std::mem::take(&mut inner.instances);
             for instance in instances {
@@ -138,13 +141,15 @@
             let now = Instant::now();
             inner.first_listed.get_or_insert(now);
             inner.last_listed = Some(now);
-            let read = inner.list_read.take().unwrap_or_default();
-            let is_later = |delta: &InstanceListDelta| read.from <= revision && delta.to > revision;
+            let is_later = |delta: &InstanceListDelta| !is_restored && delta.to > revision;
             for delta in read.deltas.into_iter().filter(is_later) {
                 inner.apply(log, delta.changes, hold_until);
             }
         });
-        state.advance_to(revision);
+        match is_restored {
+            true => *state = ListSyncState { revision, ..ListSyncState::default() },
+            false => state.advance_to(revision),
+        }
     }
 
     /// Applies changes of entries; removed entries are held until `hold_until`.
--- a/serving/src/instance_list_sync.rs
+++ b/serving/src/instance_list_sync.rs
@@ -130,9 +130,10 @@
                 Ok(batch) => {
                     let changes: Vec<EntryChange> =
                         batch.changes.iter().filter_map(|c| self.change(c)).collect();
-                    self.forward_changes(revision, batch.revision, &changes);
-                    self.cx.fleet.apply(changes, hold_until(&self.cx));
-                    self.cx.fleet.advance_to(batch.revision);
+                    let delta = InstanceListDelta { from: revision, to: batch.revision, changes };
+                    self.forward(&delta);
+                    // Other watchers may have forwarded later changes already.
+                    self.cx.fleet.apply_delta(delta, hold_until(&self.cx), Instant::now());
                     self.cx.fleet.set_watching(true);
                     revision = batch.revision;
                     sleep(WATCH_PERIOD.saturating_sub(started.elapsed())).await;
@@ -154,14 +155,13 @@
     }
 
     /// Forwards changes to the other nodes, unless all of them watch the list themselves.
-    fn forward_changes(&self, from: u64, to: u64, changes: &[EntryChange]) {
+    fn forward(&self, delta: &InstanceListDelta) {
         let live = self.cx.nodes.addresses().len();
-        if from == to || !instance_list_delta::needs_forwarding(live) {
+        if delta.from == delta.to || !instance_list_delta::needs_forwarding(live) {
             return;
         }
         // If the queue is full, the other nodes detect a gap and read the list from the store.
-        let delta = InstanceListDelta { from, to, changes: changes.to_vec() };
-        if self.deltas.try_send(delta).is_err() {
+        if self.deltas.try_send(delta.clone()).is_err() {
             log::debug!(
                 "changes of the instance list were not forwarded: the queue is full or closed"
             );
--- a/serving/tests/test_instance_list_delta.rs
+++ b/serving/tests/test_instance_list_delta.rs
@@ -42,6 +42,18 @@
     assert!(view.sync_state().needs_relist(Instant::now()));
 }
 
+/// Revisions are given out again after the store returned from an older copy.
+#[tokio::test(start_paused = true)]
+async fn changes_after_the_return_of_an_older_store_are_applied() {
+    let view = FleetView::new(log());
+    view.replace_all(vec![instance("x", "orders")], 200, None);
+    view.begin_list();
+    view.replace_all(vec![instance("x", "orders")], 150, None);
+    let changes = vec![EntryChange::Removed("x".to_string())];
+    view.apply_delta(InstanceListDelta { from: 150, to: 160, changes }, None, Instant::now());
+    assert!(view.instances().is_empty());
+}
+
 /// A history of changes of five entries, each at the revision that its position gives.
 struct History(Vec<EntryChange>);
 
--- a/serving/tests/test_leaving_replicas.rs
+++ b/serving/tests/test_leaving_replicas.rs
@@ -127,3 +127,24 @@
         assert_eq!(plain_replicas(&cx.fleet), [""; 0], "{:?}", requested.elapsed());
     }
 }
+
+/// A watcher learns from another one that an instance is draining. The response of its own watch, which shows
+/// the instance as ready, arrives later.
+#[tokio::test]
+async fn draining_instance_returns_with_an_older_change() {
+    let (fleet, _, watcher) = start_large_fleet().await;
+    let cx = &fleet.nodes[watcher].cx;
+    fleet.store.set_read_delay_at(cx.settings.store, READ_DELAY);
+    let changed = Instant::now();
+    // Another change of the same entry.
+    fleet.fake_platform.expire_entry("p-00");
+    fleet.fake_platform.register("p-00");
+    sleep(Duration::from_millis(100)).await;
+    fleet.fake_platform.drain("p-00");
+    eventually(|| plain_replicas(&cx.fleet).is_empty()).await;
+    assert!(changed.elapsed() < READ_DELAY, "the change was forwarded");
+    while changed.elapsed() < 2 * READ_DELAY {
+        sleep(Duration::from_millis(20)).await;
+        assert_eq!(plain_replicas(&cx.fleet), [""; 0], "{:?}", changed.elapsed());
+    }
+}
