fleet_view: remember a leaving run for a while after its entry was removed

Cause: without an entry, that a run leaves was kept for a minute from the first answer that said so. An instance that had been leaving for longer and whose entry lapsed for a moment, as entries do in an outage of the store, returned as ready.

Change: the minute begins when the entry is removed.

Evidence: leaving_replica_returns_with_its_entry_after_a_minute failed in both cases (removed, not back after an outage) and passes.

--- a/serving/src/fleet_view.rs
+++ b/serving/src/fleet_view.rs
@@ -72,7 +72,8 @@
     changed_at: HashMap<InstanceId, Instant>,
     /// Missing entries that are held after an outage of the store, with the end of the hold.
     held: HashMap<InstanceId, Instant>,
-    /// Runs of instances that said that they leave, with the time at which they first did.
+    /// Runs of instances that said that they leave, with the time at which they first did, or at which their
+    /// entry was last removed.
     leaving: HashMap<RunHash, Instant>,
     /// Members of groups whose entries were removed, with the time of removal.
     expired: HashMap<InstanceId, (Instant, Instance)>,
@@ -193,9 +194,9 @@
                 .map(|(id, _)| id.clone())
                 .collect();
             for id in overdue {
-                inner.held.remove(&id);
-                inner.instances.remove(&id);
-                inner.changed_at.remove(&id);
+                if let Some(instance) = inner.instances.remove(&id) {
+                    inner.record_removal(&instance);
+                }
                 let reason =
                     "the entry was not registered again after the outage of the store".to_string();
                 log.record(Event::InstanceGone { instance: id, reason });
@@ -375,6 +376,16 @@
         self.leaving.retain(|run, at| registered.contains(run) || at.elapsed() < LEAVING_RETENTION);
     }
 
+    /// Forgets what is known of an entry that was removed. That its run leaves is remembered for a while, since
+    /// the entry may return.
+    fn record_removal(&mut self, instance: &Instance) {
+        self.held.remove(&instance.id);
+        self.changed_at.remove(&instance.id);
+        if let Some(at) = self.leaving.get_mut(&run_of(instance)) {
+            *at = Instant::now();
+        }
+    }
+
     fn record_status_change(&mut self, before: Option<&Instance>, after: &Instance) {
         if before.is_none_or(|before| before.engine != after.engine) {
             self.changed_at.insert(after.id.clone(), Instant::now());
@@ -396,8 +407,7 @@
     hold_until: Option<Instant>,
 ) {
     let Some(until) = hold_until.filter(|until| *until > Instant::now()) else {
-        inner.held.remove(&id);
-        inner.changed_at.remove(&id);
+        inner.record_removal(&instance);
         let reason = "its entry was removed".to_string();
         log.record(Event::InstanceGone { instance: id.clone(), reason });
         if instance.engine.membership.is_some() && !instance.is_draining {
--- a/serving/tests/test_leaving_replicas.rs
+++ b/serving/tests/test_leaving_replicas.rs
@@ -3,10 +3,15 @@
 
 use crate::fleet::Fleet;
 use crate::fleet::eventually;
+use crate::util::config;
+use crate::util::instance;
+use crate::util::log;
 use guavaladder_platform_testutils::Call;
 use guavaladder_platform_testutils::FakePlatform;
 use guavaladder_platform_testutils::LinkMode;
+use guavaladder_serving::fleet_view::EntryChange;
 use guavaladder_serving::fleet_view::FleetView;
+use guavaladder_serving::rate_limits::run_hash;
 use http::Method;
 use rstest::rstest;
 use std::time::Duration;
@@ -148,3 +153,26 @@
         assert_eq!(plain_replicas(&cx.fleet), [""; 0], "{:?}", changed.elapsed());
     }
 }
+
+/// The entry lapses for a moment, long after the instance first said that it leaves.
+#[rstest]
+#[case::removed(false)]
+#[case::not_back_after_an_outage(true)]
+#[tokio::test(start_paused = true)]
+async fn leaving_replica_returns_with_its_entry_after_a_minute(#[case] is_held: bool) {
+    let view = FleetView::new(log());
+    view.set_config(config(1));
+    let x = instance("x", "orders");
+    let put = || vec![EntryChange::Put(Box::new(x.clone()))];
+    view.apply(put(), None);
+    view.mark_leaving(run_hash(&x.id, x.engine.born_ms));
+    tokio::time::advance(Duration::from_secs(100)).await;
+    let hold_until = is_held.then(|| Instant::now() + Duration::from_secs(2));
+    view.apply(vec![EntryChange::Removed(x.id.clone())], hold_until);
+    tokio::time::advance(Duration::from_secs(5)).await;
+    view.expire_held(Instant::now());
+    assert!(view.instances().is_empty());
+    tokio::time::advance(Duration::from_secs(10)).await;
+    view.apply(put(), None);
+    assert_eq!(plain_replicas(&view), [""; 0]);
+}
