instance_notices: record what reports state of runs without an entry

Callers: none seen; found by asking which answers no code looks at.

Cause: what the answer to a report or an order states was dropped while the instance had no entry, as during an outage of the store, when the holder of the lease asks such members. An instance that said then that it leaves returned as ready with its entry.

Change: the run is known by its start time, which a report names and the order client keeps.

Evidence: instance_that_said_in_a_report_that_it_leaves_returns_with_its_entry failed and passes.

--- a/serving/src/instance_notices.rs
+++ b/serving/src/instance_notices.rs
@@ -53,16 +53,19 @@
     }
 }
 
-/// Records what the answer of a registered instance to a call of its own interface states.
+/// Records what the answer of an instance to a call of its own interface states. Its run is the one that
+/// began at `born_ms`, or the registered one if that is not known.
 pub fn record_call(
     cx: &ServingCx,
     instance: &str,
+    born_ms: Option<u64>,
     headers: &HeaderMap,
     status: StatusCode,
     sent_at: Instant,
 ) {
-    let Some(registered) = cx.fleet.instance(instance) else { return };
-    let run = rate_limits::run_hash(instance, registered.engine.born_ms);
+    let registered = || cx.fleet.instance(instance).map(|registered| registered.engine.born_ms);
+    let Some(born_ms) = born_ms.or_else(registered) else { return };
+    let run = rate_limits::run_hash(instance, born_ms);
     let answer = InstanceAnswer { sent_at, status, is_run: false };
     record(cx, run, &cx.dialect.decode_notice(headers), answer);
 }
--- a/serving/src/order_client.rs
+++ b/serving/src/order_client.rs
@@ -233,7 +233,8 @@
     let result = match response {
         Ok(response) => {
             let (headers, status) = (response.headers(), response.status());
-            instance_notices::record_call(cx, &target.id, headers, status, sent_at);
+            let born_ms = target.accepted.map(|accepted| accepted.born_ms);
+            instance_notices::record_call(cx, &target.id, born_ms, headers, status, sent_at);
             let decoded = cx.dialect.decode_order_response(response.status());
             if !matches!(decoded, OrderResponse::Begun | OrderResponse::Done) {
                 let text = String::from_utf8_lossy(response.body());
--- a/serving/src/replica_health.rs
+++ b/serving/src/replica_health.rs
@@ -144,15 +144,18 @@
         cx.reach.record_connected();
     }
     let response = response?;
-    instance_notices::record_call(cx, instance, response.headers(), response.status(), sent_at);
-    match response.status() {
+    let (headers, status) = (response.headers(), response.status());
+    let report = match status {
         StatusCode::OK => cx
             .dialect
             .decode_report(response.body())
             .map_err(|e| ReportError::Unusable(e.to_string())),
         StatusCode::MISDIRECTED_REQUEST => Err(ReportError::WrongInstance),
         status => Err(ReportError::Unusable(format!("status {status}"))),
-    }
+    };
+    let born_ms = report.as_ref().ok().map(|report| report.engine.born_ms);
+    instance_notices::record_call(cx, instance, born_ms, headers, status, sent_at);
+    report
 }
 
 /// Replicas that are being checked, or were recently checked and found healthy.
--- a/serving/tests/test_leaving_replicas.rs
+++ b/serving/tests/test_leaving_replicas.rs
@@ -12,6 +12,7 @@
 use guavaladder_serving::fleet_view::EntryChange;
 use guavaladder_serving::fleet_view::FleetView;
 use guavaladder_serving::rate_limits::run_hash;
+use guavaladder_serving::replica_health;
 use http::Method;
 use rstest::rstest;
 use std::time::Duration;
@@ -26,6 +27,9 @@
 /// Time that the store takes to respond to some reads.
 const READ_DELAY: Duration = Duration::from_millis(800);
 
+/// Time that a report may take.
+const REPORT_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Sends requests to the first node at the same time and returns the number of those that were served.
 async fn send_requests(fleet: &Fleet, method: &Method, path: &str) -> usize {
     let mut requests = JoinSet::new();
@@ -176,3 +180,20 @@
     view.apply(put(), None);
     assert_eq!(plain_replicas(&view), [""; 0]);
 }
+
+/// The entry lapses, and returns as ready.
+#[tokio::test]
+async fn instance_that_said_in_a_report_that_it_leaves_returns_with_its_entry() {
+    let mut fleet = Fleet::new(0).await;
+    fleet.add_first_node("orders", 2).await;
+    let (platform, cx) = (fleet.fake_platform.clone(), fleet.nodes[0].cx.clone());
+    let address = platform.address("p-00").expect("an instance");
+    platform.expire_entry("p-00");
+    eventually(|| plain_replicas(&cx.fleet) == ["p-01"]).await;
+    platform.set_leaving("p-00");
+    let report = replica_health::fetch_report(&cx, "p-00", address, "test", REPORT_TIMEOUT);
+    report.await.expect("a report");
+    platform.register("p-00");
+    eventually(|| cx.fleet.instance("p-00").is_some()).await;
+    assert_eq!(plain_replicas(&cx.fleet), ["p-01"]);
+}
