instance_deferrals: a shorter time doesn't end a longer one

Callers: requests that their node sent to a replica which had asked it for more time, and that were refused and sent again (BUDGET).

Cause: of the times that a replica asks for, the last one replaced the others. An answer to a request that was under way when it asked for 3 s, with 0.2 s of its own, let requests go after 0.3 s.

Change: the latest end counts.

Evidence: shorter_time_replaces_a_longer_one::shorter_later failed (200 ms left, 2.9 s expected) and passes.

--- a/serving/src/instance_deferrals.rs
+++ b/serving/src/instance_deferrals.rs
@@ -24,12 +24,19 @@
         Self::default()
     }
 
-    /// Records that a run of an instance wants no requests for `time`; returns true if it wanted some until
-    /// now.
+    /// Records that a run of an instance wants no requests for `time`, without an end of what it asked for
+    /// before; returns true if it wanted some until now.
     pub fn record(&self, run: RunHash, time: Duration, now: Instant) -> bool {
         let mut until = self.lock();
         until.retain(|_, until| *until > now);
-        until.insert(run, now + time.min(MAX_DEFERRAL)).is_none()
+        let end = now + time.min(MAX_DEFERRAL);
+        match until.get_mut(&run) {
+            Some(until) => {
+                *until = end.max(*until);
+                false
+            }
+            None => until.insert(run, end).is_none(),
+        }
     }
 
     /// Returns the time after which a run of an instance may get a request; `None` if it may now.
--- a/serving/tests/runner.rs
+++ b/serving/tests/runner.rs
@@ -12,6 +12,7 @@
 mod test_fleet_view;
 mod test_group_faults;
 mod test_group_plan;
+mod test_instance_deferrals;
 mod test_instance_list_delta;
 mod test_instance_notices;
 mod test_lease_state;
