awaited_answer: hear answers to requests that were given up

Callers: requests that were refused and sent again, since their node went on sending to replicas that had asked it for rest (BUDGET).

Cause: the connection of a request is closed as soon as its caller has left, its deadline has passed or another replica has responded first. A refusal that was on its way was read by nobody, and so was the time that the replica asked for.

--- a/serving/src/attempt.rs
+++ b/serving/src/attempt.rs
@@ -1,5 +1,6 @@
 //! A single attempt to send a request to a replica, up to receiving the response head.
 
+use crate::awaited_answer::AwaitedAnswer;
 use crate::connection::CallError;
 use crate::connection::ConnectError;
 use crate::connection::Connection;
@@ -289,7 +290,7 @@
     attempts_left: u32,
     is_fresh: bool,
 ) -> Result<UpstreamResponse, AttemptError> {
-    let mut connection = cx.pool.get(replica, is_fresh).await?;
+    let connection = cx.pool.get(replica, is_fresh).await?;
     let params = UpstreamParams {
         instance: &replica.instance,
         deadline: task.upstream_deadline(Instant::now()),
@@ -308,14 +309,15 @@
         }
         false => build_request(cx, task, &params)?,
     };
-    let sent_at = Instant::now();
-    let response = connection.send(req).await.map_err(|e| match e {
+    let mut awaited = AwaitedAnswer::new(cx, replica, connection, req);
+    let (connection, response) = awaited.receive().await;
+    let response = response.map_err(|e| match e {
         CallError::NotSent(e) => AttemptError::NotSent(e),
         CallError::NoResponse(reason) => AttemptError::Broken(reason),
     })?;
     let head = cx.dialect.decode_response_head(response.status(), response.headers());
-    let (status, is_run) = (response.status(), head.is_signed && !head.is_not_run);
-    let answer = InstanceAnswer { sent_at, status, is_run };
+    let status = response.status();
+    let answer = InstanceAnswer { sent_at: awaited.sent_at, status, is_run: head.is_run() };
     match replica.is_node {
         true => {
             node_relay::record_notice(cx, response.headers());
--- a/serving/src/instance.rs
+++ b/serving/src/instance.rs
@@ -229,6 +229,13 @@
     pub notice: InstanceNotice,
 }
 
+impl ResponseHead {
+    /// Returns whether the instance ran the request.
+    pub fn is_run(&self) -> bool {
+        self.is_signed && !self.is_not_run
+    }
+}
+
 /// What an instance states about itself in the headers of any answer.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct InstanceNotice {
--- a/serving/src/lib.rs
+++ b/serving/src/lib.rs
@@ -9,6 +9,7 @@
 
 pub mod attempt;
 pub mod attempt_loop;
+pub mod awaited_answer;
 pub mod candidates;
 pub mod config_sync;
 pub mod connection;
--- a/serving/tests/test_instance_notices.rs
+++ b/serving/tests/test_instance_notices.rs
@@ -13,6 +13,7 @@
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 use tokio::time::sleep;
+use tokio::time::timeout;
 
 /// Number of rounds of requests, and of requests at the same time in each, which reach both replicas.
 const ROUNDS: usize = 4;
@@ -169,3 +170,40 @@
         assert_eq!(arrivals_since(&fleet.fake_platform, id, later), 0, "at {id}");
     }
 }
+
+/// The replicas refuse requests after 60 ms, and the callers have left by then.
+#[rstest]
+#[case::plain(Method::POST, "/book/x")]
+#[case::idempotent(Method::GET, "/look/x")]
+#[case::stream(Method::POST, "/draft/x")]
+#[tokio::test]
+async fn refusals_of_requests_whose_callers_left_are_not_heard(
+    #[case] method: Method,
+    #[case] path: &str,
+) {
+    let is_stream = path.starts_with("/draft/");
+    let mut fleet = Fleet::new(if is_stream { 4 } else { 0 }).await;
+    fleet.add_first_node(if is_stream { "drafting" } else { "orders" }, 2).await;
+    let platform = fleet.fake_platform.clone();
+    let replicas: Vec<String> = match is_stream {
+        true => platform.open_groups().into_iter().map(|group| group[0].clone()).collect(),
+        false => vec!["p-00".to_string(), "p-01".to_string()],
+    };
+    for id in &replicas {
+        platform.set_mode(id, InstanceMode::Refuses);
+        platform.set_retry_after(id, Some("3"));
+        platform.set_refusal_delay(id, Duration::from_millis(60));
+    }
+    let begin = Instant::now();
+    while begin.elapsed() < Duration::from_millis(2500) {
+        let call = Call::new(method.clone(), path);
+        let _ = timeout(Duration::from_millis(40), call.send(fleet.callers(0))).await;
+        sleep(Duration::from_millis(30)).await;
+    }
+    for id in &replicas {
+        let arrivals = platform.arrivals();
+        let first = arrivals.iter().find(|a| a.instance == *id).map_or(begin, |a| a.at);
+        let later = arrivals_since(&platform, id, first + Duration::from_millis(560));
+        assert!(later <= 2, "{later} requests at {id}");
+    }
+}
