--- a/serving/tests/runner.rs
+++ b/serving/tests/runner.rs
@@ -7,6 +7,7 @@
 mod test_crashing_prompt_parts;
 mod test_crashing_requests;
 mod test_directory;
+mod test_early_answers;
 mod test_endless_bytes;
 mod test_expired_members;
 mod test_fleet_view;
