next_replica: cut a stream whose replicas want no requests for too long

Callers: streams that had lost their replica stood still until their deadline, though it was known that no other replica would take them before. A caller could have resumed them at another node.

Cause: a stream that has begun waits for the next request that the rates and rests of the replicas allow, however far off that is.

Change: it waits only if that is sooner than its deadline, and than the two seconds without an event after which callers give up.

--- a/serving/src/next_replica.rs
+++ b/serving/src/next_replica.rs
@@ -24,6 +24,9 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
+/// Time without an event after which callers may give up a stream.
+const MAX_STREAM_PAUSE: Duration = Duration::from_secs(2);
+
 /// Next step of a request.
 #[derive(Debug)]
 pub enum NextStep {
@@ -84,7 +87,9 @@
     }
     match withheld {
         _ if progress.has_silent => NextStep::Wait,
-        Withheld::NoReplica(NoCapacity::RateLimited { .. }, _) if progress.has_begun => {
+        Withheld::NoReplica(NoCapacity::RateLimited { next }, _)
+            if progress.has_begun && next.is_none_or(|next| is_bearable(task, next)) =>
+        {
             NextStep::Wait
         }
         _ if progress.has_begun => NextStep::Fail(format!("{}; {withheld}", last_error(attempts))),
@@ -95,6 +100,11 @@
     }
 }
 
+/// Returns whether the caller of a stream would still be there after a pause.
+fn is_bearable(task: &RequestTask, pause: Duration) -> bool {
+    pause < MAX_STREAM_PAUSE.min(task.time_left(Instant::now()))
+}
+
 /// Chooses the replica for the first or another attempt.
 fn choose(
     cx: &ServingCx,
--- a/serving/tests/test_instance_notices.rs
+++ b/serving/tests/test_instance_notices.rs
@@ -207,3 +207,27 @@
         assert!(later <= 2, "{later} requests at {id}");
     }
 }
+
+/// The replica of a stream ends, and the only other one wants no requests for longer than the deadline.
+#[tokio::test]
+async fn stream_that_cannot_go_on_in_time_waits_for_its_deadline() {
+    let mut fleet = Fleet::with_events(4, 40).await;
+    fleet.add_first_node("drafting", 2).await;
+    let platform = fleet.fake_platform.clone();
+    let groups = platform.open_groups();
+    platform.set_mode(&groups[0][0], InstanceMode::Refuses);
+    platform.set_retry_after(&groups[0][0], Some("30"));
+    let begin = Instant::now();
+    while arrivals_since(&platform, &groups[0][0], begin) == 0 {
+        Call::new(Method::POST, "/draft/x").status(fleet.callers(0)).await;
+    }
+    let call = Call::new(Method::POST, "/draft/x").with_deadline(Duration::from_secs(8));
+    let to = fleet.callers(0);
+    let stream = tokio::spawn(async move { call.send(to).await });
+    eventually(|| platform.running_streams() == 1).await;
+    sleep(Duration::from_millis(200)).await;
+    platform.kill(&groups[1][0]);
+    let killed = Instant::now();
+    assert!(stream.await.expect("a task that ends").is_none(), "it was cut off");
+    assert!(killed.elapsed() < Duration::from_secs(1), "{:?}", killed.elapsed());
+}
