--- a/serving/src/awaited_answer.rs
+++ b/serving/src/awaited_answer.rs
@@ -25,7 +25,7 @@
 
 /// Time for which an answer is awaited after its request was given up. The instance may work on the request until
 /// then.
-const LISTEN_TIME: Duration = Duration::from_millis(100);
+const LISTEN_TIME: Duration = Duration::from_millis(50);
 
 /// The connection of a request and the head of its answer.
 pub type Answered = (Connection, Result<Response<Incoming>, CallError>);
