--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod serving_soak_cuts;
 pub mod serving_soak_faults;
 pub mod serving_soak_nodes;
+pub mod serving_soak_notices;
 pub mod serving_soak_oracle;
 pub mod serving_soak_report;
 pub mod serving_soak_signals;
--- a/bench/src/serving_soak_callers.rs
+++ b/bench/src/serving_soak_callers.rs
@@ -61,6 +61,8 @@
     Sound,
     /// Crashes replicas, as a whole.
     Crashing,
+    /// Traffic whose caller leaves while it is under way.
+    Impatient,
     /// Crashes replicas by a part of its prompt; the id of the part.
     CrashingPart(String),
 }
@@ -93,6 +95,8 @@
     pub ended: Instant,
     /// What the caller got.
     pub outcome: Outcome,
+    /// Whether the request was refused while no replica took requests freely.
+    pub is_unservable: bool,
 }
 
 /// Requests and violations of a run in progress; clones share them.
@@ -127,10 +131,23 @@
         let sent = Instant::now();
         let response = connection.send(&request.call).await;
         let (outcome, violation) = judge(request, response.as_ref(), fake_platform);
+        self.lock().violations.extend(violation);
+        self.record(request, node, sent, outcome, fake_platform);
+        outcome
+    }
+
+    /// Records the outcome of a request that ends now.
+    pub fn record(
+        &self,
+        request: &Request,
+        node: usize,
+        sent: Instant,
+        outcome: Outcome,
+        fake_platform: &FakePlatform,
+    ) {
         let (_, kind, service) = KINDS[request.kind];
-        let mut recorded = self.lock();
-        recorded.violations.extend(violation);
-        recorded.requests.push(RequestRecord {
+        let is_unservable = outcome == Outcome::Refused && !fake_platform.has_free_replica(service);
+        self.lock().requests.push(RequestRecord {
             id: request.call.id.clone(),
             kind,
             path: request.path.clone(),
@@ -140,8 +157,8 @@
             sent,
             ended: Instant::now(),
             outcome,
+            is_unservable,
         });
-        outcome
     }
 }
 
