instance_reach: the prober of a cut ends with it

Cause: a node that reaches no instance probes some of them every 100 ms until it does. A link that came back for less than that left the prober running beside that of the next cut, so that probes and log lines added up with each flap, at a size where a check of the links copies the instance list.

Change: a prober belongs to one cut and ends with it.

--- a/serving/src/instance_reach.rs
+++ b/serving/src/instance_reach.rs
@@ -62,6 +62,8 @@
     connected_at: Option<Instant>,
     /// Start and result of the last check.
     checked: Option<(Instant, Links)>,
+    /// Number of times that this node began to reach no instance.
+    cuts: u64,
 }
 
 impl Default for InstanceReach {
@@ -109,6 +111,11 @@
         self.lock().connected_at
     }
 
+    /// Returns whether this node still reaches no instance since the cut with a number.
+    fn is_in_cut(&self, number: u64) -> bool {
+        self.is_cut() && self.lock().cuts == number
+    }
+
     /// Returns what is known without a check about the links since a moment.
     fn known(&self, since: Instant) -> Option<Links> {
         let state = self.lock();
@@ -162,6 +169,11 @@
     if cx.reach.is_cut.send_replace(true) {
         return;
     }
+    let number = {
+        let mut state = cx.reach.lock();
+        state.cuts += 1;
+        state.cuts
+    };
     let (now, connected_at) = (Instant::now(), cx.reach.connected_at());
     let silent_for = connected_at.map_or(Duration::ZERO, |at| now - at);
     cx.failed_attempts.forget_since(connected_at);
@@ -172,7 +184,7 @@
     });
     let cx = cx.clone();
     tokio::spawn(async move {
-        while cx.reach.is_cut() {
+        while cx.reach.is_in_cut(number) {
             sleep(PROBE_PERIOD).await;
             probe(&cx, &others(&cx, &[])).await;
         }
--- a/serving/tests/test_partitioned_nodes.rs
+++ b/serving/tests/test_partitioned_nodes.rs
@@ -4,6 +4,7 @@
 use crate::fleet::Fleet;
 use crate::fleet::start_streams;
 use crate::util::instance;
+use guavaladder_lib::generated::events::Event;
 use guavaladder_platform_testutils::Call;
 use guavaladder_platform_testutils::InstanceMode;
 use guavaladder_platform_testutils::LinkMode;
@@ -296,6 +297,31 @@
     Instance { address, data_centre, ..instance(&format!("{service}-{n}"), service) }
 }
 
+#[tokio::test]
+async fn each_cut_of_a_flapping_link_leaves_a_prober() {
+    let mut fleet = Fleet::new(2 * GROUPS).await;
+    let links = fleet.add_linked_node().await;
+    fleet.wait_for_replicas(0, "orders", 2).await;
+    let cx = fleet.nodes[0].cx.clone();
+    links.set_mode(LinkMode::Reset);
+    for _ in 0..5 {
+        // Shorter than the interval of the probes, which would otherwise end at the connection.
+        sleep(Duration::from_millis(20)).await;
+        cx.reach.record_connected();
+        while !cx.reach.is_cut() {
+            sleep(Duration::from_millis(5)).await;
+            instance_reach::check(&cx, &[], Instant::now()).await;
+        }
+    }
+    sleep(Duration::from_millis(500)).await;
+    let count = |is_counted: fn(&Event) -> bool| {
+        cx.log.events().recent().iter().filter(|event| is_counted(&event.event)).count()
+    };
+    let cuts = count(|event| matches!(event, Event::InstancesUnreachable { .. }));
+    let ends = count(|event| matches!(event, Event::InstancesReached { .. }));
+    assert_eq!((cuts, ends), (5, 4));
+}
+
 /// Another node refuses calls since their service has no replica; it has no fault, and takes other requests.
 #[tokio::test]
 async fn node_gets_no_requests_since_it_refused_some() {
