instance_reach: compare with a single other instance

Cause: a node took its links for working unless two other instances could be compared with the one that failed.

Change: one is enough. As it may have ended too, requests are passed on to other nodes, which harms none if the instances have ended, but failed attempts are kept until entries show whether their replicas crashed.

Evidence: requests_fail_at_a_partitioned_node_of_a_small_deployment failed in three ways and passes; crash_of_both_instances_is_taken_for_a_partition_for_good fails if attempts are dropped.

--- a/serving/src/failed_attempts.rs
+++ b/serving/src/failed_attempts.rs
@@ -241,7 +241,7 @@
 
 fn keep(cx: &ServingCx, attempt: FailedAttempt, is_being_checked: bool, is_unframed: bool) {
     // An attempt that ends while this node reaches no instance says nothing about its replica.
-    if cx.reach.is_cut() {
+    if cx.reach.is_certainly_cut() {
         return;
     }
     let now = Instant::now();
--- a/serving/src/instance_reach.rs
+++ b/serving/src/instance_reach.rs
@@ -31,8 +31,9 @@
 /// Number of instances that are probed at once, and its maximum where there are many data centres.
 const PROBES: usize = 4;
 const MAX_PROBES: usize = 10;
-/// Minimum number of other instances that have to be known for a comparison.
-const MIN_PROBES: usize = 2;
+/// Number of other instances from which it is certain that the links are broken if none can be reached. A single
+/// one may have ended too.
+const CERTAIN_PROBES: usize = 2;
 /// Interval between the probes of a node that reaches no instance.
 const PROBE_PERIOD: Duration = Duration::from_millis(100);
 
@@ -64,6 +65,8 @@
     checked: Option<(Instant, Links)>,
     /// Number of times that this node began to reach no instance.
     cuts: u64,
+    /// Whether that of the last one is certain.
+    is_certain: bool,
 }
 
 impl Default for InstanceReach {
@@ -111,6 +114,12 @@
         self.lock().connected_at
     }
 
+    /// Returns whether it is certain that this node reaches no instance, so that attempts which fail say nothing
+    /// about their replicas.
+    pub fn is_certainly_cut(&self) -> bool {
+        self.is_cut() && self.lock().is_certain
+    }
+
     /// Returns whether this node still reaches no instance since the cut with a number.
     fn is_in_cut(&self, number: u64) -> bool {
         self.is_cut() && self.lock().cuts == number
@@ -154,7 +163,7 @@
     let started = Instant::now();
     let addresses = others(cx, suspects);
     let links = match addresses.len() {
-        0..MIN_PROBES => Links::Working,
+        0 => Links::Working,
         _ => probe(cx, &addresses).await,
     };
     cx.reach.lock().checked = Some((started, links));
@@ -172,11 +181,14 @@
     let number = {
         let mut state = cx.reach.lock();
         state.cuts += 1;
+        state.is_certain = probed >= CERTAIN_PROBES;
         state.cuts
     };
     let (now, connected_at) = (Instant::now(), cx.reach.connected_at());
     let silent_for = connected_at.map_or(Duration::ZERO, |at| now - at);
-    cx.failed_attempts.forget_since(connected_at);
+    if probed >= CERTAIN_PROBES {
+        cx.failed_attempts.forget_since(connected_at);
+    }
     cx.log.record(Event::InstancesUnreachable {
         node: cx.node().to_string(),
         probed: probed as u64,
--- a/serving/tests/test_partitioned_nodes.rs
+++ b/serving/tests/test_partitioned_nodes.rs
@@ -2,9 +2,11 @@
 //! nodes still reach them.
 
 use crate::fleet::Fleet;
+use crate::fleet::eventually;
 use crate::fleet::start_streams;
 use crate::util::instance;
 use guavaladder_lib::generated::events::Event;
+use guavaladder_platform_testutils::CRASH_MARKER;
 use guavaladder_platform_testutils::Call;
 use guavaladder_platform_testutils::InstanceMode;
 use guavaladder_platform_testutils::LinkMode;
@@ -416,3 +418,54 @@
     run.check_requests();
     run.check_replicas();
 }
+
+/// A deployment of two instances: a node that reaches neither has one other to compare with.
+#[rstest]
+#[tokio::test]
+async fn requests_fail_at_a_partitioned_node_of_a_small_deployment(
+    #[values(LinkMode::Hanging, LinkMode::Reset, LinkMode::RefusingNew)] mode: LinkMode,
+) {
+    let mut fleet = Fleet::new(0).await;
+    let links = fleet.add_linked_node().await;
+    fleet.add_node().await;
+    for node in [0, 1] {
+        fleet.wait_for_replicas(node, "orders", 2).await;
+    }
+    links.set_mode(mode);
+    let (begin, mut served, mut sent) = (Instant::now(), 0, 0);
+    while begin.elapsed() < PARTITION {
+        let (method, path) = match sent % 2 {
+            0 => (Method::POST, "/book/x"),
+            _ => (Method::GET, "/look/x"),
+        };
+        let status = Call::new(method, path).status(fleet.callers(0)).await;
+        sent += 1;
+        served += usize::from(status == 200);
+        sleep(REQUEST_PERIOD).await;
+    }
+    assert!(sent - served <= 10 + sent / 50, "{served} of {sent} served");
+    links.set_mode(LinkMode::Up);
+    eventually(|| !fleet.nodes[0].cx.reach.is_cut()).await;
+    assert_eq!(Call::new(Method::POST, "/book/x").status(fleet.callers(0)).await, 200);
+}
+
+/// Both instances of a small deployment end and start again; what ran there counts as running at a crash.
+#[tokio::test]
+async fn crash_of_both_instances_is_taken_for_a_partition_for_good() {
+    let mut fleet = Fleet::with_platform(0, |platform| platform.keeps_id = true).await;
+    fleet.add_first_node("orders", 2).await;
+    let cx = fleet.nodes[0].cx.clone();
+    let path = format!("/look/{CRASH_MARKER}");
+    let begin = Instant::now();
+    while cx.metrics.sum("crash_marks_total") < 3 {
+        Call::new(Method::GET, &path).status(fleet.callers(0)).await;
+        assert!(begin.elapsed() < Duration::from_secs(15), "no crash is recorded");
+        sleep(Duration::from_millis(50)).await;
+    }
+    eventually(|| fleet.fake_platform.is_up("p-00") && fleet.fake_platform.is_up("p-01")).await;
+    eventually(|| !cx.reach.is_cut()).await;
+    assert_eq!(Call::new(Method::GET, &path).status(fleet.callers(0)).await, 503);
+    assert_eq!(Call::new(Method::GET, "/look/x").status(fleet.callers(0)).await, 200);
+    let crashes = fleet.fake_platform.crash_runs().len();
+    assert!(crashes <= 6, "{crashes} crashes");
+}
