request_path: an upstream that asks for time gets no requests for as long

That an upstream leaves was known: by the instance list and by engine reports.

Cause: a 503 of an upstream was a refusal like any other; its Retry-After was read nowhere. Three refusals in a row ejected the upstream for a second, but the only instance of a service is never ejected.

Change: such a refusal names the time; the replica gets nothing for as long and is not ejected for it. Where no replica accepts requests, the caller learns when the first of these times is over.

--- a/bench/src/caller.rs
+++ b/bench/src/caller.rs
@@ -7,6 +7,7 @@
 use crate::call_record::Refusal;
 use crate::sse::SseReader;
 use guavaladder_lib::clock::Clock;
+use guavaladder_lib::http_client;
 use guavaladder_lib::http_client::HttpClient;
 use guavaladder_lib::http_client::HttpLimits;
 use guavaladder_lib::http_client::HttpRequest;
@@ -268,10 +269,12 @@
         };
         if response.status() != StatusCode::OK {
             let status = response.status();
+            let retry_after = http_client::retry_after(response.headers());
             let collecting = http_body_util::BodyExt::collect(response.into_body());
             return match tokio::time::timeout(CALL_TIMEOUT, collecting).await {
                 Ok(Ok(body)) => {
-                    parse_error_response(&HttpResponse { status, body: body.to_bytes() })
+                    let body = body.to_bytes();
+                    parse_error_response(&HttpResponse { status, retry_after, body })
                 }
                 Ok(Err(_)) | Err(_) => {
                     self.interrupted(format!("{entry}: {status}, body not received"))
--- a/bench/src/fake_engine.rs
+++ b/bench/src/fake_engine.rs
@@ -126,10 +126,11 @@
     }
 }
 
-/// Returns status 409 for a refusal and aborts the connection for any other error.
+/// Returns status 409 or 503 for a refusal and aborts the connection for any other error.
 pub fn error_response(e: UpstreamError) -> HandlerResult {
     match e {
         UpstreamError::Refused { reason } => response(409, reason.into()),
+        UpstreamError::Deferred { reason, .. } => response(503, reason.into()),
         UpstreamError::Unreachable { reason }
         | UpstreamError::Interrupted { reason }
         | UpstreamError::Malformed { reason } => abort_connection(&reason),
--- a/lib/src/admission.rs
+++ b/lib/src/admission.rs
@@ -202,9 +202,7 @@
                 )));
             }
             Selection::None => {
-                let message = "no replica of the service accepts requests";
-                let error = RequestError::not_run(ErrorCode::NoReplica, message);
-                return Err(error.with_retry_after(NO_REPLICA_RETRY_AFTER));
+                return Err(refuse_without_replica(&replicas, now));
             }
             Selection::Replica(_) | Selection::Full => {}
         }
@@ -362,6 +360,16 @@
     }
 }
 
+/// Returns the refusal of a request that no replica accepts. If some of them have asked this node for time, it
+/// may return when the first of these times is over.
+fn refuse_without_replica(replicas: &[Arc<Replica>], now: Instant) -> RequestError {
+    let message = "no replica of the service accepts requests";
+    let error = RequestError::not_run(ErrorCode::NoReplica, message);
+    let deferred = replicas.iter().filter_map(|replica| replica.deferred_for(now)).min();
+    let retry_after = deferred.map(|time| time.clamp(RETRY_AFTER.0, RETRY_AFTER.1));
+    error.with_retry_after(retry_after.unwrap_or(NO_REPLICA_RETRY_AFTER))
+}
+
 /// Rejects a request whose expected wait exceeds its maximum queue time, or whose customer has used
 /// up its burst of queued requests.
 fn refuse_early(
--- a/lib/src/attempt.rs
+++ b/lib/src/attempt.rs
@@ -29,7 +29,7 @@
 #[derive(Debug, Clone, PartialEq)]
 pub enum Interruption {
     /// The replica did not accept the request.
-    NotTaken(String),
+    NotTaken(UpstreamError),
     /// The stream ended early.
     Cut(String),
     /// No record that belongs to the response arrived within the timeout.
@@ -220,7 +220,7 @@
             None => Err(Interruption::Cut("the stream ended without an end record".to_string())),
             Some(Err(UpstreamError::Malformed { reason })) => Err(Interruption::Malformed(reason)),
             Some(Err(e)) if !e.may_have_run() && !self.is_accepted => {
-                Err(Interruption::NotTaken(e.to_string()))
+                Err(Interruption::NotTaken(e))
             }
             Some(Err(e)) => Err(Interruption::Cut(e.to_string())),
             Some(Ok(StreamRecord::Accepted(record))) => self.accept(&record),
--- a/lib/src/engine.rs
+++ b/lib/src/engine.rs
@@ -9,6 +9,7 @@
 use crate::ids::AttemptId;
 use async_trait::async_trait;
 use futures_util::stream::BoxStream;
+use std::time::Duration;
 
 /// Errors of engines and plain services, classified by whether the request may have run.
 #[derive(Debug, Clone, PartialEq, thiserror::Error)]
@@ -25,6 +26,14 @@
         /// Reason that the upstream gave.
         reason: String,
     },
+    /// The upstream refused the request, did not run it, and wants no requests of this node for a while.
+    #[error("the upstream refused and asked for {retry_after:?}: {reason}")]
+    Deferred {
+        /// Reason that the upstream gave.
+        reason: String,
+        /// Time that it asked for.
+        retry_after: Duration,
+    },
     /// The connection was lost or timed out after the request was sent, which may have run.
     #[error("the upstream was interrupted: {reason}")]
     Interrupted {
@@ -43,7 +52,7 @@
     /// Tells whether the request may have run.
     pub fn may_have_run(&self) -> bool {
         match self {
-            Self::Unreachable { .. } | Self::Refused { .. } => false,
+            Self::Unreachable { .. } | Self::Refused { .. } | Self::Deferred { .. } => false,
             Self::Interrupted { .. } | Self::Malformed { .. } => true,
         }
     }
--- a/lib/src/engine_http.rs
+++ b/lib/src/engine_http.rs
@@ -8,6 +8,7 @@
 use crate::generated::engine::GenerateRequest;
 use crate::generated::engine::Order;
 use crate::generated::engine::OrderReply;
+use crate::http_client;
 use crate::http_client::DiscardIdleOnDrop;
 use crate::http_client::HttpClient;
 use crate::http_client::HttpError;
@@ -77,9 +78,16 @@
 }
 
 /// Classifies a status other than success by whether the call may have run.
-pub(crate) fn to_status_error(status: StatusCode, body: &[u8]) -> UpstreamError {
+pub(crate) fn to_status_error(
+    status: StatusCode,
+    retry_after: Option<Duration>,
+    body: &[u8],
+) -> UpstreamError {
     let text = String::from_utf8_lossy(&body[..body.len().min(MAX_REASON_BYTES)]);
     let reason = format!("{status}: {text}");
+    if let Some(retry_after) = retry_after.filter(|_| status == StatusCode::SERVICE_UNAVAILABLE) {
+        return UpstreamError::Deferred { reason, retry_after };
+    }
     if status.is_client_error() || status == StatusCode::SERVICE_UNAVAILABLE {
         return UpstreamError::Refused { reason };
     }
@@ -92,7 +100,7 @@
 /// Parses the body of a successful response.
 pub(crate) fn parse<T: DeserializeOwned>(reply: &HttpResponse) -> Result<T, UpstreamError> {
     if reply.status != StatusCode::OK {
-        return Err(to_status_error(reply.status, &reply.body));
+        return Err(to_status_error(reply.status, reply.retry_after, &reply.body));
     }
     serde_json::from_slice(&reply.body)
         .map_err(|e| UpstreamError::Malformed { reason: e.to_string() })
@@ -133,8 +141,9 @@
         let response = self.client.call_streaming(call).await.map_err(to_upstream_error)?;
         if response.status() != StatusCode::OK {
             let status = response.status();
+            let retry_after = http_client::retry_after(response.headers());
             let body = record_stream::read_refusal(response.into_body()).await;
-            return Err(to_status_error(status, &body));
+            return Err(to_status_error(status, retry_after, &body));
         }
         let guard = DiscardIdleOnDrop::new(self.client.clone(), address.to_string());
         Ok(record_stream::new(response.into_body(), guard))
@@ -155,7 +164,7 @@
         match reply.status {
             StatusCode::NOT_FOUND => Ok(None),
             StatusCode::OK => Ok(Some(reply.body.to_vec())),
-            status => Err(to_status_error(status, &reply.body)),
+            status => Err(to_status_error(status, reply.retry_after, &reply.body)),
         }
     }
 
--- a/lib/src/generation.rs
+++ b/lib/src/generation.rs
@@ -212,7 +212,7 @@
                 return Ok(Err(self.abandon(slot, Interruption::Cut(e.to_string()))));
             }
             Ok(Err(e)) => {
-                return Ok(Err(self.abandon(slot, Interruption::NotTaken(e.to_string()))));
+                return Ok(Err(self.abandon(slot, Interruption::NotTaken(e))));
             }
             Err(_) => return Ok(Err(self.abandon(slot, Interruption::Silent))),
         };
--- a/lib/src/generation_recovery.rs
+++ b/lib/src/generation_recovery.rs
@@ -78,8 +78,8 @@
                 replica.mark_stale();
                 self.excluded_groups.push(group);
             }
-            Interruption::NotTaken(_) => {
-                self.path.record_failure(&replica);
+            Interruption::NotTaken(e) => {
+                self.path.record_error(&replica, e);
                 self.excluded_groups.push(group);
                 if self.path.suspects().crashes(self.req.fingerprint) > 0 {
                     // Copies of a suspect request are routed to the same replica, so another copy
--- a/lib/src/http_client.rs
+++ b/lib/src/http_client.rs
@@ -5,10 +5,12 @@
 use crate::limited_body;
 use crate::limited_body::BodyError;
 use bytes::Bytes;
+use http::HeaderMap;
 use http::Request;
 use http::Response;
 use http::StatusCode;
 use http::header::HeaderName;
+use http::header::RETRY_AFTER;
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper_util::client::legacy::Client;
@@ -73,6 +75,8 @@
 pub struct HttpResponse {
     /// HTTP status code.
     pub status: StatusCode,
+    /// Time after which the server wants the next request, if it names one.
+    pub retry_after: Option<Duration>,
     /// Complete response body.
     pub body: Bytes,
 }
@@ -174,9 +178,9 @@
         let address = call.address.clone();
         let exchange = async {
             let response = self.call_streaming(call).await?;
-            let status = response.status();
+            let (status, retry_after) = (response.status(), retry_after(response.headers()));
             let body = read_body(response.into_body(), limits.max_body).await?;
-            Ok(HttpResponse { status, body })
+            Ok(HttpResponse { status, retry_after, body })
         };
         let reply = match tokio::time::timeout(limits.timeout, exchange).await {
             Ok(reply) => reply,
@@ -256,6 +260,14 @@
     }
 }
 
+/// Returns the seconds in a `Retry-After` header, whole or decimal; `None` if there is no positive number.
+pub fn retry_after(headers: &HeaderMap) -> Option<Duration> {
+    let value = headers.get(RETRY_AFTER)?.to_str().ok()?;
+    let seconds = value.trim().parse::<f64>().ok().filter(|seconds| *seconds > 0.0)?;
+    // A value that no duration holds is longer than any that is kept.
+    Some(Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX))
+}
+
 /// Percent-encodes a component of a path or query; `/` is left as it is.
 pub fn encode_component(text: &str) -> String {
     let mut encoded = String::with_capacity(text.len());
--- a/lib/src/plain_call.rs
+++ b/lib/src/plain_call.rs
@@ -223,7 +223,7 @@
             path.record_success(slot.replica());
             slot.replica().observe_first_token(sent.elapsed(), limits.first_token);
         }
-        Err(_) => path.record_failure(slot.replica()),
+        Err(e) => path.record_error(slot.replica(), e),
     }
     result
 }
--- a/lib/src/replica.rs
+++ b/lib/src/replica.rs
@@ -27,6 +27,10 @@
 /// immediately available to customers within their share.
 const ABOVE_SHARE_PERCENT: u32 = 88;
 
+/// Longest time for which a replica gets no requests at its word; longer ones are cut to it, so that one whose
+/// answer is wrong is not lost for good.
+const MAX_DEFERRAL: Duration = Duration::from_secs(3600);
+
 /// Whether a customer exceeds its fair share of a service's slots.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Share {
@@ -76,6 +80,8 @@
     circuit: CircuitBreaker,
     /// Set when the replica itself contradicted the route, or reported that it is leaving.
     is_stale: bool,
+    /// Time until which the replica wants no requests of this node.
+    deferred_until: Option<Instant>,
     suspects: u32,
 }
 
@@ -89,6 +95,7 @@
             limit: ConcurrencyLimit::new(),
             circuit: CircuitBreaker::new(),
             is_stale: false,
+            deferred_until: None,
             suspects: 0,
         };
         Self { identity, hash, state: Mutex::new(state) }
@@ -112,10 +119,24 @@
         (f64::from(usable) - f64::from(state.load.total(nodes))) / f64::from(limit)
     }
 
-    /// Returns whether the route is valid and the circuit breaker allows a request now.
+    /// Returns whether the route is valid, and the replica and the circuit breaker allow a request now.
     pub fn accepts_requests(&self, now: Instant) -> bool {
         let state = self.lock();
-        !state.is_stale && state.circuit.allows_requests(now)
+        let is_deferred = state.deferred_until.is_some_and(|until| until > now);
+        !state.is_stale && !is_deferred && state.circuit.allows_requests(now)
+    }
+
+    /// Records that the replica wants no requests of this node for `time`, without an end of what it asked for
+    /// before.
+    pub fn defer(&self, time: Duration, now: Instant) {
+        let mut state = self.lock();
+        state.deferred_until = state.deferred_until.max(Some(now + time.min(MAX_DEFERRAL)));
+    }
+
+    /// Returns the time for which the replica wants no requests of this node; `None` if it does now.
+    pub fn deferred_for(&self, now: Instant) -> Option<Duration> {
+        let until = self.lock().deferred_until?;
+        Some(until.saturating_duration_since(now)).filter(|time| !time.is_zero())
     }
 
     /// Returns whether the circuit breaker has ejected the replica.
--- a/lib/src/request_path.rs
+++ b/lib/src/request_path.rs
@@ -5,6 +5,7 @@
 use crate::circuit_breaker::MAX_EJECTED_PERCENT;
 use crate::cx::Cx;
 use crate::engine::Engine;
+use crate::engine::UpstreamError;
 use crate::entries::NodeLoad;
 use crate::facts::FactKind;
 use crate::fleet_key::FleetKey;
@@ -320,6 +321,20 @@
         }
     }
 
+    /// Records that a request to a replica failed or was refused. A replica that asked for time gets no requests
+    /// for as long, which is no failure.
+    pub fn record_error(&self, replica: &Arc<Replica>, error: &UpstreamError) {
+        let UpstreamError::Deferred { retry_after, .. } = error else {
+            return self.record_failure(replica);
+        };
+        replica.defer(*retry_after, Instant::now());
+        self.cx().record(Event::UpstreamDeferred {
+            group: replica.identity.group.clone(),
+            service: replica.identity.service.clone(),
+            time: *retry_after,
+        });
+    }
+
     /// Records that a replica completed a request, which ends its ejection.
     pub fn record_success(&self, replica: &Replica) {
         if replica.record_success() {
--- a/lib/tests/test_http_adapters.rs
+++ b/lib/tests/test_http_adapters.rs
@@ -35,6 +35,7 @@
     Success,
     Unreachable,
     Refused,
+    Deferred(Duration),
     Interrupted,
     Malformed,
 }
@@ -44,6 +45,7 @@
         Ok(_) => Kind::Success,
         Err(UpstreamError::Unreachable { .. }) => Kind::Unreachable,
         Err(UpstreamError::Refused { .. }) => Kind::Refused,
+        Err(UpstreamError::Deferred { retry_after, .. }) => Kind::Deferred(*retry_after),
         Err(UpstreamError::Interrupted { .. }) => Kind::Interrupted,
         Err(UpstreamError::Malformed { .. }) => Kind::Malformed,
     }
@@ -186,6 +188,28 @@
     }
 }
 
+#[rstest]
+#[case::whole("503 X", "retry-after: 3\r\n", Kind::Deferred(Duration::from_secs(3)))]
+#[case::decimal("503 X", "Retry-After: 0.25\r\n", Kind::Deferred(Duration::from_millis(250)))]
+#[case::endless("503 X", "retry-after: 1e300\r\n", Kind::Deferred(Duration::MAX))]
+#[case::none("503 X", "", Kind::Refused)]
+#[case::zero("503 X", "retry-after: 0\r\n", Kind::Refused)]
+#[case::negative("503 X", "retry-after: -1\r\n", Kind::Refused)]
+#[case::no_number("503 X", "retry-after: soon\r\n", Kind::Refused)]
+#[case::another_status("409 X", "retry-after: 3\r\n", Kind::Refused)]
+#[tokio::test]
+async fn time_that_an_upstream_asks_for_is_read(
+    #[case] status: &str,
+    #[case] header: &str,
+    #[case] expected: Kind,
+) {
+    let response = format!("HTTP/1.1 {status}\r\n{header}content-length: 0\r\n\r\n");
+    let address = serve_response(response.into_bytes()).await;
+    let generated = HttpEngine::new().generate(&address, &request()).await;
+    assert_eq!(kind(&generated.map(|_| ())), expected);
+    assert_eq!(kind(&HttpEngine::new().status(&address).await), expected);
+}
+
 /// Starts a server that sends `prefix` and then `unit` again and again until the client closes the
 /// connection; returns its address and the number of bytes that it has sent.
 async fn serve_without_end(prefix: String, unit: &str) -> (String, Arc<AtomicUsize>) {
--- a/lib/testutils/src/fake_state.rs
+++ b/lib/testutils/src/fake_state.rs
@@ -52,6 +52,10 @@
     /// Factor on the duration of all work of the instance.
     pub(crate) slowdown: f64,
     pub(crate) order_delay: Duration,
+    /// Time that the instance asks for while it refuses all requests.
+    pub(crate) deferral: Option<Duration>,
+    /// Number of requests that it refused so.
+    pub(crate) deferred: usize,
     pub(crate) leaving_since: Option<Duration>,
     pub(crate) state: MemberState,
     pub(crate) assignment: Option<Assignment>,
@@ -102,6 +106,8 @@
             is_paused: false,
             slowdown: 1.0,
             order_delay: Duration::ZERO,
+            deferral: None,
+            deferred: 0,
             leaving_since: None,
             state: MemberState::Idle,
             assignment: None,
--- a/lib/testutils/src/fault_injection.rs
+++ b/lib/testutils/src/fault_injection.rs
@@ -3,6 +3,7 @@
 use crate::engine_options::EngineOptions;
 use crate::fake_instances::FakeInstances;
 use crate::fake_state::Instance;
+use guavaladder_lib::engine::UpstreamError;
 use guavaladder_lib::generated::platform::InstanceState;
 use guavaladder_lib::ids::Address;
 use std::time::Duration;
@@ -47,6 +48,25 @@
         self.update(address, |instance| instance.is_paused = true);
     }
 
+    /// Makes an instance refuse all requests and ask for time, or ends that.
+    pub fn set_deferral(&self, address: &str, deferral: Option<Duration>) {
+        self.update(address, |instance| instance.deferral = deferral);
+    }
+
+    /// Returns the number of requests that an instance refused while it asked for time.
+    pub fn deferred(&self, address: &str) -> usize {
+        self.lock().instances.get(address).map_or(0, |instance| instance.deferred)
+    }
+
+    /// Refuses a request if the instance asks for time.
+    pub(crate) fn check_deferral(&self, address: &str) -> Result<(), UpstreamError> {
+        let mut state = self.lock();
+        let Some(instance) = state.instances.get_mut(address) else { return Ok(()) };
+        let Some(retry_after) = instance.deferral else { return Ok(()) };
+        instance.deferred += 1;
+        Err(UpstreamError::Deferred { reason: "overloaded".to_string(), retry_after })
+    }
+
     /// Resumes a paused instance.
     pub fn resume(&self, address: &str) {
         let mut state = self.lock();
--- a/lib/testutils/src/trait_impls.rs
+++ b/lib/testutils/src/trait_impls.rs
@@ -132,6 +132,7 @@
         req: &GenerateRequest,
     ) -> Result<RecordStream, UpstreamError> {
         self.wait_reachable(address).await?;
+        self.check_deferral(address)?;
         self.start_generation(address, req)
     }
 
@@ -206,6 +207,7 @@
 impl guavaladder_lib::plain_service::PlainService for FakeInstances {
     async fn call(&self, address: &str, req: &PlainRequest) -> Result<PlainReply, UpstreamError> {
         self.wait_reachable(address).await?;
+        self.check_deferral(address)?;
         let service = self.record_plain_call(address, req)?;
         let (time, lose_responses) = self.plain_call_options(address);
         if !time.is_zero() {
