rate_relay: pass requests on to nodes with unused parts of a rate

Cause: each elected node sends an equal part of a rate and no other node can use what it leaves. A node that is elected for none of the limited replicas refuses everything.

Change: a request that only rates keep from being sent is passed on to an elected node, as nodes without links to the instances do. That one sends it within its own part, so that the sum stays bounded. A node that refuses one is left out for as long as it tells the caller to wait.

--- a/serving/src/attempt.rs
+++ b/serving/src/attempt.rs
@@ -321,7 +321,11 @@
     match replica.is_node {
         true => {
             node_relay::record_notice(cx, response.headers());
-            node_relay::check_response(task, status, response.headers(), &head)?;
+            let checked = node_relay::check_response(task, status, response.headers(), &head);
+            if let Err(AttemptError::RefusedByNode { retry_after }) = &checked {
+                cx.refusing_nodes.record(&replica.instance, *retry_after, Instant::now());
+            }
+            checked?;
         }
         false => instance_notices::record(cx, replica.run, &head.notice, answer),
     }
--- a/serving/src/candidates.rs
+++ b/serving/src/candidates.rs
@@ -8,6 +8,7 @@
 use crate::placement::PlacementInput;
 use crate::placement::Timeliness;
 use crate::rate_limits::RateAllowance;
+use crate::rate_relay;
 use crate::replica_set::Replica;
 use crate::replica_set::ReplicaKey;
 use crate::request_task::RequestTask;
@@ -23,7 +24,8 @@
     timeliness: Timeliness,
 ) -> Result<Arc<Replica>, (NoCapacity, Occupancy)> {
     if cx.reach.is_cut() {
-        let node = node_relay::choose(cx, &task.service, tried).filter(|_| task.ticket.is_none());
+        let node = node_relay::choose(cx, &task.service, tried, |_| true);
+        let node = node.filter(|_| task.ticket.is_none());
         return node.ok_or((NoCapacity::Unreachable, Occupancy::default()));
     }
     let now = Instant::now();
@@ -35,8 +37,10 @@
         timeliness,
         nodes: cx.sharing_nodes(),
     };
-    let chosen = placement::choose(&candidates, &input);
-    chosen.map_err(|no_capacity| (no_capacity, placement::occupancy(&candidates)))
+    placement::choose(&candidates, &input).or_else(|no_capacity| {
+        let node = rate_relay::choose(cx, task, &candidates, no_capacity, tried);
+        node.ok_or_else(|| (no_capacity, placement::occupancy(&candidates)))
+    })
 }
 
 fn candidates(
@@ -56,7 +60,7 @@
         replica: replica.clone(),
         state: cx.loads.state(replica, now),
         rate: match cx.deferrals.wait(replica.run, now) {
-            Some(wait) => RateAllowance::After(wait),
+            Some(wait) => RateAllowance::Resting(wait),
             None => cx.rate_limits.allowance(replica.run, timeliness == Timeliness::Begun, now),
         },
     };
--- a/serving/src/lib.rs
+++ b/serving/src/lib.rs
@@ -55,6 +55,7 @@
 pub mod rate_limit_sync;
 pub mod rate_limited_log;
 pub mod rate_limits;
+pub mod rate_relay;
 pub mod registration_tracker;
 pub mod replica_health;
 pub mod replica_set;
--- a/serving/src/node_relay.rs
+++ b/serving/src/node_relay.rs
@@ -104,10 +104,16 @@
 }
 
 /// Chooses a node that a request can be passed on to, in the form of a replica: the one with the fewest such
-/// requests of this node, preferably in the same data centre.
-pub fn choose(cx: &ServingCx, service: &str, tried: &[ReplicaKey]) -> Option<Arc<Replica>> {
+/// requests of this node out of those for which `is_usable` is true, preferably in the same data centre.
+pub fn choose(
+    cx: &ServingCx,
+    service: &str,
+    tried: &[ReplicaKey],
+    is_usable: impl Fn(&str) -> bool,
+) -> Option<Arc<Replica>> {
     let now = Instant::now();
     let nodes = cx.nodes.serving(now, cx.heartbeat_period()).into_iter();
+    let nodes = nodes.filter(|node| is_usable(&node.node));
     let replicas = nodes.map(|node| node_as_replica(cx, service, node));
     let usable = replicas.filter(|replica| !tried.contains(&replica.key));
     let with_cost = usable.filter_map(|replica| {
--- a/serving/src/placement.rs
+++ b/serving/src/placement.rs
@@ -52,7 +52,7 @@
     pub replica: Arc<Replica>,
     /// Its load and health.
     pub state: ReplicaState,
-    /// Whether the rate that its instance names allows another request of this node.
+    /// Whether the rate that its instance names, and the rest that it asks for, allow another request of this node.
     pub rate: RateAllowance,
 }
 
@@ -176,7 +176,9 @@
     for candidate in usable {
         match candidate.rate {
             RateAllowance::Available => return NoCapacity::AllBusy,
-            RateAllowance::After(wait) => next = Some(next.map_or(wait, |next| next.min(wait))),
+            RateAllowance::After(wait) | RateAllowance::Resting(wait) => {
+                next = Some(next.map_or(wait, |next| next.min(wait)));
+            }
             RateAllowance::NotElected => {}
         }
     }
--- a/serving/src/rate_limits.rs
+++ b/serving/src/rate_limits.rs
@@ -84,6 +84,8 @@
     After(Duration),
     /// Other nodes send to the instance.
     NotElected,
+    /// The instance has asked this node for rest, for this time.
+    Resting(Duration),
 }
 
 /// Shared table of the limits that instances name.
@@ -211,6 +213,18 @@
         is_available
     }
 
+    /// Returns the nodes that are elected to send to an instance.
+    pub fn senders(&self, run: RunHash) -> Vec<String> {
+        let inner = self.lock();
+        let limit = inner.limits.get(&run).and_then(|limit| limit.per_second);
+        let Some(per_second) = limit else { return vec![] };
+        let weighted = inner.nodes.iter().map(|node| (weight(run, node), node));
+        let mut weighted: Vec<(u64, &String)> = weighted.collect();
+        weighted.sort_unstable_by(|a, b| b.cmp(a));
+        weighted.truncate(sender_count(per_second, inner.nodes.len()));
+        weighted.into_iter().map(|(_, node)| node.clone()).collect()
+    }
+
     /// Removes the limits of instances for which `is_known` is false, and those that ended long ago.
     pub fn retain(&self, is_known: impl Fn(RunHash) -> bool, now: Instant) {
         self.lock().limits.retain(|run, limit| {
@@ -304,10 +318,14 @@
     nodes.min(MIN_SENDERS.saturating_add(per_second as usize))
 }
 
+/// Returns the weight by which a node is elected for an instance.
+fn weight(run: RunHash, node: &str) -> u64 {
+    key_hash(&[&run.to_le_bytes(), node.as_bytes()].concat())
+}
+
 /// Returns whether a node is among the `count` ones with the highest weights for an instance.
 fn is_elected(run: RunHash, own: &str, nodes: &[String], count: usize) -> bool {
-    let weight = |node: &str| key_hash(&[&run.to_le_bytes(), node.as_bytes()].concat());
-    let own_weight = weight(own);
-    let is_ahead = |node: &&String| weight(node) > own_weight;
+    let own_weight = weight(run, own);
+    let is_ahead = |node: &&String| weight(run, node) > own_weight;
     nodes.iter().any(|node| node == own) && nodes.iter().filter(is_ahead).count() < count
 }
--- a/serving/src/serving_cx.rs
+++ b/serving/src/serving_cx.rs
@@ -16,6 +16,7 @@
 use crate::peer_codec::PeerKey;
 use crate::rate_limited_log::RateLimitedLog;
 use crate::rate_limits::RateLimits;
+use crate::rate_relay::RefusingNodes;
 use crate::replica_health::Suspects;
 use crate::retry_budget::RetryBounds;
 use crate::retry_budget::RetryBudgets;
@@ -82,6 +83,8 @@
     pub budgets: Arc<RetryBudgets>,
     /// Rates at which instances take requests.
     pub rate_limits: RateLimits,
+    /// Nodes that refused requests which this node passed on.
+    pub refusing_nodes: RefusingNodes,
     /// Instances that asked this node for time.
     pub deferrals: InstanceDeferrals,
     /// Requests that ran at a replica while it crashed.
@@ -138,6 +141,7 @@
             nodes: NodeTable::new(&settings.node, log.clone()),
             budgets: Arc::new(RetryBudgets::new(bounds)),
             rate_limits: RateLimits::new(),
+            refusing_nodes: RefusingNodes::new(),
             deferrals: InstanceDeferrals::new(),
             crashes: Arc::new(CrashRecord::new()),
             failed_attempts: FailedAttempts::new(),
--- a/serving/tests/test_rate_limits.rs
+++ b/serving/tests/test_rate_limits.rs
@@ -261,3 +261,35 @@
     first.retain(|_| true, at(40));
     assert_eq!(first.news(at(40)), []);
 }
+
+/// All callers have turned to one node, whose part of the rates is less than they send; the others have theirs
+/// left.
+#[rstest]
+#[case::plain(Method::POST, "/book/x", 8.0, Duration::from_millis(120))]
+#[case::idempotent(Method::GET, "/look/x", 8.0, Duration::from_millis(120))]
+#[case::stream(Method::POST, "/draft/x", 4.4, Duration::from_millis(200))]
+#[tokio::test]
+async fn callers_of_one_node_get_no_more_than_its_part_of_a_rate(
+    #[case] method: Method,
+    #[case] path: &str,
+    #[case] limit: f64,
+    #[case] period: Duration,
+) {
+    let fleet = start_fleet(path).await;
+    let limited = entry_instances(&fleet.fake_platform, path);
+    for id in &limited {
+        fleet.fake_platform.set_rate_limit(id, Some(limit));
+    }
+    send_requests(&fleet, method.clone(), path, LIMIT_GRACE).await;
+    let (to, mut requests) = (fleet.callers(0), JoinSet::new());
+    let begin = Instant::now();
+    while begin.elapsed() < CHECKED {
+        let call = Call::new(method.clone(), path);
+        requests.spawn(async move { call.status(to).await });
+        sleep(period).await;
+    }
+    let statuses = requests.join_all().await;
+    let refused = statuses.iter().filter(|status| **status != 200).count();
+    assert!(refused * 5 <= statuses.len(), "{refused} of {} not served", statuses.len());
+    assert_eq!(fleet.fake_platform.limit_excesses(), []);
+}
