log account: count from logs how requests ended

An operator of hundreds of nodes could follow one request through the logs, but not see what most requests were lost to. The new subcommand counts by route and outcome, tells refusals with free slots from those without, names reasons and the worst seconds, and states how many lines the nodes had left out.

--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -47,6 +47,9 @@
     if invocation.subcommand == Subcommand::LogExplain {
         return log::explain(invocation);
     }
+    if invocation.subcommand == Subcommand::LogAccount {
+        return log::account(invocation);
+    }
     let client = connection::client(invocation)?;
     match invocation.subcommand {
         Subcommand::Status => view::status(&client, invocation).await,
@@ -63,6 +66,6 @@
         Subcommand::InstanceList => view::instances(&client, invocation).await,
         Subcommand::Why => view::why(&client, invocation).await,
         Subcommand::ReportBurn => view::report_burn(&client, invocation).await,
-        Subcommand::TokenHash | Subcommand::LogExplain => Ok(()),
+        Subcommand::TokenHash | Subcommand::LogExplain | Subcommand::LogAccount => Ok(()),
     }
 }
--- a/cli/src/subcommands.rs
+++ b/cli/src/subcommands.rs
@@ -56,6 +56,8 @@
     TokenHash,
     /// `log explain REQUEST`
     LogExplain,
+    /// `log account`
+    LogAccount,
 }
 
 /// Describes a subcommand: its name, argument and options.
@@ -150,6 +152,11 @@
         OptionArity::Repeated("FILE"),
         "log file of a node, repeatable; its base name identifies the node",
     ),
+    option(
+        "late",
+        OptionArity::Repeated("ROUTE=MS"),
+        "time after which the first part of a response of a route is late, repeatable",
+    ),
     option("html", OptionArity::Single("FILE"), "write the report to FILE as an HTML page"),
 ];
 
@@ -281,4 +288,11 @@
         &["log"],
         "merges the logs of several nodes into a timeline of a request",
     ),
+    subcommand(
+        Subcommand::LogAccount,
+        "log account",
+        None,
+        &["log", "late"],
+        "counts from the logs of several nodes how requests ended, and why",
+    ),
 ];
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -67,6 +67,7 @@
 pub mod level_sampler;
 pub mod limited_body;
 pub mod load_schedule;
+pub mod log_account;
 pub mod log_explain;
 pub mod log_queue;
 pub mod member_history;
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -19,6 +19,7 @@
 mod test_http_adapters;
 mod test_ledger;
 mod test_limited_body;
+mod test_log_account;
 mod test_log_explain;
 mod test_log_queue;
 mod test_member_table;
