instance_list_delta: a lost heartbeat makes no node read the complete list

A node read the list (925 entries of 600 bytes) once it had heard no watcher for 1 s. Heartbeats are 0.885 s apart at 295 nodes, so that one lost heartbeat of the watchers in step was enough, for all nodes at once. The timeout is four heartbeat periods now, and 1 s as before up to 83 nodes.

Measured: with 1 s for all, the test fails from 96 nodes on. Not measured on the large deployment yet.

--- a/serving/src/instance_list_delta.rs
+++ b/serving/src/instance_list_delta.rs
@@ -22,8 +22,11 @@
 const ELECTED_WATCHERS: usize = 2;
 /// Election subject under which the watchers are chosen; must be the same on every node.
 const ELECTION_SUBJECT: &str = "instance list";
-/// Time without a message from any watcher after which a node reads the list itself.
-pub const WATCHER_TIMEOUT: Duration = Duration::from_millis(1000);
+/// Minimum time without a message from any watcher after which a node reads the list itself.
+const MIN_WATCHER_TIMEOUT: Duration = Duration::from_millis(1000);
+/// Number of heartbeat periods without a message from any watcher after which a node reads the list itself. If all
+/// nodes did so for one lost heartbeat, they would read the complete list at the same time.
+const SILENT_PERIODS: u32 = 4;
 /// Time that a node waits for missing changes before it reads the list from the store.
 pub const GAP_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -52,6 +55,11 @@
     others >= MAX_FLEET_WITHOUT_ELECTION
 }
 
+/// Returns the time without a message from any watcher after which a node reads the list itself.
+pub fn watcher_timeout(heartbeat_period: Duration) -> Duration {
+    MIN_WATCHER_TIMEOUT.max(heartbeat_period * SILENT_PERIODS)
+}
+
 /// How a message relates to a list at a given revision.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum DeltaFit {
@@ -111,10 +119,11 @@
         self.gap_since = None;
     }
 
-    /// Returns whether the node has to read the list from the store.
-    pub fn needs_relist(&self, now: Instant) -> bool {
+    /// Returns whether the node has to read the list from the store, since no watcher was heard for
+    /// `watcher_timeout` or changes are missing.
+    pub fn needs_relist(&self, now: Instant, watcher_timeout: Duration) -> bool {
         let is_watcher_silent =
-            self.watcher_heard_at.is_none_or(|heard_at| now - heard_at >= WATCHER_TIMEOUT);
+            self.watcher_heard_at.is_none_or(|heard_at| now - heard_at >= watcher_timeout);
         is_watcher_silent || self.gap_since.is_some_and(|since| now - since >= GAP_TIMEOUT)
     }
 }
--- a/serving/src/instance_list_sync.rs
+++ b/serving/src/instance_list_sync.rs
@@ -136,8 +136,9 @@
                 () = self.relist_due(era) => return,
             }
             let now = Instant::now();
-            let is_recent = now - started < instance_list_delta::WATCHER_TIMEOUT;
-            let needs_relist = !is_recent && self.cx.fleet.sync_state().needs_relist(now);
+            let timeout = instance_list_delta::watcher_timeout(self.cx.heartbeat_period());
+            let is_recent = now - started < timeout;
+            let needs_relist = !is_recent && self.cx.fleet.sync_state().needs_relist(now, timeout);
             if needs_relist || self.is_watcher() {
                 return;
             }
--- a/serving/tests/test_instance_list_delta.rs
+++ b/serving/tests/test_instance_list_delta.rs
@@ -8,11 +8,26 @@
 use guavaladder_serving::instance::Instance;
 use guavaladder_serving::instance_list_delta::InstanceListDelta;
 use guavaladder_serving::instance_list_delta::is_watcher;
+use guavaladder_serving::instance_list_delta::watcher_timeout;
+use guavaladder_serving::serving_cx::heartbeat_period_of;
 use proptest::prelude::*;
 use std::collections::BTreeMap;
 use std::time::Duration;
 use tokio::time::Instant;
 
+/// Time without a message from a watcher after which a node of a small fleet reads the list.
+const TIMEOUT: Duration = Duration::from_secs(1);
+
+/// In a fleet of hundreds of nodes one lost heartbeat was enough for all to read the complete list.
+#[test]
+fn watcher_timeout_outlasts_lost_heartbeats_at_any_size() {
+    for nodes in 2..=1000 {
+        let period = heartbeat_period_of(nodes);
+        assert!(watcher_timeout(period) >= period * 3 + period / 2, "{nodes} nodes");
+    }
+    assert_eq!(watcher_timeout(heartbeat_period_of(75)), TIMEOUT);
+}
+
 #[test]
 fn all_nodes_of_a_small_fleet_watch_and_large_fleets_elect_two() {
     let nodes = |count: usize| (0..count).map(|i| format!("n{i}")).collect::<Vec<String>>();
@@ -30,16 +45,16 @@
     let view = FleetView::new(log());
     view.advance_to(100);
     view.note_watcher_revision(100, Instant::now());
-    assert!(!view.sync_state().needs_relist(Instant::now()));
+    assert!(!view.sync_state().needs_relist(Instant::now(), TIMEOUT));
     let late = InstanceListDelta { from: 105, to: 110, changes: vec![] };
     view.apply_delta(late, None, Instant::now());
     assert_eq!(view.sync_state().revision, 100);
     tokio::time::advance(Duration::from_millis(400)).await;
-    assert!(view.sync_state().needs_relist(Instant::now()));
+    assert!(view.sync_state().needs_relist(Instant::now(), TIMEOUT));
     view.advance_to(110);
-    assert!(!view.sync_state().needs_relist(Instant::now()));
+    assert!(!view.sync_state().needs_relist(Instant::now(), TIMEOUT));
     tokio::time::advance(Duration::from_secs(1)).await;
-    assert!(view.sync_state().needs_relist(Instant::now()));
+    assert!(view.sync_state().needs_relist(Instant::now(), TIMEOUT));
 }
 
 /// Revisions are given out again after the store returned from an older copy.
