--- a/serving/src/candidates.rs
+++ b/serving/src/candidates.rs
@@ -36,6 +36,7 @@
         engine: table.as_ref().and_then(|table| table.config.engine(&task.service)),
         timeliness,
         nodes: cx.sharing_nodes(),
+        capacity_ratio: None,
     };
     placement::choose(&candidates, &input).or_else(|no_capacity| {
         let node = rate_relay::choose(cx, task, &candidates, no_capacity, tried);
--- a/serving/src/fleet_config.rs
+++ b/serving/src/fleet_config.rs
@@ -74,6 +74,17 @@
     pub max_connections: u32,
     /// Model engine of the service; `None` for a plain service.
     pub engine: Option<Engine>,
+    /// How instances behave after they started; `None` if they are never cold.
+    pub cold_start: Option<ColdStart>,
+}
+
+/// Behaviour of the instances of a service while they are cold.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ColdStart {
+    /// Time for which an instance is cold after it started.
+    pub period: Duration,
+    /// Requests per second that a cold instance tolerates.
+    pub per_second: f64,
 }
 
 /// Properties of the model engine of a service.
@@ -155,6 +166,20 @@
     pub fn engine(&self, service: &str) -> Option<&Engine> {
         self.services.get(service).and_then(|service| service.engine.as_ref())
     }
+
+    /// Returns whether a service is scheduled by measurements: its largest groups have at least
+    /// `from_size_ratio` times the instances of its smallest. Between groups of similar size, moving instances
+    /// gains fewer slots than the loads of weights cost.
+    pub fn is_measured(&self, service: &str, from_size_ratio: Option<f64>) -> bool {
+        let Some((from_size_ratio, engine)) = from_size_ratio.zip(self.engine(service)) else {
+            return false;
+        };
+        let sizes = || engine.models.iter().map(|model| model.size);
+        let (smallest, largest) = (sizes().min().unwrap_or(0), sizes().max().unwrap_or(0));
+        smallest > 0
+            && engine.models.len() > 1
+            && largest as f64 >= smallest as f64 * from_size_ratio
+    }
 }
 
 impl Engine {
--- a/serving/src/placement.rs
+++ b/serving/src/placement.rs
@@ -67,6 +67,8 @@
     pub timeliness: Timeliness,
     /// Number of nodes that send requests to the same replicas.
     pub nodes: usize,
+    /// Fraction of each replica's capacity that the request may use. `None` if its timeliness alone decides.
+    pub capacity_ratio: Option<f64>,
 }
 
 /// Whether the response to a request can still be on time.
@@ -189,12 +191,15 @@
     candidates: &[&'a Candidate],
     input: &PlacementInput<'_>,
 ) -> Option<&'a Candidate> {
+    let capacity_ratio = input.capacity_ratio.unwrap_or(match input.timeliness {
+        Timeliness::OnTime | Timeliness::Begun => 1.0,
+        Timeliness::Late => LATE_CAPACITY_RATIO,
+    });
     let has_capacity = |c: &&&Candidate| match input.timeliness {
         _ if c.rate != RateAllowance::Available => false,
         Timeliness::Begun => true,
-        Timeliness::OnTime => c.state.requests() < max_requests(c),
-        Timeliness::Late => {
-            f64::from(c.state.requests()) < f64::from(max_requests(c)) * LATE_CAPACITY_RATIO
+        Timeliness::OnTime | Timeliness::Late => {
+            f64::from(c.state.requests()) < f64::from(max_requests(c)) * capacity_ratio
         }
     };
     let mut available: Vec<&&Candidate> = candidates.iter().filter(has_capacity).collect();
--- a/serving/src/serving_cx.rs
+++ b/serving/src/serving_cx.rs
@@ -208,6 +208,12 @@
         self.nodes.is_cut_off(Instant::now(), self.heartbeat_period())
     }
 
+    /// Returns whether a service is scheduled by measurements.
+    pub fn is_measured(&self, service: &str) -> bool {
+        let from_size_ratio = self.settings.measured_from_size_ratio;
+        self.config.get().is_some_and(|table| table.config.is_measured(service, from_size_ratio))
+    }
+
     /// Returns the current phase of the node.
     pub fn phase(&self) -> NodePhase {
         *self.phase.borrow()
--- a/serving/src/serving_settings.rs
+++ b/serving/src/serving_settings.rs
@@ -46,6 +46,16 @@
     pub max_resolve_ttl: Duration,
     /// Maximum number of file descriptors that the process may use.
     pub max_descriptors: usize,
+    /// Ratio of group sizes from which a service is scheduled by measurements; `None` if no service is.
+    pub measured_from_size_ratio: Option<f64>,
+    /// Names of all data centres; empty if they are not known.
+    pub data_centres: Vec<String>,
+    /// Multiple of its rate that a cold instance may get in one second.
+    pub cold_over: f64,
+    /// Requests that a cold instance may get in one second beyond that.
+    pub cold_slack: f64,
+    /// Time within which no request reaches an evacuated data centre; `None` if evacuations are not watched.
+    pub evacuation: Option<Duration>,
     /// Format of the log lines.
     pub log_format: LogFormat,
     /// Lowest severity that is logged.
@@ -123,6 +133,11 @@
         retry_slack: bounds.retry_slack,
         max_resolve_ttl: Duration::from_secs_f64(bounds.max_answer_keep_s),
         max_descriptors: settings.max_descriptors as usize,
+        measured_from_size_ratio: settings.scheduling.and_then(|s| s.measured_from_size_ratio),
+        data_centres: settings.data_centres.unwrap_or_default(),
+        cold_over: bounds.cold_over.unwrap_or(1.0),
+        cold_slack: bounds.cold_slack.unwrap_or(0.0),
+        evacuation: bounds.evacuate_s.map(Duration::from_secs_f64),
         log_format: settings.log.as_ref().and_then(|log| log.format).unwrap_or(LogFormat::Text),
         log_level: level_filter(settings.log.as_ref().and_then(|log| log.level)),
     })
--- a/serving/tests/test_placement.rs
+++ b/serving/tests/test_placement.rs
@@ -35,7 +35,13 @@
 
 fn chosen(candidates: &[Candidate], timeliness: Timeliness) -> Result<String, NoCapacity> {
     let engine = engine();
-    let input = PlacementInput { data_centre: "east", engine: Some(&engine), timeliness, nodes: 7 };
+    let input = PlacementInput {
+        data_centre: "east",
+        engine: Some(&engine),
+        timeliness,
+        nodes: 7,
+        capacity_ratio: None,
+    };
     choose(candidates, &input).map(|replica| replica.key.clone())
 }
 
@@ -56,6 +62,7 @@
         engine: Some(&engine),
         timeliness: Timeliness::OnTime,
         nodes: 75,
+        capacity_ratio: None,
     };
     let mut placed = std::collections::BTreeMap::new();
     for _ in 0..150 {
--- a/serving/tests/test_serving_settings.rs
+++ b/serving/tests/test_serving_settings.rs
@@ -26,6 +26,29 @@
     assert_eq!(settings.metrics, None);
 }
 
+/// Guards against features that a deployment without these settings would get.
+#[test]
+fn parse_without_scheduling_settings() {
+    let settings = parse(&document().to_string()).unwrap();
+    assert_eq!(settings.measured_from_size_ratio, None);
+    assert_eq!(settings.evacuation, None);
+    assert_eq!((settings.cold_over, settings.cold_slack), (1.0, 0.0));
+    assert!(settings.data_centres.is_empty());
+}
+
+#[test]
+fn parse_with_scheduling_settings() {
+    let mut document = document();
+    document["bounds"] = json!({"cold_over": 1.5, "cold_slack": 5, "evacuate_s": 5000e-3});
+    document["scheduling"] = json!({"measured_from_size_ratio": 3});
+    document["data_centres"] = json!(["east", "west"]);
+    let settings = parse(&document.to_string()).unwrap();
+    assert_eq!(settings.measured_from_size_ratio, Some(3.0));
+    assert_eq!(settings.evacuation, Some(Duration::from_secs(5)));
+    assert_eq!((settings.cold_over, settings.cold_slack), (1.5, 5.0));
+    assert_eq!(settings.data_centres, ["east", "west"]);
+}
+
 #[rstest]
 #[case::missing_key("/node", Value::Null, "/node: found nothing")]
 #[case::wrong_type("/peer_port", json!("x"), "/peer_port: found \"x\"")]
