--- a/serving/src/lib.rs
+++ b/serving/src/lib.rs
@@ -49,6 +49,7 @@
 pub mod node_stop;
 pub mod node_table;
 pub mod order_client;
+pub mod pause_record;
 pub mod peer_codec;
 pub mod peer_exchange;
 pub mod placement;
--- a/serving/src/replica_health.rs
+++ b/serving/src/replica_health.rs
@@ -247,6 +247,7 @@
     source: &'static str,
 ) {
     if mark_replica_down(cx, replica, member, reason, source) {
+        cx.pauses.record_down(&replica.service, Instant::now());
         let report = DownReplica { replica: replica.hash, member: member.to_string() };
         cx.down_reports.add(report, Instant::now());
     }
@@ -359,6 +360,19 @@
     NoReport(ReportError),
 }
 
+/// Returns the silence after which a replica of a service with running streams is suspected.
+fn min_silence(cx: &ServingCx, service: &str, now: Instant) -> Duration {
+    match cx.is_measured(service) {
+        true => cx.pauses.min_silence(service, now),
+        false => MIN_SILENCE,
+    }
+}
+
+/// Returns whether a report without a response is asked for again: its packets may have been lost.
+fn is_asked_again(cx: &ServingCx, service: &str) -> bool {
+    cx.is_measured(service) && cx.pauses.links_lose_packets(service, Instant::now())
+}
+
 /// Returns a member that does not respond or does not serve in the group, with the reason.
 async fn missing_member(
     cx: &ServingCx,
@@ -370,6 +384,10 @@
         let (cx, replica) = (cx.clone(), replica.clone());
         queries.spawn(async move {
             let (mut requested_at, mut report) = query_member(&cx, &id, address, cause).await;
+            let is_unanswered = report.as_ref().is_err_and(|e| !e.shows_not_running());
+            if is_unanswered && is_asked_again(&cx, &replica.service) {
+                (requested_at, report) = query_member(&cx, &id, address, cause).await;
+            }
             // Reports lag behind: a head that has just opened may still be reported as ready.
             if rank == 0 && report.as_ref().is_ok_and(|report| is_ready(&replica, report)) {
                 sleep(MAX_REPORT_AGE).await;
@@ -474,7 +492,10 @@
         };
         let silent_for = now - last_activity;
         let max_silence = match state.own > state.unanswered {
-            true => (pass * SILENT_PASSES).mul_f64(state.slowness.max(1.0)).max(MIN_SILENCE),
+            true => {
+                let passes = (pass * SILENT_PASSES).mul_f64(state.slowness.max(1.0));
+                passes.max(min_silence(cx, &replica.service, now))
+            }
             false => FIRST_EVENT_SILENCE,
         };
         if silent_for >= max_silence {
--- a/serving/src/serving_cx.rs
+++ b/serving/src/serving_cx.rs
@@ -14,6 +14,7 @@
 use crate::network::Network;
 use crate::node_stop::NodeStop;
 use crate::node_table::NodeTable;
+use crate::pause_record::PauseRecord;
 use crate::peer_codec::FleetKey;
 use crate::rate_limited_log::RateLimitedLog;
 use crate::rate_limits::RateLimits;
@@ -79,6 +80,8 @@
     pub fleet: FleetView,
     /// Load and health of the replicas.
     pub loads: LoadTable,
+    /// Pauses of streams that ended by themselves.
+    pub pauses: PauseRecord,
     /// Table of the other nodes.
     pub nodes: NodeTable,
     /// Retry budgets of the services.
@@ -147,6 +150,7 @@
             config: CurrentConfig::new(),
             fleet: FleetView::new(log.clone()),
             loads: LoadTable::new(),
+            pauses: PauseRecord::new(),
             nodes: NodeTable::new(&settings.node, log.clone()),
             budgets: Arc::new(RetryBudgets::new(bounds)),
             rate_limits: RateLimits::new(),
--- a/serving/src/upstream_stream.rs
+++ b/serving/src/upstream_stream.rs
@@ -85,6 +85,7 @@
                 let interval = now - self.last_event_at;
                 self.last_event_at = now;
                 let expected = expected_event_interval(cx, &self.replica);
+                cx.pauses.record_interval(&self.replica.service, interval, now);
                 if cx.loads.record_event_interval(self.replica.hash, interval, expected, now) {
                     replica_health::record_return(cx, &self.replica);
                 }
--- a/serving/tests/runner.rs
+++ b/serving/tests/runner.rs
@@ -23,6 +23,7 @@
 mod test_node_table;
 mod test_pages;
 mod test_partitioned_nodes;
+mod test_pause_record;
 mod test_peer_codec;
 mod test_placement;
 mod test_rate_limited_log;
