list parts: changes of the instance list in parts in large fleets

Cause: a watcher sends each change of the instance list to all nodes. At 300 nodes its link is full after a few KB in each watch period, and changes over 60,000 bytes are dropped, after which every node reads the complete list from the store.

Change: in fleets of more than 48 nodes, a change of over 1,200 bytes is reduced to the last change of each entry and sent in parts. Each part goes to one node of each data centre, which passes it on there once. Missing parts, and changes that are missing as a whole, are requested from the watcher twice before the store is read. Nodes state in a message of their own that they understand this; others get whole changes. Fleets of up to 48 nodes send what they sent before.

--- a/serving/src/lib.rs
+++ b/serving/src/lib.rs
@@ -38,6 +38,8 @@
 pub mod lease_manager;
 pub mod lease_state;
 pub mod lingering_stream;
+pub mod list_part_sync;
+pub mod list_parts;
 pub mod listeners;
 pub mod load_table;
 pub mod local_response;
--- a/serving/src/node_table.rs
+++ b/serving/src/node_table.rs
@@ -1,5 +1,7 @@
 //! Table of the other nodes: which are registered in the store, and the last heartbeat of each.
 
+use crate::list_parts::PartReceiver;
+use crate::peer_codec::AbilityNews;
 use crate::peer_codec::EraNews;
 use crate::peer_codec::ReachNews;
 use crate::rate_limited_log::RateLimitedLog;
@@ -35,6 +37,9 @@
 /// Time without a heartbeat after which a node that is not registered is removed from the table.
 const FORGET_AFTER: Duration = Duration::from_secs(20);
 
+/// Level of messages that includes parts of changes of the instance list.
+const PARTS_LEVEL: u32 = 1;
+
 /// State of one other node.
 #[derive(Debug, Clone)]
 pub struct PeerNode {
@@ -50,6 +55,8 @@
     cut_until: Option<Instant>,
     /// Era of the store that it knows, if it told.
     era: Option<Era>,
+    /// Run that stated which messages for large fleets it understands, and their level.
+    abilities: Option<(u64, u32)>,
     /// Whether its silence is already in the log.
     is_silence_logged: bool,
 }
@@ -60,6 +67,13 @@
         self.cut_until.is_some_and(|until| until > now)
     }
 
+    /// Returns whether its current run stated that it understands messages of a level.
+    fn understands(&self, level: u32) -> bool {
+        let current = self.last_heartbeat.as_ref().map(|(_, heartbeat)| heartbeat.incarnation);
+        let is_stated = |(incarnation, stated)| current == Some(incarnation) && stated >= level;
+        self.abilities.is_some_and(is_stated)
+    }
+
     /// Returns the last heartbeat unless it is older than `max_age`.
     pub fn recent_heartbeat(&self, now: Instant, max_age: Duration) -> Option<&NodeBeat> {
         self.last_heartbeat
@@ -141,6 +155,7 @@
                 is_registered: true,
                 cut_until: None,
                 era: None,
+                abilities: None,
                 is_silence_logged: false,
             });
             peer.is_registered = true;
@@ -163,6 +178,7 @@
             is_registered: false,
             cut_until: None,
             era: None,
+            abilities: None,
             is_silence_logged: false,
         });
         let last = peer.last_heartbeat.as_ref().map(|(_, last)| (last.incarnation, last.sequence));
@@ -200,6 +216,57 @@
         nodes.values().find(|peer| peer.address == address).and_then(|peer| peer.era)
     }
 
+    /// Records which messages a known node understands. Returns whether its run had not stated this before.
+    pub fn record_abilities(&self, news: &AbilityNews) -> bool {
+        let stated = Some((news.incarnation, news.level));
+        let mut nodes = self.lock();
+        let Some(peer) = nodes.get_mut(&news.node) else { return false };
+        if peer.abilities >= stated {
+            return false;
+        }
+        peer.abilities = stated;
+        true
+    }
+
+    /// Returns the nodes that are not silent and understand parts of changes of the instance list, and the
+    /// addresses of those that are not silent and do not.
+    pub fn part_receivers(
+        &self,
+        now: Instant,
+        period: Duration,
+    ) -> (Vec<PartReceiver>, Vec<IpAddr>) {
+        let max_age = silent_after(period);
+        let (mut receivers, mut others) = (vec![], vec![]);
+        for peer in self.lock().values() {
+            let Some(heartbeat) = peer.recent_heartbeat(now, max_age) else { continue };
+            match peer.understands(PARTS_LEVEL) {
+                true => receivers.push(PartReceiver {
+                    node: peer.node.clone(),
+                    address: peer.address,
+                    data_centre: heartbeat.data_centre.clone(),
+                }),
+                false => others.push(peer.address),
+            }
+        }
+        (receivers, others)
+    }
+
+    /// Returns the address of a node.
+    pub fn address_of(&self, node: &str) -> Option<IpAddr> {
+        self.lock().get(node).map(|peer| peer.address)
+    }
+
+    /// Returns the id of the node at an address.
+    pub fn node_at(&self, address: IpAddr) -> Option<String> {
+        let nodes = self.lock();
+        nodes.values().find(|peer| peer.address == address).map(|peer| peer.node.clone())
+    }
+
+    /// Returns the era of the store that a node knows, if it told.
+    pub fn era_of(&self, node: &str) -> Option<Era> {
+        self.lock().get(node).and_then(|peer| peer.era)
+    }
+
     /// Returns the number of other nodes that are known.
     pub fn count_known(&self) -> usize {
         self.lock().len()
--- a/serving/src/peer_codec.rs
+++ b/serving/src/peer_codec.rs
@@ -4,6 +4,8 @@
 
 use crate::crash_sync::CrashMessage;
 use crate::instance_list_delta::InstanceListDelta;
+use crate::list_parts::ListPart;
+use crate::list_parts::ListRequest;
 use crate::rate_limits::RateNews;
 use crate::store_era::Era;
 use guavaladder_lib::generated::serving_peer::NodeBeat;
@@ -37,6 +39,24 @@
     /// Era of the store that the sender knows. A node of a build without it drops the message, and counts as
     /// one of the same era.
     Era(EraNews),
+    /// One part of changes of the instance list.
+    NewsPart(ListPart),
+    /// Request for changes of the instance list that did not arrive.
+    NewsRequest(ListRequest),
+    /// That the sender understands the two messages before and those that follow. A node of a build without them
+    /// does not send it.
+    Abilities(AbilityNews),
+}
+
+/// That a run of a node understands the messages for large fleets.
+#[common_derives(Eq)]
+pub struct AbilityNews {
+    /// Id of the sending node.
+    pub node: String,
+    /// Incarnation of its run.
+    pub incarnation: u64,
+    /// Highest level of messages that it understands: 1 for parts of changes, 2 also for bundles.
+    pub level: u32,
 }
 
 /// Era of the store that a node knows, to which the revisions in its other messages belong.
--- a/serving/src/peer_exchange.rs
+++ b/serving/src/peer_exchange.rs
@@ -11,7 +11,11 @@
 use crate::fleet_config::ConfigVersion;
 use crate::instance_list_delta::InstanceListDelta;
 use crate::instance_list_sync;
+use crate::list_part_sync;
+use crate::list_part_sync::Addressed;
+use crate::list_part_sync::ListPartSync;
 use crate::peer_codec;
+use crate::peer_codec::AbilityNews;
 use crate::peer_codec::EraNews;
 use crate::peer_codec::PeerMessage;
 use crate::peer_codec::ReachNews;
@@ -46,11 +50,15 @@
 /// Number of heartbeats after which it tells the era again, to nodes that missed it.
 const ERA_INTERVAL: u64 = 64;
 
+/// Level of the messages for large fleets that this build understands.
+const ABILITY_LEVEL: u32 = 1;
+
 /// Sends and receives the messages of this node.
 #[derive(Debug, Clone)]
 pub struct PeerExchange {
     heartbeats: HeartbeatHandler,
     crashes: Arc<CrashSync>,
+    list_parts: ListPartSync,
     socket: Arc<UdpSocket>,
 }
 
@@ -62,13 +70,18 @@
     /// Era that was told last, and the sequence number of the first heartbeat with it.
     told_era: Arc<Mutex<(Era, u64)>>,
     is_reading_config: Arc<AtomicBool>,
+    list_parts: ListPartSync,
+    /// Number of heartbeats in a large fleet, for which it was decided whether the abilities are stated.
+    abilities_due: Arc<AtomicU64>,
 }
 
 impl PeerExchange {
     /// Creates an exchange that uses `socket`. The fleet key must be known.
     pub fn new(cx: ServingCx, socket: UdpSocket) -> Self {
         let crashes = Arc::new(CrashSync::new(cx.clone()));
-        Self { heartbeats: HeartbeatHandler::new(cx), crashes, socket: Arc::new(socket) }
+        let heartbeats = HeartbeatHandler::new(cx);
+        let list_parts = heartbeats.list_parts.clone();
+        Self { heartbeats, crashes, list_parts, socket: Arc::new(socket) }
     }
 
     /// Sends heartbeats until the task is cancelled: periodically, and at once when a replica is
@@ -116,12 +129,36 @@
             self.send(PeerMessage::Era(news)).await;
         }
         self.send(PeerMessage::Beat(self.heartbeats.next_heartbeat())).await;
+        if let Some(news) = self.heartbeats.next_abilities() {
+            self.send(PeerMessage::Abilities(news)).await;
+        }
     }
 
     /// Forwards changes of the instance list until the task is cancelled.
     pub async fn instance_delta_loop(self, mut deltas: mpsc::Receiver<InstanceListDelta>) {
         while let Some(delta) = deltas.recv().await {
-            self.send(PeerMessage::News(delta)).await;
+            let (at_once, parts) = self.list_parts.messages(delta);
+            self.send_all(at_once).await;
+            for part in parts {
+                self.send_all(part).await;
+                sleep(list_part_sync::PART_INTERVAL).await;
+            }
+        }
+    }
+
+    /// Requests missing changes of the instance list in a large fleet until the task is cancelled.
+    pub async fn list_request_loop(self) {
+        loop {
+            sleep(list_part_sync::REQUEST_PERIOD).await;
+            if self.heartbeats.cx.is_large_fleet() {
+                self.send_all(self.list_parts.requests()).await;
+            }
+        }
+    }
+
+    async fn send_all(&self, messages: Vec<Addressed>) {
+        for (message, receivers) in messages {
+            self.send_to(message, receivers).await;
         }
     }
 
@@ -190,6 +227,19 @@
                         self.heartbeats.cx.nodes.record_reach(&news, Instant::now());
                     }
                     Ok(PeerMessage::Era(news)) => self.heartbeats.cx.nodes.record_era(&news),
+                    Ok(PeerMessage::NewsPart(part)) => {
+                        if let Some((part, near)) = self.list_parts.apply_part(from.ip(), part) {
+                            self.send_to(part, near).await;
+                        }
+                    }
+                    Ok(PeerMessage::NewsRequest(req)) => {
+                        self.send_all(self.list_parts.answer(from.ip(), &req)).await;
+                    }
+                    Ok(PeerMessage::Abilities(news)) => {
+                        if let Some(reply) = self.heartbeats.apply_abilities(&news) {
+                            self.send_to(PeerMessage::Abilities(reply), vec![from.ip()]).await;
+                        }
+                    }
                     Err(e) => log::debug!("rejected a message from {from}: {e}"),
                 },
                 // An earlier datagram that this node sent reached a closed port.
@@ -207,6 +257,8 @@
     /// Creates the handler of a node that has sent no heartbeat yet.
     pub fn new(cx: ServingCx) -> Self {
         Self {
+            list_parts: ListPartSync::new(cx.clone()),
+            abilities_due: Arc::default(),
             cx,
             sequence: Arc::default(),
             told_era: Arc::default(),
@@ -227,8 +279,43 @@
         (era > 0 && is_due).then(|| EraNews { node: self.cx.node().to_string(), era })
     }
 
+    /// Returns which messages for large fleets this node understands, if it states this after the last
+    /// heartbeat.
+    pub fn next_abilities(&self) -> Option<AbilityNews> {
+        if !self.cx.is_large_fleet() {
+            return None;
+        }
+        let sent = self.abilities_due.fetch_add(1, Ordering::Relaxed);
+        let is_due = sent < ERA_REPEATS || sent.is_multiple_of(ERA_INTERVAL);
+        is_due.then(|| self.abilities())
+    }
+
+    /// Records which messages another node understands. Returns those of this node if the other had not stated
+    /// its own before, and may not know them.
+    pub fn apply_abilities(&self, news: &AbilityNews) -> Option<AbilityNews> {
+        let is_new = self.cx.nodes.record_abilities(news);
+        (is_new && self.cx.is_large_fleet()).then(|| self.abilities())
+    }
+
+    fn abilities(&self) -> AbilityNews {
+        AbilityNews {
+            node: self.cx.node().to_string(),
+            incarnation: self.cx.incarnation,
+            level: ABILITY_LEVEL,
+        }
+    }
+
+    /// Returns the state of the changes of the instance list that are sent in parts.
+    pub fn list_parts(&self) -> &ListPartSync {
+        &self.list_parts
+    }
+
     /// Applies changes of the instance list that the node at an address forwarded.
     pub fn apply_delta(&self, from: IpAddr, delta: InstanceListDelta) {
+        let watcher = self.cx.nodes.node_at(from).filter(|_| self.cx.is_large_fleet());
+        if let Some(watcher) = watcher {
+            return self.list_parts.apply(&watcher, delta, Instant::now());
+        }
         let hold_until = instance_list_sync::hold_until(&self.cx);
         let era = self.cx.nodes.era_at(from);
         self.cx.fleet.apply_forwarded(delta, era, hold_until, Instant::now());
@@ -277,6 +364,9 @@
         if heartbeat.instances_revision > 0 {
             let era = cx.nodes.era_at(from);
             cx.fleet.note_watcher(heartbeat.instances_revision, era, now);
+            if cx.is_large_fleet() {
+                self.list_parts.note_watcher(&heartbeat.node, heartbeat.instances_revision, now);
+            }
         }
         self.apply_down_reports(&heartbeat);
         if heartbeat.config_version > cx.config.version().unwrap_or(0) {
--- a/serving/src/serving_node.rs
+++ b/serving/src/serving_node.rs
@@ -120,6 +120,7 @@
             spawn_until(&peers_stopping, exchange.clone().rate_limit_loop());
             spawn_until(&peers_stopping, exchange.clone().reach_loop());
             spawn_until(&peers_stopping, exchange.clone().instance_delta_loop(deltas));
+            spawn_until(&peers_stopping, exchange.clone().list_request_loop());
             exchange_tx.send_replace(Some(exchange));
         });
         Ok(Self { cx, exchange, callers, relay, closing_callers, stopping })
--- a/serving/tests/runner.rs
+++ b/serving/tests/runner.rs
@@ -1,6 +1,7 @@
 //! Tests of the serving crate, with one module per topic.
 
 mod fleet;
+mod memory_fleet;
 mod test_attempts;
 mod test_crash_record;
 mod test_crash_sync;
@@ -19,6 +20,7 @@
 mod test_lease_manager;
 mod test_lease_state;
 mod test_leaving_replicas;
+mod test_list_parts;
 mod test_load_table;
 mod test_node_table;
 mod test_pages;
