--- a/serving/src/peer_codec.rs
+++ b/serving/src/peer_codec.rs
@@ -3,6 +3,7 @@
 //! The tag is the truncated BLAKE3 hash of the content, keyed with the fleet key.
 
 use crate::crash_sync::CrashMessage;
+use crate::customer_use::UseReport;
 use crate::evacuations::EvacuationNews;
 use crate::instance_list_delta::InstanceListDelta;
 use crate::list_parts::ListPart;
@@ -49,6 +50,8 @@
     /// That the sender understands the two messages before and those that follow. A node of a build without them
     /// does not send it.
     Abilities(AbilityNews),
+    /// What the customers use of the models that are scarce.
+    CustomerUse(UseReport),
 }
 
 /// That a run of a node understands the messages for large fleets.
--- a/serving/src/serving_cx.rs
+++ b/serving/src/serving_cx.rs
@@ -1,5 +1,6 @@
 //! Context that the parts of a node on the users' platform share.
 
+use crate::admission_stats::AdmissionStats;
 use crate::awaited_config::AwaitedConfig;
 use crate::crash_record::CrashRecord;
 use crate::dialect::Dialect;
@@ -115,6 +116,8 @@
     pub phase: Arc<watch::Sender<NodePhase>>,
     /// Evacuated data centres.
     pub evacuations: Evacuations,
+    /// Measurements for the admission of requests.
+    pub admission: AdmissionStats,
 }
 
 /// Largest fleet that exchanges messages without relays and parts.
@@ -174,6 +177,7 @@
             stop: NodeStop::new(),
             phase: Arc::new(watch::channel(NodePhase::Starting).0),
             evacuations: Evacuations::new(settings.evacuation),
+            admission: AdmissionStats::new(),
             settings: Arc::new(settings),
             dialect,
             network,
--- a/serving/src/serving_node.rs
+++ b/serving/src/serving_node.rs
@@ -122,6 +122,7 @@
             spawn_until(&peers_stopping, exchange.clone().rate_limit_loop());
             spawn_until(&peers_stopping, exchange.clone().reach_loop());
             spawn_until(&peers_stopping, exchange.clone().evacuation_loop());
+            spawn_until(&peers_stopping, exchange.clone().customer_use_loop());
             spawn_until(&peers_stopping, exchange.clone().instance_delta_loop(deltas));
             spawn_until(&peers_stopping, exchange.clone().list_request_loop());
             exchange_tx.send_replace(Some(exchange));
