instance list sync: less is read and forwarded when all nodes of a large fleet start

Cause, found by reading: nodes that start together do not hear each other, so each takes itself for a watcher and forwards every change to all others, which is 404 MB for 4.5 KB of changes at 300 nodes. Each reads the complete list again when it ceases to watch, a refused page discards the pages before it, and all nodes read the lease five times a second.

Change: in fleets of more than 48 nodes, only nodes elected among those heard, or among the registered ones while fewer than half are heard, and the lease holder forward. A failed page is read again by itself. At the first read, pages after the first may be stale, and a watch brings them up to date before use. A node at a known revision reads what it lacks by one short watch. Nodes that are no candidates read the lease at intervals of about 4 ms over all of them.

--- a/serving/src/instance_list_delta.rs
+++ b/serving/src/instance_list_delta.rs
@@ -29,6 +29,8 @@
 const SILENT_PERIODS: u32 = 4;
 /// Time that a node waits for missing changes before it reads the list from the store.
 pub const GAP_TIMEOUT: Duration = Duration::from_millis(300);
+/// The same in a large fleet, where it first requests them twice from the watcher.
+pub const LARGE_GAP_TIMEOUT: Duration = Duration::from_millis(600);
 
 /// All changes of the instance list between two revisions of the store.
 #[common_derives]
@@ -46,7 +48,12 @@
     if live.len() < MAX_FLEET_WITHOUT_ELECTION {
         return true;
     }
-    let all = live.iter().map(String::as_str).chain([node]);
+    is_elected(node, live)
+}
+
+/// Returns whether `node` is elected as a watcher among the nodes of a large fleet.
+pub fn is_elected(node: &str, others: &[String]) -> bool {
+    let all = others.iter().map(String::as_str).chain([node]);
     election::elect(ELECTION_SUBJECT, all, ELECTED_WATCHERS).iter().any(|elected| elected == node)
 }
 
@@ -122,8 +129,19 @@
     /// Returns whether the node has to read the list from the store, since no watcher was heard for
     /// `watcher_timeout` or changes are missing.
     pub fn needs_relist(&self, now: Instant, watcher_timeout: Duration) -> bool {
+        self.needs_store(now, watcher_timeout, GAP_TIMEOUT)
+    }
+
+    /// Returns whether the node has to read from the store, since no watcher was heard for `watcher_timeout` or
+    /// changes have been missing for `gap_timeout`.
+    pub fn needs_store(
+        &self,
+        now: Instant,
+        watcher_timeout: Duration,
+        gap_timeout: Duration,
+    ) -> bool {
         let is_watcher_silent =
             self.watcher_heard_at.is_none_or(|heard_at| now - heard_at >= watcher_timeout);
-        is_watcher_silent || self.gap_since.is_some_and(|since| now - since >= GAP_TIMEOUT)
+        is_watcher_silent || self.gap_since.is_some_and(|since| now - since >= gap_timeout)
     }
 }
--- a/serving/src/instance_list_sync.rs
+++ b/serving/src/instance_list_sync.rs
@@ -8,15 +8,19 @@
 use crate::fleet_view::EntryChange;
 use crate::fleet_view::REREGISTRATION_GRACE;
 use crate::instance::Instance;
+use crate::instance::InstanceId;
 use crate::instance_list_delta;
 use crate::instance_list_delta::InstanceListDelta;
 use crate::serving_cx::ServingCx;
+use crate::store::PageRead;
 use crate::store::StoreError;
 use crate::store_era::Era;
 use crate::store_era::Revision;
 use guavaladder_lib::generated::events::Event;
 use std::collections::HashMap;
 use std::collections::HashSet;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
@@ -32,9 +36,26 @@
 /// Maximum of the random delay before a node that is not a watcher reads the list after live instances have
 /// written their entries again.
 const MAX_SETTLE_DELAY: Duration = Duration::from_millis(500);
+/// Maximum of the random delay before a node of a large fleet reads the complete list again.
+const MAX_LIST_DELAY: Duration = Duration::from_millis(500);
+/// Maximum of the random delay before a node of a large fleet reads the changes that it lacks.
+const MAX_CATCH_UP_DELAY: Duration = Duration::from_millis(200);
+/// Maximum wait of the watch that reads them, which the store answers at once if there are any.
+const CATCH_UP_WAIT: Duration = Duration::from_millis(50);
 /// Maximum number of skipped entries that are remembered.
 const MAX_SKIPPED: usize = 1024;
 
+/// Why a node ceases to follow the list in the way it does.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum FollowEnd {
+    /// The complete list has to be read.
+    Relist,
+    /// Changes are missing, or no watcher is heard.
+    Behind,
+    /// It begins or ceases to watch.
+    RoleChanged,
+}
+
 /// Keeps the instance list in sync with the store.
 #[derive(Debug)]
 struct InstanceListSync {
@@ -51,11 +72,11 @@
     loop {
         cx.fleet.enter_era(cx.store.era().current(), Instant::now());
         sync.wait_until_settled().await;
+        sync.wait_for_turn().await;
         cx.fleet.begin_list();
-        match cx.store.list(ObjectKind::Instances).await {
-            Ok((objects, revision)) => {
+        match sync.read_list().await {
+            Ok((instances, revision)) => {
                 cx.fleet.enter_era(revision.era, Instant::now());
-                let instances = objects.iter().filter_map(|object| sync.decode(object)).collect();
                 cx.fleet.replace_all(instances, revision.number, hold_until(&cx));
                 cx.update_phase();
                 sync.follow(revision).await;
@@ -91,15 +112,109 @@
     }
 }
 
+/// Waits until the list that was read in an era has to be read again.
+async fn relist_due(cx: &ServingCx, era: Era) {
+    tokio::select! {
+        () = cx.fleet.relist_requested() => {}
+        () = cx.fleet.settled() => {}
+        () = cx.store.era().changed_from(era) => {}
+    }
+}
+
 impl InstanceListSync {
-    /// Keeps the list up to date; returns when it has to be read from the store again.
-    async fn follow(&mut self, revision: Revision) {
-        match self.is_watcher() {
-            true => self.watch(revision).await,
-            false => self.wait_for_relist(revision.era).await,
+    /// Waits before the complete list is read again in a large fleet, so that not all nodes read it at once. The
+    /// node that plans groups does not wait.
+    async fn wait_for_turn(&self) {
+        let is_spread = self.cx.is_large_fleet() && self.cx.fleet.is_listed();
+        if is_spread && self.cx.lease.term().is_none() {
+            sleep(MAX_LIST_DELAY.mul_f64(rand::random_range(0.0..1.0))).await;
+        }
+    }
+
+    /// Reads the complete list. When a node of a large fleet reads it for the first time, most pages may be some
+    /// seconds old, and the changes since are read at once.
+    async fn read_list(&mut self) -> Result<(Vec<Instance>, Revision), StoreError> {
+        let cx = self.cx.clone();
+        let has_stale_page = AtomicBool::new(false);
+        let page_read = || {
+            let is_repeated = cx.is_large_fleet();
+            let may_be_stale = is_repeated && !cx.fleet.is_listed();
+            has_stale_page.fetch_or(may_be_stale, Ordering::Relaxed);
+            PageRead { is_repeated, may_be_stale }
+        };
+        let (objects, revision) = cx.store.list_pages(ObjectKind::Instances, page_read).await?;
+        let instances = objects.iter().filter_map(|object| self.decode(object));
+        if !has_stale_page.into_inner() {
+            return Ok((instances.collect(), revision));
+        }
+        let mut list: HashMap<InstanceId, Instance> =
+            instances.map(|instance| (instance.id.clone(), instance)).collect();
+        let (changes, revision) = self.changes_after(revision).await?;
+        for change in changes {
+            match change {
+                EntryChange::Put(instance) => list.insert(instance.id.clone(), *instance),
+                EntryChange::Removed(id) => list.remove(&id),
+            };
+        }
+        Ok((list.into_values().collect(), revision))
+    }
+
+    /// Reads the changes after a revision from the store, and the revision after them.
+    async fn changes_after(
+        &mut self,
+        revision: Revision,
+    ) -> Result<(Vec<EntryChange>, Revision), StoreError> {
+        loop {
+            match self.cx.store.watch(ObjectKind::Instances, revision, CATCH_UP_WAIT).await {
+                Ok((changes, to)) => {
+                    return Ok((changes.iter().filter_map(|c| self.change(c)).collect(), to));
+                }
+                Err(e @ (StoreError::NotApplied(_) | StoreError::Unknown(_))) => {
+                    log::debug!("failed to read the changes of the instance list: {e}");
+                    sleep(self.cx.store.retry_delay()).await;
+                }
+                Err(e) => return Err(e),
+            }
+        }
+    }
+
+    /// Keeps the list up to date; returns when it has to be read from the store again. In a large fleet a node that
+    /// begins or ceases to watch, or lacks changes, goes on from the revision of its list.
+    async fn follow(&mut self, mut revision: Revision) {
+        loop {
+            let end = match self.is_watcher() {
+                true => self.watch(revision).await,
+                false => self.wait_for_relist(revision.era).await,
+            };
+            self.cx.fleet.set_watching(false);
+            let state = self.cx.fleet.sync_state();
+            let is_known = state.era == revision.era && !state.is_unlisted;
+            if end == FollowEnd::Relist || !is_known || !self.cx.is_large_fleet() {
+                return;
+            }
+            revision.number = state.revision;
+            if end == FollowEnd::Behind && !self.catch_up(revision).await {
+                return;
+            }
         }
     }
 
+    /// Reads the changes since a revision after a short delay, so that not all nodes read at once. Returns false
+    /// if the complete list has to be read.
+    async fn catch_up(&mut self, from: Revision) -> bool {
+        sleep(MAX_CATCH_UP_DELAY.mul_f64(rand::random_range(0.0..1.0))).await;
+        let cx = self.cx.clone();
+        let read = tokio::select! {
+            read = self.changes_after(from) => read,
+            () = relist_due(&cx, from.era) => return false,
+        };
+        let Ok((changes, to)) = read else { return false };
+        let delta = InstanceListDelta { from: from.number, to: to.number, changes };
+        cx.fleet.apply_delta(delta, hold_until(&cx), Instant::now());
+        cx.fleet.advance_to(to.number);
+        true
+    }
+
     /// After the store returned from an older copy, waits until the instances have written their entries again.
     /// A watcher does not wait, since it forwards these changes.
     async fn wait_until_settled(&self) {
@@ -109,15 +224,6 @@
         }
     }
 
-    /// Waits until the list that was read in an era has to be read again.
-    async fn relist_due(&self, era: Era) {
-        tokio::select! {
-            () = self.cx.fleet.relist_requested() => {}
-            () = self.cx.fleet.settled() => {}
-            () = self.cx.store.era().changed_from(era) => {}
-        }
-    }
-
     /// Returns whether this node watches the list in the store. The node that plans groups, which holds
     /// the lease, always does.
     fn is_watcher(&self) -> bool {
@@ -128,31 +234,38 @@
 
     /// Relies on the changes that watchers forward, until some are missing, no watcher is heard, or this
     /// node becomes a watcher.
-    async fn wait_for_relist(&self, era: Era) {
+    async fn wait_for_relist(&self, era: Era) -> FollowEnd {
         let started = Instant::now();
         loop {
             tokio::select! {
                 () = sleep(WATCH_CHECK_PERIOD) => {}
-                () = self.relist_due(era) => return,
+                () = relist_due(&self.cx, era) => return FollowEnd::Relist,
             }
             let now = Instant::now();
             let timeout = instance_list_delta::watcher_timeout(self.cx.heartbeat_period());
             let is_recent = now - started < timeout;
-            let needs_relist = !is_recent && self.cx.fleet.sync_state().needs_relist(now, timeout);
-            if needs_relist || self.is_watcher() {
-                return;
+            let gap_timeout = match self.cx.is_large_fleet() {
+                true => instance_list_delta::LARGE_GAP_TIMEOUT,
+                false => instance_list_delta::GAP_TIMEOUT,
+            };
+            let state = self.cx.fleet.sync_state();
+            if self.is_watcher() {
+                return FollowEnd::RoleChanged;
+            }
+            if !is_recent && state.needs_store(now, timeout, gap_timeout) {
+                return FollowEnd::Behind;
             }
         }
     }
 
     /// Watches the list in the store and forwards its changes.
-    async fn watch(&mut self, mut revision: Revision) {
+    async fn watch(&mut self, mut revision: Revision) -> FollowEnd {
         loop {
             let started = Instant::now();
             let wait = self.cx.watch_wait(WATCH_WAIT);
             let watched = tokio::select! {
                 watched = self.cx.store.watch(ObjectKind::Instances, revision, wait) => watched,
-                () = self.relist_due(revision.era) => return,
+                () = relist_due(&self.cx, revision.era) => return FollowEnd::Relist,
             };
             match watched {
                 Ok((changes, watched_to)) => {
@@ -166,16 +279,16 @@
                     revision = watched_to;
                     sleep(WATCH_PERIOD.saturating_sub(started.elapsed())).await;
                     if !self.is_watcher() {
-                        return;
+                        return FollowEnd::RoleChanged;
                     }
                 }
-                Err(StoreError::HistoryGone | StoreError::Restored) => return,
+                Err(StoreError::HistoryGone | StoreError::Restored) => return FollowEnd::Relist,
                 Err(e) => {
                     log::debug!("failed to watch the instance list: {e}");
                     self.cx.fleet.set_watching(false);
                     sleep(self.cx.store.retry_delay()).await;
                     if matches!(e, StoreError::Undecodable(_)) {
-                        return;
+                        return FollowEnd::Relist;
                     }
                 }
             }
@@ -185,7 +298,10 @@
     /// Forwards changes to the other nodes, unless all of them watch the list themselves.
     fn forward(&self, delta: &InstanceListDelta) {
         let live = self.cx.nodes.addresses().len();
-        if delta.from == delta.to || !instance_list_delta::needs_forwarding(live) {
+        if delta.from == delta.to
+            || !instance_list_delta::needs_forwarding(live)
+            || !self.is_forwarder()
+        {
             return;
         }
         // If the queue is full, the other nodes detect a gap and read the list from the store.
@@ -196,6 +312,17 @@
         }
     }
 
+    /// Returns whether this node forwards the changes that it reads. While the nodes of a large fleet start, they do
+    /// not hear each other and all of them watch. If each forwarded all changes to all others, their links would
+    /// be full, and they would go on not hearing each other.
+    fn is_forwarder(&self) -> bool {
+        if !self.cx.is_large_fleet() || self.cx.lease.term().is_some() {
+            return true;
+        }
+        let electorate = self.cx.nodes.electorate(Instant::now(), self.cx.heartbeat_period());
+        instance_list_delta::is_elected(self.cx.node(), &electorate)
+    }
+
     fn change(&mut self, change: &ObjectChange) -> Option<EntryChange> {
         match change {
             ObjectChange::Removed(name) => Some(EntryChange::Removed(name.clone())),
--- a/serving/src/lease_manager.rs
+++ b/serving/src/lease_manager.rs
@@ -44,6 +44,8 @@
 const CANDIDATES: usize = 3;
 /// Interval at which a node that is not the holder reads the object while the holder is silent.
 const POLL_PERIOD: Duration = Duration::from_millis(200);
+/// Interval between two reads of the object by the nodes of a large fleet together while the holder is silent.
+const POLL_INTERVAL_PER_NODE: Duration = Duration::from_millis(4);
 /// Interval at which a node that finds no lease checks whether the instance list has been read.
 const LISTED_CHECK_PERIOD: Duration = Duration::from_millis(50);
 /// Delay per node that ranks higher, before the object is first created.
@@ -152,7 +154,7 @@
             }
             match self.try_acquire().await {
                 Ok(Some(acquired)) => self.hold(acquired).await,
-                Ok(None) => sleep(POLL_PERIOD).await,
+                Ok(None) => sleep(self.poll_period(&live)).await,
                 Err(e) => {
                     log::debug!("could not read or acquire the lease: {e}");
                     sleep(self.cx.store.retry_delay()).await;
@@ -161,6 +163,20 @@
         }
     }
 
+    /// Returns the interval at which this node reads the object while the holder is silent; `live` are the other
+    /// live nodes. In a large fleet, the nodes that are not candidates read it at random moments which are about
+    /// `POLL_INTERVAL_PER_NODE` apart over all of them.
+    fn poll_period(&self, live: &[String]) -> Duration {
+        let all = live.iter().map(String::as_str).chain([self.cx.node()]);
+        let candidates = election::elect(LEASE_NAME, all, CANDIDATES);
+        let is_candidate = !live.is_empty() && candidates.iter().any(|name| name == self.cx.node());
+        if is_candidate || !self.cx.is_large_fleet() {
+            return POLL_PERIOD;
+        }
+        let period = POLL_INTERVAL_PER_NODE * self.cx.nodes.count_known() as u32;
+        POLL_PERIOD.max(period.mul_f64(rand::random_range(0.5..1.5)))
+    }
+
     /// Acquires the lease if it is free.
     async fn try_acquire(&mut self) -> Result<Option<Acquired>, StoreError> {
         let found = self.cx.store.get(ObjectKind::Leases, LEASE_NAME).await?;
--- a/serving/src/node_table.rs
+++ b/serving/src/node_table.rs
@@ -292,6 +292,16 @@
         live.map(|peer| peer.node.clone()).collect()
     }
 
+    /// Returns the ids of the other nodes out of which nodes are elected in a large fleet: those that are not
+    /// silent, or all registered ones while this node hears less than half of them, as at the start of all nodes.
+    pub fn electorate(&self, now: Instant, period: Duration) -> Vec<String> {
+        let live = self.live_names(now, period);
+        let nodes = self.lock();
+        let registered: Vec<String> =
+            nodes.values().filter(|peer| peer.is_registered).map(|p| p.node.clone()).collect();
+        if live.len() * 2 < registered.len() { registered } else { live }
+    }
+
     /// Returns the number of nodes that are registered or not silent, this one included.
     pub fn count(&self, now: Instant, period: Duration) -> usize {
         let max_age = silent_after(period);
--- a/serving/src/store.rs
+++ b/serving/src/store.rs
@@ -13,6 +13,7 @@
 use crate::dialect::Dialect;
 use crate::dialect::ObjectChange;
 use crate::dialect::ObjectKind;
+use crate::dialect::ObjectPage;
 use crate::dialect::ObjectRead;
 use crate::dialect::StoredObject;
 use crate::network::Network;
@@ -41,6 +42,7 @@
 use std::time::Duration;
 use tokio::sync::watch;
 use tokio::time::Instant;
+use tokio::time::sleep;
 
 /// Timeout of connecting to the store.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -60,6 +62,8 @@
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(800);
 /// Maximum number of pages of a list.
 const MAX_PAGES: usize = 200;
+/// Number of times that a page of a list is read in a large fleet before the read of the list fails.
+const MAX_PAGE_ATTEMPTS: u32 = 5;
 /// Number of consecutive failures after which the store counts as unavailable.
 const UNAVAILABLE_AFTER: u32 = 2;
 
@@ -140,6 +144,15 @@
     }
 }
 
+/// How the pages of a list are read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct PageRead {
+    /// Whether a page that could not be read is read again.
+    pub is_repeated: bool,
+    /// Whether pages after the first may be some seconds old. Such reads do not count toward the rate of reads.
+    pub may_be_stale: bool,
+}
+
 /// Handle to the client of the store.
 #[derive(Debug, Clone)]
 pub struct Store {
@@ -228,26 +241,31 @@
         &self,
         kind: ObjectKind,
     ) -> Result<(Vec<StoredObject>, Revision), StoreError> {
-        let mut objects = vec![];
-        let mut revision = None;
+        self.list_pages(kind, PageRead::default).await
+    }
+
+    /// Reads all objects of a kind, each page as `page_read` returns. Returns them with the lowest revision at
+    /// which a page was read.
+    pub async fn list_pages(
+        &self,
+        kind: ObjectKind,
+        page_read: impl Fn() -> PageRead,
+    ) -> Result<(Vec<StoredObject>, Revision), StoreError> {
+        let mut objects: Vec<StoredObject> = vec![];
+        let mut revision: Option<Revision> = None;
         for _ in 0..MAX_PAGES {
-            let after = objects.last().map(|object: &StoredObject| object.name.clone());
-            let read = ObjectRead::List { after: after.as_deref(), allow_stale: false };
-            let path = self.inner.dialect.read_path(kind, &read);
-            let response = self.call("list", kind, Method::GET, path, vec![], CALL_TIMEOUT).await?;
-            if response.status() != StatusCode::OK {
-                return Err(StoreError::NotApplied(format!("status {}", response.status())));
-            }
-            let page = self.inner.dialect.decode_page(response.body())?;
+            let after = objects.last().map(|object| object.name.clone());
+            let page = self.read_page(kind, after.as_deref(), &page_read).await?;
             let is_empty = page.objects.is_empty();
             objects.extend(page.objects.into_iter().map(|object| self.with_era(object)));
             let read_at = self.revision(page.revision);
-            let revision = *revision.get_or_insert(read_at);
-            if read_at.era != revision.era {
+            let lowest = revision.map_or(read_at, |revision| revision.min(read_at));
+            if revision.is_some_and(|revision| revision.era != read_at.era) {
                 return Err(StoreError::Restored);
             }
+            revision = Some(lowest);
             if !page.has_more || is_empty {
-                return Ok((objects, revision));
+                return Ok((objects, lowest));
             }
         }
         Err(StoreError::NotApplied(format!(
@@ -255,6 +273,35 @@
         )))
     }
 
+    /// Reads a page of a list. In a large fleet, a failed read of it is repeated, since the pages before would have
+    /// to be read again as well.
+    async fn read_page(
+        &self,
+        kind: ObjectKind,
+        after: Option<&str>,
+        page_read: &impl Fn() -> PageRead,
+    ) -> Result<ObjectPage, StoreError> {
+        let mut attempts = 1;
+        loop {
+            let PageRead { is_repeated, may_be_stale } = page_read();
+            let allow_stale = may_be_stale && after.is_some();
+            let path = self.inner.dialect.read_path(kind, &ObjectRead::List { after, allow_stale });
+            let called = self.call("list", kind, Method::GET, path, vec![], CALL_TIMEOUT).await;
+            let error = match called {
+                Ok(response) if response.status() == StatusCode::OK => {
+                    return Ok(self.inner.dialect.decode_page(response.body())?);
+                }
+                Ok(response) => StoreError::NotApplied(format!("status {}", response.status())),
+                Err(e) => e,
+            };
+            if !is_repeated || attempts >= MAX_PAGE_ATTEMPTS || error == StoreError::Restored {
+                return Err(error);
+            }
+            attempts += 1;
+            sleep(self.retry_delay()).await;
+        }
+    }
+
     /// Waits for changes after a revision. Returns them with the revision from which the next watch
     /// continues; there are none if nothing changed within `wait`.
     ///
--- a/serving/tests/runner.rs
+++ b/serving/tests/runner.rs
@@ -11,6 +11,7 @@
 mod test_early_answers;
 mod test_endless_bytes;
 mod test_expired_members;
+mod test_fleet_start;
 mod test_fleet_view;
 mod test_group_faults;
 mod test_group_plan;
