--- a/serving/src/group_control.rs
+++ b/serving/src/group_control.rs
@@ -27,6 +27,7 @@
 use crate::replica_health;
 use crate::replica_set::group_key;
 use crate::serving_cx::ServingCx;
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::collections::HashSet;
@@ -253,8 +254,9 @@
             }
         }
         let down = self.down_groups(&instances, now);
+        let evacuated = self.cx.evacuations.current();
         let planned: Vec<PlanInstance> =
-            instances.iter().map(|instance| self.plan_instance(instance)).collect();
+            instances.iter().map(|instance| self.plan_instance(instance, &evacuated)).collect();
         let is_evacuated = |head: &InstanceId| {
             planned.iter().any(|instance| instance.id == *head && instance.is_evacuated)
         };
@@ -280,7 +282,11 @@
         }
     }
 
-    fn plan_instance(&self, instance: &Instance) -> PlanInstance {
+    fn plan_instance(
+        &self,
+        instance: &Instance,
+        evacuated: &BTreeMap<String, Instant>,
+    ) -> PlanInstance {
         let is_suspect = self.suspects.contains_key(&instance.id);
         let membership = instance.engine.membership.as_ref();
         PlanInstance {
@@ -288,7 +294,7 @@
             domain: instance.engine.domain.clone().unwrap_or_default(),
             is_suspect,
             is_draining: instance.is_draining,
-            is_evacuated: self.cx.evacuations.current().contains_key(&instance.data_centre),
+            is_evacuated: evacuated.contains_key(&instance.data_centre),
             expiry_cause: self.expired.cause(&instance.id),
             is_reserved: self.reserved.contains(&instance.id),
             staging: self.staging.get(&instance.id).cloned(),
