admission: tests of the fairness bounds and of failures

Each bound is tested by causing it in the model without a network: urgency, one customer with two thirds of the requests, callers that come back at once, large requests, lost reports, failing groups. A refused request was not known as early at a node that had no requests of its model; it is now.

--- a/serving/src/admission_stats.rs
+++ b/serving/src/admission_stats.rs
@@ -200,10 +200,11 @@
         let mut inner = self.lock();
         let is_early = inner.refused.get(&keys.fingerprint).is_some_and(|until| *until > now);
         let Inner { models, remote, .. } = &mut *inner;
-        match models.get_mut(&keys.model) {
-            Some(model) => Measured { is_early, ..model.measure(keys, remote, slots, now) },
+        let measured = match models.get_mut(&keys.model) {
+            Some(model) => model.measure(keys, remote, slots, now),
             None => ModelStats::new(now).measure(keys, remote, slots, now),
-        }
+        };
+        Measured { is_early, ..measured }
     }
 
     /// Records whether a request was admitted.
--- a/serving/tests/test_admission_load.rs
+++ b/serving/tests/test_admission_load.rs
@@ -80,3 +80,83 @@
         assert!(earned[4] < earned[0] + 0.02, "a short wait gains: {earned:?}");
     }
 }
+
+/// Guards against a kind that is served less often, or earns less of its value, than a less urgent one of the same
+/// model, and against a reserve that starves the less urgent one.
+#[test]
+fn more_urgent_requests_are_served_first_and_others_still() {
+    for load in [1.2, 2.0] {
+        let less_urgent = Kind { route: "checks", urgency: 2, ..notes(190.0 * load) };
+        let mut scenario = scenario(0.5 * load, 20);
+        scenario.kinds.push(less_urgent);
+        let outcomes = run(&scenario, Method::Admission);
+        let (urgent, other) = (outcomes.kinds["notes"], outcomes.kinds["checks"]);
+        println!("served {:.3} and {:.3}", urgent.served(), other.served());
+        assert!(urgent.served() > other.served() - 0.05);
+        assert!(urgent.earned() > other.earned() - 0.15);
+        assert!(other.served() > outcomes.all.served() / 4.0);
+    }
+}
+
+/// Guards against a customer with most of the requests that takes the slots of the others, and against one that is
+/// starved for that.
+#[test]
+fn customer_with_most_requests_costs_itself() {
+    let mut scenario = scenario(1.5, 20);
+    scenario.customers = [vec![16.0], vec![1.0; 8]].concat();
+    let outcomes = run(&scenario, Method::Admission);
+    let served: Vec<f64> = outcomes.customers.values().map(|tally| tally.served()).collect();
+    println!("served {served:.3?}");
+    let others = served[1..].iter().sum::<f64>() / 8.0;
+    assert!(others > 0.85 && others > served[0] + 0.2, "{served:?}");
+    assert!(served.iter().all(|served| *served > outcomes.all.served() / 4.0), "{served:?}");
+}
+
+/// Guards against callers that gain by coming back before the time that they were told.
+#[test]
+fn callers_that_come_back_at_once_gain_nothing() {
+    let scenario = Scenario { impatient: Some(0), customers: vec![1.0; 4], ..scenario(1.5, 8) };
+    let outcomes = run(&scenario, Method::Admission);
+    let earned: Vec<f64> = outcomes.customers.values().map(|tally| tally.earned()).collect();
+    println!("earned {earned:.3?}");
+    let others = earned[1..].iter().sum::<f64>() / 3.0;
+    assert!(earned[0] < others + 0.03, "{earned:?}");
+}
+
+/// Guards against large requests that are starved since they have less value for each slot second.
+#[test]
+fn large_requests_are_served_at_least_half_as_often() {
+    for load in [1.2, 2.0] {
+        let outcomes = run(&scenario(load, 20), Method::Admission);
+        let kind = outcomes.kinds["notes"].served();
+        for band in [1, 2] {
+            let served = outcomes.sizes[&("notes", band)].served();
+            println!("band {band}: {served:.3} of {kind:.3}");
+            assert!(served > kind / 2.0);
+        }
+    }
+}
+
+/// Guards against nodes that cut themselves or others off when they hear nothing of each other's customers.
+#[test]
+fn nodes_without_reports_of_others_are_no_worse_than_before() {
+    let scenario = Scenario { hears_reports: false, ..scenario(1.5, 60) };
+    let admission = run(&scenario, Method::Admission);
+    let before = run(&scenario, Method::Before);
+    assert!(admission.all.earned() > before.all.earned());
+    assert_eq!(admission.all.refused_idle, 0.0);
+}
+
+/// Guards against refusals while slots are free: half of the groups fail, and there is a shortage from one moment to
+/// the next; then waves and bursts end it and begin it.
+#[test]
+fn nothing_is_refused_while_half_of_the_slots_are_free() {
+    let fails = Scenario { stop: Some((10.0, 6)), ..scenario(0.7, 20) };
+    let waves = Scenario { wave: (0.55, 8.0), burst: 1.6, ..scenario(0.8, 20) };
+    for scenario in [fails, waves] {
+        let outcomes = run(&scenario, Method::Admission);
+        assert!(outcomes.returned.0 > 0.0, "nothing was refused");
+        assert_eq!(outcomes.all.refused_idle, 0.0);
+        assert!(outcomes.all.earned() > run(&scenario, Method::Before).all.earned() - 0.02);
+    }
+}
