Merge cold instances

Instances of a data centre that is taken back are assumed cold, and the read of list pages records what entries state.

--- a/serving/src/candidates.rs
+++ b/serving/src/candidates.rs
@@ -2,6 +2,9 @@
 
 use crate::admission_sync;
 use crate::attempt::Withheld;
+use crate::cold_instances;
+use crate::cold_instances::ColdPolicy;
+use crate::cold_sync;
 use crate::node_relay;
 use crate::placement;
 use crate::placement::Candidate;
@@ -34,7 +37,7 @@
         return node.ok_or(Withheld::NoReplica(NoCapacity::Unreachable, Occupancy::default()));
     }
     let now = Instant::now();
-    let candidates = candidates(cx, task, tried, timeliness, now);
+    let mut candidates = candidates(cx, task, tried, timeliness, now);
     let table = cx.config.get();
     let is_first = tried.is_empty();
     let decision = table.as_ref().and_then(|table| {
@@ -49,7 +52,11 @@
         nodes: cx.sharing_nodes(),
         capacity_ratio,
     };
-    let chosen = placement::choose(&candidates, &input).or_else(|no_capacity| {
+    let chosen = match cold_sync::policy(cx, &task.service) {
+        None => placement::choose(&candidates, &input),
+        Some(policy) => choose_beside_cold(cx, &policy, &mut candidates, &input, now),
+    };
+    let chosen = chosen.or_else(|no_capacity| {
         let node = rate_relay::choose(cx, task, &candidates, no_capacity, tried);
         let occupancy = || placement::occupancy(&candidates);
         node.ok_or_else(|| Withheld::NoReplica(no_capacity, occupancy()))
@@ -60,6 +67,20 @@
     }
 }
 
+/// Chooses a replica of a service whose instances may be cold.
+fn choose_beside_cold(
+    cx: &ServingCx,
+    policy: &ColdPolicy,
+    candidates: &mut [Candidate],
+    input: &PlacementInput<'_>,
+    now: Instant,
+) -> Result<Arc<Replica>, NoCapacity> {
+    let state =
+        |c: &Candidate| cx.cold.state(policy, &c.replica, c.state.requests(), c.state.is_down, now);
+    let states: Vec<_> = candidates.iter().map(state).collect();
+    cold_instances::choose(candidates, &states, input)
+}
+
 fn candidates(
     cx: &ServingCx,
     task: &RequestTask,
--- a/serving/src/dialect.rs
+++ b/serving/src/dialect.rs
@@ -190,6 +190,8 @@
     fn decode_instance(&self, object: &StoredObject) -> Result<Instance, DecodeError>;
     /// Decodes an evacuation and returns the name of the data centre.
     fn decode_evacuation(&self, object: &StoredObject) -> Result<String, DecodeError>;
+    /// Decodes how much longer a registered instance stays cold; `None` if its entry does not say.
+    fn decode_cold_left(&self, object: &StoredObject) -> Option<Duration>;
 
     /// Returns the path on an instance that serves its report.
     fn report_path(&self) -> &'static str;
--- a/serving/src/evacuation_sync.rs
+++ b/serving/src/evacuation_sync.rs
@@ -14,6 +14,7 @@
 use crate::evacuations::EvacuationStatement;
 use crate::evacuations::EvacuationTimes;
 use crate::evacuations::FEW_RECEIVERS;
+use crate::rate_limits;
 use crate::serving_cx::ServingCx;
 use crate::store::StoreError;
 use crate::store::WATCH_SLACK;
@@ -133,6 +134,7 @@
         });
     }
     for (data_centre, since) in &change.taken_back {
+        assume_cold(cx, data_centre);
         cx.metrics.evacuation(data_centre, "taken_back");
         cx.log.record(Event::DataCentreTakenBack {
             data_centre: data_centre.clone(),
@@ -143,6 +145,20 @@
     }
 }
 
+/// Treats the instances of a data centre that was taken back as cold, for as long as after a start: they may have
+/// turned cold shortly before, and their entries say so only later.
+fn assume_cold(cx: &ServingCx, data_centre: &str) {
+    let Some(table) = cx.config.get() else { return };
+    let now = Instant::now();
+    for instance in cx.fleet.instances().values().filter(|i| i.data_centre == *data_centre) {
+        let service = table.config.services.get(&instance.service);
+        if let Some(cold_start) = service.and_then(|service| service.cold_start) {
+            let run = rate_limits::run_hash(&instance.id, instance.engine.born_ms);
+            cx.cold.assume_cold([run], now + cold_start.period);
+        }
+    }
+}
+
 /// Returns the number of requests of this node that run in each data centre.
 fn running_by_data_centre(cx: &ServingCx) -> BTreeMap<String, u64> {
     let replicas = cx.fleet.replicas();
--- a/serving/src/instance_list_sync.rs
+++ b/serving/src/instance_list_sync.rs
@@ -1,6 +1,7 @@
 //! Keeps the local instance list in sync with the store, by a watch or by changes that other nodes
 //! forward.
 
+use crate::cold_sync;
 use crate::dialect::ObjectChange;
 use crate::dialect::ObjectKind;
 use crate::dialect::StoredObject;
@@ -143,7 +144,7 @@
             PageRead { is_repeated, may_be_stale }
         };
         let (objects, revision) = cx.store.list_pages(ObjectKind::Instances, page_read).await?;
-        let instances = objects.iter().filter_map(|object| self.decode(object));
+        let instances = objects.iter().filter_map(|object| self.decode(object, false));
         if !has_stale_page.into_inner() {
             return Ok((instances.collect(), revision));
         }
@@ -329,15 +330,18 @@
             ObjectChange::Put(object) => {
                 // An entry that can no longer be decoded is treated as removed.
                 let removed = || EntryChange::Removed(object.name.clone());
-                let decoded = self.decode(object).map(|i| EntryChange::Put(Box::new(i)));
+                let decoded = self.decode(object, true).map(|i| EntryChange::Put(Box::new(i)));
                 Some(decoded.unwrap_or_else(removed))
             }
         }
     }
 
-    fn decode(&mut self, object: &StoredObject) -> Option<Instance> {
+    fn decode(&mut self, object: &StoredObject, is_watched: bool) -> Option<Instance> {
         match self.cx.dialect.decode_instance(object) {
-            Ok(instance) => Some(instance),
+            Ok(instance) => {
+                cold_sync::record_entry(&self.cx, object, &instance, is_watched);
+                Some(instance)
+            }
             Err(e) => {
                 if self.skipped.len() >= MAX_SKIPPED {
                     self.skipped.clear();
--- a/serving/src/peer_codec.rs
+++ b/serving/src/peer_codec.rs
@@ -2,6 +2,7 @@
 //!
 //! The tag is the truncated BLAKE3 hash of the content, keyed with the fleet key.
 
+use crate::cold_instances::ColdNews;
 use crate::crash_sync::CrashMessage;
 use crate::customer_use::UseReport;
 use crate::evacuations::EvacuationNews;
@@ -52,6 +53,8 @@
     Abilities(AbilityNews),
     /// What the customers use of the models that are scarce.
     CustomerUse(UseReport),
+    /// How long instances stay cold.
+    Cold(Vec<ColdNews>),
 }
 
 /// That a run of a node understands the messages for large fleets.
--- a/serving/src/peer_exchange.rs
+++ b/serving/src/peer_exchange.rs
@@ -6,6 +6,7 @@
 //! enough for several of them within the duration of one response.
 
 use crate::admission_sync;
+use crate::cold_sync;
 use crate::config_sync;
 use crate::crash_sync;
 use crate::crash_sync::CrashSync;
@@ -214,6 +215,28 @@
         }
     }
 
+    /// Tells other nodes which instances are cold until the task is cancelled: all of them what this node has
+    /// just read, and a few random ones what it knows.
+    pub async fn cold_loop(self) {
+        let cx = &self.heartbeats.cx;
+        loop {
+            let is_new = tokio::select! {
+                () = cx.cold.news_added() => true,
+                () = sleep(cx.heartbeat_period()) => false,
+            };
+            let receivers = match is_new {
+                true => {
+                    sleep(cold_sync::GATHER_PERIOD).await;
+                    cx.nodes.addresses()
+                }
+                false => cold_sync::receivers(cx),
+            };
+            if let Some(news) = cold_sync::next_news(cx) {
+                self.send_to(PeerMessage::Cold(news), receivers).await;
+            }
+        }
+    }
+
     async fn send(&self, message: PeerMessage) {
         self.send_to(message, self.heartbeats.cx.nodes.addresses()).await;
     }
@@ -280,6 +303,9 @@
                     Ok(PeerMessage::CustomerUse(report)) => {
                         admission_sync::apply(&self.heartbeats.cx, report);
                     }
+                    Ok(PeerMessage::Cold(news)) => {
+                        cold_sync::apply(&self.heartbeats.cx, &news, &from.ip().to_string());
+                    }
                     Err(e) => log::debug!("rejected a message from {from}: {e}"),
                 },
                 // An earlier datagram that this node sent reached a closed port.
--- a/serving/src/serving_cx.rs
+++ b/serving/src/serving_cx.rs
@@ -2,6 +2,7 @@
 
 use crate::admission_stats::AdmissionStats;
 use crate::awaited_config::AwaitedConfig;
+use crate::cold_instances::ColdInstances;
 use crate::crash_record::CrashRecord;
 use crate::dialect::Dialect;
 use crate::down_reports::DownReports;
@@ -110,6 +111,8 @@
     pub pool: UpstreamPool,
     /// Number of running requests.
     pub running: RunningRequests,
+    /// Instances that are cold.
+    pub cold: ColdInstances,
     /// Whether and when the node stops.
     pub stop: NodeStop,
     /// Whether the node accepts requests of callers.
@@ -174,6 +177,7 @@
             store,
             pool: UpstreamPool::new(network.clone(), metrics.clone(), reach),
             running: RunningRequests::new(),
+            cold: ColdInstances::new(),
             stop: NodeStop::new(),
             phase: Arc::new(watch::channel(NodePhase::Starting).0),
             evacuations: Evacuations::new(settings.evacuation),
--- a/serving/tests/runner.rs
+++ b/serving/tests/runner.rs
@@ -6,6 +6,7 @@
 mod test_admission;
 mod test_admission_load;
 mod test_attempts;
+mod test_cold_instances;
 mod test_crash_record;
 mod test_crash_sync;
 mod test_crashing_prompt_parts;
