cold instances: the test on the fakes checks what arrives while instances are cold

The test sends about 15 requests a second to each of two instances, less than what makes the fakes crash, so that no crash showed little. It now counts the requests in any second from 1 s after the instances turned cold: 3 to 10 each, where the settings allow 17. Whether it fails without the elected nodes was not tried.

--- a/serving/tests/test_cold_instances.rs
+++ b/serving/tests/test_cold_instances.rs
@@ -524,6 +524,7 @@
     let (mut requests, begin) = (JoinSet::new(), Instant::now());
     let (cold_from, cold_for) = (Duration::from_secs(1), Duration::from_secs(3));
     let mut is_cold = false;
+    let known_from = begin + cold_from + Duration::from_secs(1);
     while begin.elapsed() < Duration::from_secs(6) {
         if !is_cold && begin.elapsed() >= cold_from {
             is_cold = true;
@@ -534,10 +535,19 @@
             let (to, call) = (fleet.callers(node), Call::new(Method::GET, "/look/x"));
             requests.spawn(async move { call.status(to).await });
         }
-        sleep(ms(160)).await;
+        sleep(ms(130)).await;
     }
     let statuses = requests.join_all().await;
     assert_eq!(fleet.fake_platform.violations(), []);
+    // The settings allow 17 requests in a second, of which the nodes in one view send 8.
+    let arrivals = fleet.fake_platform.arrivals();
+    for id in ["p-00", "p-01"] {
+        let is_checked = |at: Instant| at >= known_from && at < begin + cold_from + cold_for;
+        let checked = arrivals.iter().filter(|a| a.instance == id && is_checked(a.at));
+        let checked: Vec<u64> = checked.map(|a| (a.at - known_from).as_millis() as u64).collect();
+        let most = most_in_a_second(&checked);
+        assert!((3..=10).contains(&most), "{most} requests in a second at {id}");
+    }
     let served = statuses.iter().filter(|status| **status == 200).count();
     assert!(statuses.iter().all(|status| [200, 503].contains(status)), "{statuses:?}");
     assert!(served * 2 >= statuses.len(), "{served} of {} served", statuses.len());
