--- a/serving/src/candidates.rs
+++ b/serving/src/candidates.rs
@@ -56,6 +56,11 @@
         None => placement::choose(&candidates, &input),
         Some(policy) => choose_beside_cold(cx, &policy, &mut candidates, &input, now),
     };
+    if let Some(Candidate { replica, state, .. }) = candidates.first()
+        && let Some(model) = replica.model.as_ref().filter(|_| state.estimate.is_some())
+    {
+        cx.loads.record_choice(model, chosen.is_ok(), now);
+    }
     let chosen = chosen.or_else(|no_capacity| {
         let node = rate_relay::choose(cx, task, &candidates, no_capacity, tried);
         let occupancy = || placement::occupancy(&candidates);
@@ -93,12 +98,16 @@
         (Some(model), Some(wanted)) => model == wanted,
         _ => true,
     };
+    let is_measured = cx.is_measured(&task.service);
     let is_untried = |replica: &&Arc<Replica>| !tried.contains(&replica.key);
     let evacuated = cx.evacuations.current();
     let is_allowed = |replica: &&Arc<Replica>| !evacuated.contains_key(&replica.data_centre);
     let candidate = |replica: &Arc<Replica>| Candidate {
         replica: replica.clone(),
-        state: cx.loads.state(replica, now),
+        state: match is_measured {
+            true => cx.loads.measured_state(replica, now),
+            false => cx.loads.state(replica, now),
+        },
         rate: match cx.deferrals.wait(replica.run, now) {
             Some(wait) => RateAllowance::Resting(wait),
             None => cx.rate_limits.allowance(replica.run, timeliness == Timeliness::Begun, now),
--- a/serving/src/lib.rs
+++ b/serving/src/lib.rs
@@ -49,6 +49,7 @@
 pub mod list_part_sync;
 pub mod list_parts;
 pub mod listeners;
+pub mod load_estimate;
 pub mod load_table;
 pub mod local_response;
 pub mod metered_stream;
--- a/serving/tests/runner.rs
+++ b/serving/tests/runner.rs
@@ -29,6 +29,7 @@
 mod test_lease_state;
 mod test_leaving_replicas;
 mod test_list_parts;
+mod test_load_estimate;
 mod test_load_table;
 mod test_node_table;
 mod test_pages;
