group_allocation: groups of measured services follow measured demand

Cause: groups were allocated by the configured shares of the work as equal members, so that 16 loads of weights went to one more group of the large model while those for four of the small one were missing, and members left of a large group waited for another one.

Change: for services that are scheduled by measurements, each node counts arrivals, refusals and work by model and route (model_demand) and tells the others once a second (PeerMessage::Demand). The holder of the lease plans by the slots that each model needs at its peak: loads go first where they restore the most slots, members left of large groups are staged for a model that is short, and groups of a model that has more than it needs are dissolved gracefully for another one, with hysteresis. Event GL0555, metrics model_slots and instances_by_use. The allocation by shares moves to group_allocation unchanged; services that are not measured take the same path as before.

--- a/serving/src/group_control.rs
+++ b/serving/src/group_control.rs
@@ -5,7 +5,11 @@
 
 use crate::expired_members::ExpiredMembers;
 use crate::fleet_config::Engine;
+use crate::group_allocation::AllocationDemand;
+use crate::group_allocation::AllocationHistory;
 use crate::group_plan;
+use crate::group_plan::MOVE_REASON;
+use crate::group_plan::Plan;
 use crate::group_plan::PlanInput;
 use crate::group_plan::PlanInstance;
 use crate::group_plan::PlanStep;
@@ -27,6 +31,7 @@
 use crate::replica_health;
 use crate::replica_set::group_key;
 use crate::serving_cx::ServingCx;
+use guavaladder_lib::generated::events::Event;
 use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::collections::HashSet;
@@ -49,6 +54,19 @@
 /// Time within which an instance's entry reflects a change of its state.
 const ENTRY_UPDATE_LAG: Duration = Duration::from_millis(500);
 
+/// Minimum interval between two log entries about the allocation of a service that has changed.
+const ALLOCATION_LOG_PERIOD: Duration = Duration::from_secs(2);
+/// Interval after which an unchanged allocation is logged again.
+const ALLOCATION_REPEAT_PERIOD: Duration = Duration::from_secs(15);
+
+/// Decisions on a measured service so far.
+#[derive(Debug, Default)]
+struct ServiceAllocation {
+    history: AllocationHistory,
+    /// When the allocation was logged last, and what was planned.
+    logged: Option<(Instant, String)>,
+}
+
 /// Plans and executes the steps for all groups while this node holds the lease.
 #[derive(Debug)]
 pub struct GroupControl {
@@ -71,6 +89,8 @@
     /// Domain and model of each group that is being assembled or opened, by its head.
     assembling: HashMap<InstanceId, (String, String)>,
     active_loads: usize,
+    /// Allocation of each measured service.
+    allocations: HashMap<String, ServiceAllocation>,
     /// Members whose entries were removed.
     expired: ExpiredMembers,
     /// Running checks whether an expired member is still in its group.
@@ -94,6 +114,7 @@
             registrations: RegistrationTracker::new(),
             assembling: HashMap::new(),
             active_loads: 0,
+            allocations: HashMap::new(),
             expired: ExpiredMembers::new(),
             membership_checks: JoinSet::new(),
             steps: JoinSet::new(),
@@ -162,6 +183,7 @@
 
     /// Clears what is known from the instances' reports and from this node's orders.
     fn clear_instance_state(&mut self) {
+        self.allocations.clear();
         self.reported_status.clear();
         self.accepted.clear();
         self.dissolved.clear();
@@ -213,7 +235,7 @@
             let Some(engine) = &engine.engine else { continue };
             let of_service: Vec<Instance> =
                 instances.values().filter(|i| i.service == *service).cloned().collect();
-            self.plan_service(engine, of_service, &changes, now);
+            self.plan_service(service, engine, of_service, &changes, now);
         }
     }
 
@@ -237,6 +259,7 @@
 
     fn plan_service(
         &mut self,
+        service: &str,
         engine: &Engine,
         mut instances: Vec<Instance>,
         changes: &HashMap<InstanceId, Instant>,
@@ -255,6 +278,8 @@
         let planned: Vec<PlanInstance> =
             instances.iter().map(|instance| self.plan_instance(instance)).collect();
         let assembling: Vec<(String, String)> = self.assembling.values().cloned().collect();
+        let is_measured = self.cx.is_measured(service);
+        let demand = is_measured.then(|| self.demand(service, engine, now)).flatten();
         let input = PlanInput {
             engine,
             instances: &planned,
@@ -267,12 +292,95 @@
                 .fleet
                 .is_absence_trusted(self.cx.store.health().recovered_at, now),
             is_fleet_stable: self.registrations.is_stable(),
+            demand: demand.as_ref(),
         };
-        for step in group_plan::plan(&input) {
+        let plan = group_plan::plan_all(&input);
+        if is_measured {
+            self.record_plan(service, engine, demand.as_ref(), &plan, now);
+        }
+        for step in plan.steps {
             self.start_step(engine, step, &instances);
         }
     }
 
+    /// Returns the measured demand for the models of a service; `None` until it is known.
+    fn demand(&self, service: &str, engine: &Engine, now: Instant) -> Option<AllocationDemand> {
+        let models = engine.models.iter().map(|model| model.name.clone());
+        let needed = self.cx.demand.fleet().needed_slots(service, models)?;
+        let new = ServiceAllocation::default();
+        let history = &self.allocations.get(service).unwrap_or(&new).history;
+        let (can_move, load_allowance) =
+            (history.can_move(now), history.load_allowance(engine, now));
+        Some(AllocationDemand { needed, can_move, load_allowance })
+    }
+
+    /// Records what a plan for a measured service means for the next ones, in the metrics and in the log.
+    fn record_plan(
+        &mut self,
+        service: &str,
+        engine: &Engine,
+        demand: Option<&AllocationDemand>,
+        plan: &Plan,
+        now: Instant,
+    ) {
+        let allocation = self.allocations.entry(service.to_string()).or_default();
+        let loads = plan.steps.iter().map(PlanStep::loads).sum();
+        allocation.history.record_loads(loads, now);
+        let is_move = |step: &PlanStep| matches!(step, PlanStep::Dissolve { reason, .. } if reason == MOVE_REASON);
+        let moved = plan.steps.iter().filter(|step| is_move(step)).count();
+        if moved > 0 {
+            allocation.history.record_move(now);
+        }
+        let mut short = vec![];
+        let (mut needs, mut slots, mut groups) = (vec![], vec![], vec![]);
+        for (model, state) in engine.models.iter().zip(&plan.models) {
+            let needed = demand.and_then(|demand| demand.needed.get(&model.name)).copied();
+            if demand.is_some_and(|demand| demand.is_move_due(engine, model, state.planned)) {
+                short.push(model.name.clone());
+            }
+            let of_groups = |groups: usize| groups as u64 * u64::from(engine.slots);
+            let metrics = &self.cx.metrics;
+            let needed = needed.map(|needed| needed.ceil() as u64);
+            metrics.model_slots(service, &model.name, "needed", needed.unwrap_or(0));
+            metrics.model_slots(service, &model.name, "serving", of_groups(state.serving));
+            metrics.model_slots(service, &model.name, "planned", of_groups(state.planned));
+            needs.push(format!(
+                "{}={}",
+                model.name,
+                needed.map_or("?".to_string(), |n| n.to_string())
+            ));
+            slots.push(format!("{}={}", model.name, of_groups(state.serving)));
+            groups.push(format!("{}={}/{}", model.name, state.planned, state.target));
+        }
+        allocation.history.record_short(&short, now);
+        for (used_for, count) in &plan.uses {
+            self.cx.metrics.instances_by_use(service, used_for.name(), *count as u64);
+        }
+        let reason = match demand {
+            None => "the configured shares, as demand is not known".to_string(),
+            Some(_) if moved > 0 => format!("{moved} groups dissolved: {MOVE_REASON}"),
+            Some(_) if short.is_empty() => "no model is short".to_string(),
+            Some(_) => format!("short: {}", short.join(",")),
+        };
+        let planned = format!("{} {reason}", groups.join(","));
+        let is_due = allocation.logged.as_ref().is_none_or(|(at, last)| {
+            let is_changed = *last != planned;
+            now - *at >= if is_changed { ALLOCATION_LOG_PERIOD } else { ALLOCATION_REPEAT_PERIOD }
+        });
+        if is_due || moved > 0 {
+            allocation.logged = Some((now, planned));
+            let uses = plan.uses.iter().map(|(used_for, n)| format!("{}={n}", used_for.name()));
+            self.cx.log.record(Event::GroupsAllocated {
+                service: service.to_string(),
+                needed: needs.join(","),
+                slots: slots.join(","),
+                groups: groups.join(","),
+                reason,
+                instances: uses.collect::<Vec<_>>().join(","),
+            });
+        }
+    }
+
     fn plan_instance(&self, instance: &Instance) -> PlanInstance {
         let is_suspect = self.suspects.contains_key(&instance.id);
         let membership = instance.engine.membership.as_ref();
--- a/serving/src/group_plan.rs
+++ b/serving/src/group_plan.rs
@@ -12,10 +12,21 @@
 //!   the least served model that still has some members with weights in the domain.
 //! - The models have different shares of the work. Groups are formed first for the model that is least
 //!   served relative to its share.
+//! - Demand differs from the shares, and weights can't be loaded as fast as groups lose members. Where demand
+//!   is measured, loads are spent first where they restore the most slots, the members left of a large group
+//!   are used for a small one, and groups of a model that has more than it needs are dissolved for another.
 
 use crate::expired_members::ExpiryCause;
 use crate::fleet_config::Engine;
 use crate::fleet_config::Model;
+use crate::group_allocation;
+use crate::group_allocation::AllocationDemand;
+use crate::group_allocation::DomainSpace;
+use crate::group_allocation::GroupCounts;
+use crate::group_allocation::SPARES_PER_DOMAIN;
+use crate::group_allocation::allocate;
+use crate::group_allocation::by_need;
+use crate::group_allocation::count_of;
 use crate::instance::GroupEpoch;
 use crate::instance::GroupName;
 use crate::instance::InstanceId;
@@ -23,11 +34,11 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
-/// Number of spare instances per domain when groups are allocated, and per model when staging.
-const SPARES_PER_DOMAIN: usize = 1;
 /// Multiple of the number of loads that run concurrently at full speed up to which loads are started for
 /// assemblies. This keeps the weight store busy while groups whose loads have finished are opened.
 const LOAD_OVERCOMMIT: usize = 2;
+/// Reason of a step that dissolves a group for another model.
+pub const MOVE_REASON: &str = "another model is short of slots";
 
 /// State of one instance, as input of the planner.
 #[derive(Debug, Clone, PartialEq)]
@@ -60,6 +71,11 @@
         !self.is_draining && !self.is_suspect && self.expiry_cause.is_none()
     }
 
+    /// Returns whether it counts for the number of groups of its domain.
+    pub fn is_present(&self) -> bool {
+        !self.is_leaving() && !self.is_suspect
+    }
+
     /// Returns whether it is leaving, with or without an announcement.
     fn is_leaving(&self) -> bool {
         self.is_draining || self.expiry_cause == Some(ExpiryCause::Leaving)
@@ -86,6 +102,8 @@
     /// Whether a missing entry means that its instance is gone. Entries expire while the store is
     /// unavailable, and are restored shortly after it has recovered.
     pub is_absence_trusted: bool,
+    /// Measured demand; `None` if the configured shares decide.
+    pub demand: Option<&'a AllocationDemand>,
 }
 
 /// A step that the planner has decided on.
@@ -139,6 +157,15 @@
 }
 
 impl PlanStep {
+    /// Returns the number of weight loads that begin with the step.
+    pub fn loads(&self) -> usize {
+        match self {
+            Self::Assemble { loads, .. } => *loads,
+            Self::Stage { .. } => 1,
+            Self::Dissolve { .. } | Self::Open { .. } => 0,
+        }
+    }
+
     /// Returns the instances that take part in the step, the head of a new group first.
     pub fn instances(&self) -> &[InstanceId] {
         match self {
@@ -188,16 +215,93 @@
     }
 }
 
+/// Steps that are due, with what the decisions on a measured service are based on.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Plan {
+    /// Steps, most urgent first.
+    pub steps: Vec<PlanStep>,
+    /// State of each model, in the order of the configuration.
+    pub models: Vec<ModelPlan>,
+    /// Number of instances by use.
+    pub uses: BTreeMap<InstanceUse, usize>,
+}
+
+/// State of a model according to a plan.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ModelPlan {
+    /// Name of the model.
+    pub model: String,
+    /// Number of groups that serve.
+    pub serving: usize,
+    /// Number of groups that serve or are going to.
+    pub planned: usize,
+    /// Number of groups that all domains together should have.
+    pub target: usize,
+}
+
+/// What an instance is used for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum InstanceUse {
+    /// Member of a group that serves.
+    Serving,
+    /// Member of a group that is being assembled, opened or dissolved.
+    Assembling,
+    /// Weights are being staged on its host.
+    Staging,
+    /// It has weights and is in no group.
+    Spare,
+    /// It has no weights.
+    WithoutWeights,
+    /// It does not respond, is leaving, or is not registered.
+    Unusable,
+}
+
+impl InstanceUse {
+    /// All uses.
+    pub const ALL: [Self; 6] = [
+        Self::Serving,
+        Self::Assembling,
+        Self::Staging,
+        Self::Spare,
+        Self::WithoutWeights,
+        Self::Unusable,
+    ];
+
+    /// Returns the name of the use as it appears in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Serving => "serving",
+            Self::Assembling => "assembling",
+            Self::Staging => "staging",
+            Self::Spare => "spare",
+            Self::WithoutWeights => "without_weights",
+            Self::Unusable => "unusable",
+        }
+    }
+}
+
 /// Returns the steps that are due, most urgent first.
 pub fn plan(input: &PlanInput<'_>) -> Vec<PlanStep> {
+    plan_all(input).steps
+}
+
+/// Returns the steps that are due, with the state that they are based on.
+pub fn plan_all(input: &PlanInput<'_>) -> Plan {
     let mut planner = Planner::new(input);
     let groups = groups(input.instances);
     for group in &groups {
         planner.review_group(group);
     }
-    planner.assemble();
+    let uses = planner.uses();
+    match input.demand {
+        Some(demand) => {
+            planner.assemble_by_demand(demand);
+            planner.move_groups(demand, &groups);
+        }
+        None => planner.assemble(),
+    }
     planner.stage();
-    planner.steps
+    Plan { models: planner.model_plans(), uses, steps: planner.steps }
 }
 
 fn groups(instances: &[PlanInstance]) -> Vec<Group<'_>> {
@@ -223,8 +327,14 @@
     model_group_counts: BTreeMap<String, usize>,
     /// Number of groups that serve or are going to, by domain and model.
     domain_group_counts: GroupCounts,
+    /// Groups that serve and are kept.
+    kept: BTreeSet<(GroupName, GroupEpoch)>,
+    /// Members of the groups that serve.
+    serving: BTreeSet<InstanceId>,
     /// Number of groups that each domain should have, by domain and model.
     target_counts: GroupCounts,
+    /// Instances by domain.
+    by_domain: BTreeMap<&'a str, Vec<&'a PlanInstance>>,
     /// Number of weight loads that are running or planned.
     loads: usize,
     /// Whether an assembly has to wait for running loads.
@@ -243,11 +353,17 @@
             unavailable,
             model_group_counts: BTreeMap::new(),
             domain_group_counts: GroupCounts::new(),
+            kept: BTreeSet::new(),
+            serving: BTreeSet::new(),
             target_counts: allocate(input.engine, input.instances),
+            by_domain: BTreeMap::new(),
             loads: input.active_loads,
             is_waiting_for_loads: false,
             steps: vec![],
         };
+        for instance in input.instances {
+            planner.by_domain.entry(&instance.domain).or_default().push(instance);
+        }
         for (domain, model) in input.assembling {
             planner.count_group_in(model, domain.clone());
         }
@@ -275,6 +391,7 @@
                 if is_reserved {
                     return;
                 }
+                self.serving.extend(group.ids());
                 let is_operational = |_: &PlanInstance, state: MembershipState| {
                     matches!(state, MembershipState::Ready | MembershipState::Open)
                 };
@@ -296,6 +413,7 @@
                 if group.head().is_some_and(|head| head.expiry_cause.is_some()) {
                     return self.dissolve(group, true, "its head is not registered");
                 }
+                self.kept.insert(key);
                 self.count_group(model, group);
             }
             Some(MembershipState::Ready) if !is_reserved && size > 1 && is_complete => {
@@ -357,10 +475,22 @@
         self.input.instances.iter().filter(|instance| !self.unavailable.contains(&instance.id))
     }
 
-    /// Returns the models, the one that is least served relative to its share first.
+    /// Returns the models, the one that is least served relative to its share or its demand first.
     fn models_by_need(&self) -> Vec<&'a Model> {
-        let groups = |model: &Model| self.model_group_counts.get(&model.name).copied().unwrap_or(0);
-        by_need(self.input.engine.models.iter(), groups)
+        let groups = |model: &Model| self.groups_of(model);
+        match self.input.demand {
+            Some(demand) => demand.by_urgency(self.input.engine, groups),
+            None => by_need(self.input.engine.models.iter(), groups),
+        }
+    }
+
+    /// Returns how many groups of a model serve or are going to.
+    fn groups_of(&self, model: &Model) -> usize {
+        self.model_group_counts.get(&model.name).copied().unwrap_or(0)
+    }
+
+    fn is_short(&self, demand: &AllocationDemand, model: &Model) -> bool {
+        demand.is_short(self.input.engine, model, self.groups_of(model))
     }
 
     /// Assembles groups while there are instances for them, first from instances that have the weights.
@@ -381,6 +511,264 @@
         }
     }
 
+    /// Assembles groups by measured demand, first those that need no loads, then those that need the fewest.
+    fn assemble_by_demand(&mut self, demand: &AllocationDemand) {
+        while let Some((model, domain, members)) = self.next_staged_group() {
+            self.start_assembly(model, domain, members);
+        }
+        self.target_counts = group_allocation::allocate_by_demand(
+            self.input.engine,
+            demand,
+            &self.domain_group_counts,
+            self.spaces(),
+        );
+        let mut claimed = BTreeSet::new();
+        self.complete_groups(demand, false, &mut claimed);
+        while let Some((model, domain, members)) = self.next_unstaged_group() {
+            let max_loads = self.input.engine.loads_at_once as usize * LOAD_OVERCOMMIT;
+            let exceeds_limit =
+                self.loads > 0 && self.loads + members.len() > max_loads.max(model.size);
+            if exceeds_limit || !self.can_begin_loads(members.len()) {
+                self.is_waiting_for_loads = true;
+                return;
+            }
+            self.start_assembly(model, domain, members);
+        }
+        self.complete_groups(demand, true, &mut claimed);
+    }
+
+    /// Returns whether the bound on the loads that begin in a few seconds allows `loads` more.
+    fn can_begin_loads(&self, loads: usize) -> bool {
+        let planned = self.loads.saturating_sub(self.input.active_loads);
+        self.input.demand.is_none_or(|demand| planned + loads <= demand.load_allowance)
+    }
+
+    /// Returns the instances of each domain that are in no group.
+    fn spaces(&self) -> BTreeMap<String, DomainSpace> {
+        let mut spaces: BTreeMap<String, DomainSpace> = BTreeMap::new();
+        for instance in self.input.instances.iter().filter(|i| i.is_present()) {
+            let space = spaces.entry(instance.domain.clone()).or_default();
+            space.free += 1;
+            if !self.unavailable.contains(&instance.id) {
+                for model in &self.input.engine.models {
+                    let has_weights = has_weights(instance, &model.name);
+                    *space.with_weights.entry(model.name.clone()).or_default() +=
+                        usize::from(has_weights);
+                }
+            }
+        }
+        for ((domain, model), groups) in &self.domain_group_counts {
+            let size = self.input.engine.model(model).map_or(0, |model| model.size);
+            if let Some(space) = spaces.get_mut(domain) {
+                space.free = space.free.saturating_sub(groups * size);
+            }
+        }
+        spaces
+    }
+
+    /// Stages instances for groups that some members with weights are there for, those with the fewest loads
+    /// first. `with_surplus` uses instances with weights of other models as well, and then also begins groups
+    /// without any such member. `claimed` are the instances being staged that a group is planned with.
+    fn complete_groups(
+        &mut self,
+        demand: &AllocationDemand,
+        with_surplus: bool,
+        claimed: &mut BTreeSet<InstanceId>,
+    ) {
+        let max_loads = self.input.engine.loads_at_once as usize;
+        while let Some(next) = self.next_completion(demand, with_surplus, claimed) {
+            for instance in next.to_stage {
+                if self.loads < max_loads && self.can_begin_loads(1) {
+                    self.start_staging(instance, next.model);
+                }
+                // Otherwise it stays reserved for this group until another load may start.
+                self.unavailable.insert(instance.id.clone());
+            }
+            let members = next.members.iter().map(|member| member.id.clone());
+            self.unavailable.extend(members.clone());
+            claimed.extend(members);
+            self.count_group_in(&next.model.name, next.domain);
+        }
+    }
+
+    fn next_completion(
+        &self,
+        demand: &AllocationDemand,
+        with_surplus: bool,
+        claimed: &BTreeSet<InstanceId>,
+    ) -> Option<Completion<'a>> {
+        let smallest = self.input.engine.models.iter().map(|model| model.size).min().unwrap_or(0);
+        let mut best: Option<Completion<'a>> = None;
+        for model in self.models_by_need() {
+            let is_short = self.is_short(demand, model);
+            for domain in self.by_domain.keys() {
+                let is_due = is_short || !with_surplus && self.missing_groups(model, domain) > 0;
+                let Some(completion) = self
+                    .completion(demand, model, domain, with_surplus, claimed)
+                    .filter(|_| is_due)
+                else {
+                    continue;
+                };
+                // More loads than a group of the smallest model takes are not spent before such groups.
+                let is_cheap = with_surplus || completion.to_stage.len() <= smallest;
+                let is_better = best
+                    .as_ref()
+                    .is_none_or(|best| completion.to_stage.len() < best.to_stage.len());
+                if is_cheap && is_better {
+                    best = Some(completion);
+                }
+            }
+        }
+        best
+    }
+
+    /// Returns the instances with which a group can be completed in a domain.
+    fn completion(
+        &self,
+        demand: &AllocationDemand,
+        model: &'a Model,
+        domain: &str,
+        with_surplus: bool,
+        claimed: &BTreeSet<InstanceId>,
+    ) -> Option<Completion<'a>> {
+        let in_domain = || self.by_domain.get(domain).into_iter().flatten().copied();
+        let is_being_staged =
+            |i: &&PlanInstance| i.staging.as_ref() == Some(&model.name) && !claimed.contains(&i.id);
+        let mut members: Vec<&PlanInstance> = in_domain().filter(is_being_staged).collect();
+        let is_staging = !members.is_empty();
+        let free = || in_domain().filter(|i| !self.unavailable.contains(&i.id));
+        members.extend(free().filter(|i| has_weights(i, &model.name)));
+        members.truncate(model.size);
+        let missing = model.size - members.len();
+        // Complete groups are assembled elsewhere, unless their instances are needed for another model.
+        if (members.is_empty() && !with_surplus) || (missing == 0 && !is_staging) {
+            return None;
+        }
+        let mut to_stage: Vec<&PlanInstance> = free().filter(|i| has_no_weights(i)).collect();
+        if with_surplus {
+            to_stage.extend(self.surplus(demand, model, domain));
+        }
+        to_stage.truncate(missing);
+        (to_stage.len() == missing).then(|| Completion {
+            model,
+            domain: domain.to_string(),
+            members,
+            to_stage,
+        })
+    }
+
+    /// Returns the free instances of a domain whose weights are of other models that have enough, or whose
+    /// groups can't be completed, without a spare of each such model that has groups in the domain.
+    fn surplus(
+        &self,
+        demand: &AllocationDemand,
+        model: &Model,
+        domain: &str,
+    ) -> Vec<&'a PlanInstance> {
+        let engine = self.input.engine;
+        let mut spares: BTreeMap<&str, usize> = BTreeMap::new();
+        for other in &engine.models {
+            let has_groups = count_of(&self.domain_group_counts, other, domain) > 0;
+            spares.insert(&other.name, if has_groups { SPARES_PER_DOMAIN } else { 0 });
+        }
+        let in_domain = self.by_domain.get(domain).into_iter().flatten().copied();
+        let free = in_domain.filter(|i| !self.unavailable.contains(&i.id) && !has_no_weights(i));
+        let others = free.filter(|i| !has_weights(i, &model.name));
+        let is_surplus = |i: &&PlanInstance| {
+            engine.models.iter().filter(|other| has_weights(i, &other.name)).all(|other| {
+                let spares_left = spares.entry(&other.name).or_default();
+                if *spares_left > 0 {
+                    *spares_left -= 1;
+                    return false;
+                }
+                demand.can_spare_remnants(engine, other, self.groups_of(other))
+            })
+        };
+        others.filter(is_surplus).collect()
+    }
+
+    /// Returns whether instances with a model's weights should form another group of it. Otherwise they are
+    /// the only ones for a model that is short, while this one has enough.
+    fn is_wanted(&self, model: &Model) -> bool {
+        let Some(demand) = self.input.demand else { return true };
+        let lacks_instances = |other: &Model| {
+            let without_weights = self.largest_pool(has_no_weights, other.size);
+            other.name != model.name && self.is_short(demand, other) && without_weights.is_none()
+        };
+        self.is_short(demand, model) || !self.input.engine.models.iter().any(lacks_instances)
+    }
+
+    /// Dissolves groups of a model that has more than it needs for another one that is short, if no other
+    /// step can help it.
+    fn move_groups(&mut self, demand: &AllocationDemand, groups: &[Group<'_>]) {
+        let max_loads = self.input.engine.loads_at_once as usize;
+        let has_no_loads = self.is_waiting_for_loads || self.loads >= max_loads;
+        if !demand.can_move || has_no_loads || !self.input.is_absence_trusted {
+            return;
+        }
+        let mut free: BTreeMap<String, usize> = BTreeMap::new();
+        for instance in self.free() {
+            *free.entry(instance.domain.clone()).or_default() += 1;
+        }
+        let counts = &self.domain_group_counts;
+        let Some(next) = group_allocation::next_move(self.input.engine, demand, counts, &free)
+        else {
+            return;
+        };
+        let of_model = groups.iter().filter(|group| {
+            let is_kept = self.kept.contains(&(group.name.to_string(), group.epoch));
+            let is_in_domain = group.head().is_some_and(|head| head.domain == next.domain);
+            let model = group.model(self.input.engine);
+            is_kept && is_in_domain && model.is_some_and(|model| model.name == next.from)
+        });
+        let dissolved: Vec<&Group<'_>> = of_model.take(next.groups).collect();
+        for group in dissolved {
+            self.dissolve(group, true, MOVE_REASON);
+        }
+    }
+
+    /// Returns the number of instances by use before the planned steps.
+    fn uses(&self) -> BTreeMap<InstanceUse, usize> {
+        let mut uses: BTreeMap<InstanceUse, usize> =
+            InstanceUse::ALL.into_iter().map(|used_for| (used_for, 0)).collect();
+        for instance in self.input.instances {
+            let used_for = if self.serving.contains(&instance.id) {
+                InstanceUse::Serving
+            } else if instance.staging.is_some() {
+                InstanceUse::Staging
+            } else if instance.is_reserved {
+                InstanceUse::Assembling
+            } else if !instance.is_usable() {
+                InstanceUse::Unusable
+            } else if has_no_weights(instance) {
+                InstanceUse::WithoutWeights
+            } else {
+                InstanceUse::Spare
+            };
+            *uses.entry(used_for).or_default() += 1;
+        }
+        uses
+    }
+
+    fn model_plans(&self) -> Vec<ModelPlan> {
+        let of_model =
+            |counts: &GroupCounts, model: &Model| group_allocation::count_all(counts, model);
+        let is_head_of = |i: &&PlanInstance, model: &Model| {
+            let is_head = i.membership.as_ref().is_some_and(|(_, _, rank, _)| *rank == 0);
+            is_head
+                && self.serving.contains(&i.id)
+                && i.last_model.as_deref() == Some(model.name.as_str())
+        };
+        let models = self.input.engine.models.iter();
+        let plan = |model: &Model| ModelPlan {
+            model: model.name.clone(),
+            serving: self.input.instances.iter().filter(|i| is_head_of(i, model)).count(),
+            planned: self.groups_of(model),
+            target: of_model(&self.target_counts, model),
+        };
+        models.map(plan).collect()
+    }
+
     fn start_assembly(&mut self, model: &Model, domain: String, members: Vec<&PlanInstance>) {
         let loads = members.iter().filter(|member| !has_weights(member, &model.name)).count();
         self.loads += loads;
@@ -397,7 +785,8 @@
 
     /// Returns the next group that can be formed of instances that have the model's weights.
     fn next_staged_group(&self) -> Option<(&'a Model, String, Vec<&'a PlanInstance>)> {
-        self.models_by_need().into_iter().find_map(|model| {
+        let models = self.models_by_need().into_iter().filter(|model| self.is_wanted(model));
+        models.into_iter().find_map(|model| {
             let pool = self.largest_pool(|i| has_weights(i, &model.name), model.size);
             let (domain, mut members) = pool?;
             members.sort_by_key(|i| (i.last_model.as_ref() != Some(&model.name), &i.id));
@@ -456,7 +845,12 @@
     /// Otherwise small groups would use up the instances of large ones while a fleet registers.
     fn leaves_enough_for_largest(&self, model: &Model, domain: &str) -> bool {
         let largest = self.input.engine.models.iter().map(|model| model.size).max().unwrap_or(0);
-        if self.input.is_fleet_stable || model.size >= largest {
+        let is_largest_short = |demand: &AllocationDemand| {
+            let largest = self.input.engine.models.iter().max_by_key(|model| model.size);
+            largest.is_some_and(|largest| self.is_short(demand, largest))
+        };
+        let has_enough = self.input.demand.is_some_and(|demand| !is_largest_short(demand));
+        if self.input.is_fleet_stable || model.size >= largest || has_enough {
             return true;
         }
         let in_domain = self.input.instances.iter().filter(|i| i.domain == domain);
@@ -485,7 +879,7 @@
         if self.is_waiting_for_loads || !self.input.is_fleet_stable {
             return;
         }
-        while self.loads < max_loads {
+        while self.loads < max_loads && self.can_begin_loads(1) {
             // Losing a member is most costly for large groups, so their spares are staged first.
             let due = self.free().filter_map(|i| Some((i, self.model_to_stage(i)?)));
             let first =
@@ -522,6 +916,10 @@
             wanted as i64 - with_weights(model) as i64
         };
         let is_empty = held.is_empty();
+        // By measured demand, weights are replaced only for a model that is short, see `complete_groups`.
+        if self.input.demand.is_some() && !has_no_weights(instance) {
+            return None;
+        }
         // Weights are replaced only where a model has a surplus and another one lacks a group.
         if !is_empty
             && (held.iter().any(|model| shortage(model) >= 0) || !self.is_domain_idle(instance))
@@ -563,101 +961,15 @@
     }
 }
 
-/// Number of groups by domain and model.
-type GroupCounts = BTreeMap<(String, String), usize>;
-
-/// Returns how many groups of each model each domain should have, regardless of existing groups.
-///
-/// Small groups fit where large ones no longer do, but not the other way round. So every number of
-/// groups of the largest model is tried, starting with the most that fit, and the rest is filled with
-/// the least served models first. The result is the allocation in which the least served model has the
-/// most members for its share.
-fn allocate(engine: &Engine, instances: &[PlanInstance]) -> GroupCounts {
-    let mut remaining: BTreeMap<&str, usize> = BTreeMap::new();
-    for instance in instances.iter().filter(|i| !i.is_leaving() && !i.is_suspect) {
-        *remaining.entry(&instance.domain).or_default() += 1;
-    }
-    let Some(largest) = engine.models.iter().max_by_key(|model| model.size) else {
-        return GroupCounts::new();
-    };
-    let most = remaining.values().map(|remaining| remaining / largest.size.max(1)).sum::<usize>();
-    let mut best = (f64::MIN, GroupCounts::new());
-    for count in (0..=most).rev() {
-        let allocation = fill(engine, largest, count, remaining.clone());
-        let least = least_served(engine, &allocation);
-        if least > best.0 {
-            best = (least, allocation);
-        }
-    }
-    best.1
-}
-
-/// Allocates `count` groups of the largest model, then groups of the least served of the other models.
-fn fill(
-    engine: &Engine,
-    largest: &Model,
-    count: usize,
-    mut remaining: BTreeMap<&str, usize>,
-) -> GroupCounts {
-    let mut groups = GroupCounts::new();
-    for _ in 0..count {
-        allocate_group(largest, &mut remaining, &mut groups);
-    }
-    loop {
-        let others = engine.models.iter().filter(|model| model.name != largest.name);
-        let others = by_need(others, |model| count_all(&groups, model));
-        if !others.into_iter().any(|model| allocate_group(model, &mut remaining, &mut groups)) {
-            return groups;
-        }
-    }
-}
-
-/// Allocates a group in the domain with the most unallocated instances; returns false if there are too
-/// few.
-fn allocate_group(
-    model: &Model,
-    remaining: &mut BTreeMap<&str, usize>,
-    groups: &mut GroupCounts,
-) -> bool {
-    let largest = remaining.iter_mut().max_by_key(|(_, remaining)| **remaining);
-    let Some((domain, remaining)) = largest else { return false };
-    if *remaining < model.size + SPARES_PER_DOMAIN {
-        return false;
-    }
-    *remaining -= model.size;
-    *groups.entry((domain.to_string(), model.name.clone())).or_default() += 1;
-    true
-}
-
-/// Returns the number of groups of a model in a domain.
-fn count_of(groups: &GroupCounts, model: &Model, domain: &str) -> usize {
-    groups.get(&(domain.to_string(), model.name.clone())).copied().unwrap_or(0)
-}
-
-/// Returns the number of groups of a model in all domains.
-fn count_all(groups: &GroupCounts, model: &Model) -> usize {
-    groups.iter().filter(|((_, name), _)| *name == model.name).map(|(_, count)| count).sum()
-}
-
-/// Returns the number of members in a model's groups, divided by the model's share of the work.
-fn members_per_share(model: &Model, groups: usize) -> f64 {
-    (groups * model.size) as f64 / model.share.max(0.001)
-}
-
-/// Returns the models ordered by members per share, least first, and larger models first on a tie.
-fn by_need<'m>(
-    models: impl Iterator<Item = &'m Model>,
-    groups: impl Fn(&Model) -> usize,
-) -> Vec<&'m Model> {
-    let mut models: Vec<&Model> = models.collect();
-    let need = |model: &Model| members_per_share(model, groups(model));
-    models.sort_by(|a, b| need(a).total_cmp(&need(b)).then(b.size.cmp(&a.size)));
-    models
-}
-
-fn least_served(engine: &Engine, groups: &GroupCounts) -> f64 {
-    let served = |model: &Model| members_per_share(model, count_all(groups, model));
-    engine.models.iter().map(served).fold(f64::MAX, f64::min)
+/// Instances with which a group can be completed.
+#[derive(Debug)]
+struct Completion<'a> {
+    model: &'a Model,
+    domain: String,
+    /// Instances that have the weights, or are being staged.
+    members: Vec<&'a PlanInstance>,
+    /// Instances that have to be staged.
+    to_stage: Vec<&'a PlanInstance>,
 }
 
 /// Returns whether an instance has no weights at all.
--- a/serving/src/peer_codec.rs
+++ b/serving/src/peer_codec.rs
@@ -4,6 +4,7 @@
 
 use crate::crash_sync::CrashMessage;
 use crate::instance_list_delta::InstanceListDelta;
+use crate::model_demand::DemandNews;
 use crate::rate_limits::RateNews;
 use crate::store_era::Era;
 use guavaladder_lib::generated::serving_peer::NodeBeat;
@@ -37,6 +38,8 @@
     /// Era of the store that the sender knows. A node of a build without it drops the message, and counts as
     /// one of the same era.
     Era(EraNews),
+    /// Demand for the models of measured services that the sender has counted.
+    Demand(DemandNews),
 }
 
 /// Era of the store that a node knows, to which the revisions in its other messages belong.
--- a/serving/src/peer_exchange.rs
+++ b/serving/src/peer_exchange.rs
@@ -8,6 +8,7 @@
 use crate::config_sync;
 use crate::crash_sync;
 use crate::crash_sync::CrashSync;
+use crate::demand_sync;
 use crate::fleet_config::ConfigVersion;
 use crate::instance_list_delta::InstanceListDelta;
 use crate::instance_list_sync;
@@ -146,6 +147,16 @@
         }
     }
 
+    /// Tells other nodes of the demand of this node's callers until the task is cancelled.
+    pub async fn demand_loop(self) {
+        loop {
+            sleep(demand_sync::NEWS_PERIOD).await;
+            if let Some((news, receivers)) = demand_sync::next_news(&self.heartbeats.cx) {
+                self.send_to(PeerMessage::Demand(news), receivers).await;
+            }
+        }
+    }
+
     async fn send(&self, message: PeerMessage) {
         self.send_to(message, self.heartbeats.cx.nodes.addresses()).await;
     }
@@ -190,6 +201,9 @@
                         self.heartbeats.cx.nodes.record_reach(&news, Instant::now());
                     }
                     Ok(PeerMessage::Era(news)) => self.heartbeats.cx.nodes.record_era(&news),
+                    Ok(PeerMessage::Demand(news)) => {
+                        demand_sync::apply(&self.heartbeats.cx, news);
+                    }
                     Err(e) => log::debug!("rejected a message from {from}: {e}"),
                 },
                 // An earlier datagram that this node sent reached a closed port.
--- a/serving/src/plain_forward.rs
+++ b/serving/src/plain_forward.rs
@@ -9,6 +9,7 @@
 use crate::attempt_loop::AttemptLoop;
 use crate::attempt_loop::NoResponse;
 use crate::attempt_loop::PendingAttempt;
+use crate::demand_sync;
 use crate::failed_attempts;
 use crate::fleet_config::RouteKind;
 use crate::local_response;
@@ -116,6 +117,7 @@
 ) -> Result<Response<ResponseBody>, AttemptError> {
     let is_idempotent = task.kind == RouteKind::Idempotent;
     let _guard = cx.loads.begin_request(replica);
+    let mut work = demand_sync::begin_work(cx, task, replica);
     let exchange = async {
         let last_event_id = task.head.last_event_id;
         let upstream =
@@ -128,6 +130,9 @@
         Ok((read_response(cx, task, replica, upstream).await?, is_unframed))
     };
     let (response, is_unframed) = task.run_until_due(exchange).await?;
+    if let Some(work) = &mut work {
+        work.mark_answered();
+    }
     match is_unframed {
         true => failed_attempts::add_unframed(cx, task, replica),
         false => cx.crashes.record_completion(&task.crash_keys, Instant::now()),
--- a/serving/src/request_handler.rs
+++ b/serving/src/request_handler.rs
@@ -2,6 +2,7 @@
 //! dispatches it to the forwarder for the kind of the route.
 
 use crate::crash_keys::CrashKeys;
+use crate::demand_sync;
 use crate::dialect::RequestHead;
 use crate::fleet_config::Route;
 use crate::fleet_config::RouteKind;
@@ -164,11 +165,18 @@
     if task.is_counted && !is_counted_elsewhere {
         cx.budgets.count_request(&task.service, task.received);
     }
+    demand_sync::count_arrival(cx, &task);
     let task = Arc::new(task);
-    match task.kind {
-        RouteKind::Streaming { .. } => stream_forward::forward(cx, task).await,
-        RouteKind::Idempotent | RouteKind::NonIdempotent => plain_forward::forward(cx, task).await,
+    let response = match task.kind {
+        RouteKind::Streaming { .. } => stream_forward::forward(cx, task.clone()).await,
+        RouteKind::Idempotent | RouteKind::NonIdempotent => {
+            plain_forward::forward(cx, task.clone()).await
+        }
+    };
+    if response.status() == StatusCode::SERVICE_UNAVAILABLE {
+        demand_sync::count_refusal(cx, &task);
     }
+    response
 }
 
 /// Matches a request to its route and customer and reads its body.
--- a/serving/src/serving_cx.rs
+++ b/serving/src/serving_cx.rs
@@ -11,6 +11,7 @@
 use crate::lease_state::LeaseState;
 use crate::listeners::RunningRequests;
 use crate::load_table::LoadTable;
+use crate::model_demand::ModelDemand;
 use crate::network::Network;
 use crate::node_stop::NodeStop;
 use crate::node_table::NodeTable;
@@ -109,6 +110,8 @@
     pub stop: NodeStop,
     /// Whether the node accepts requests of callers.
     pub phase: Arc<watch::Sender<NodePhase>>,
+    /// Demand for the models of measured services.
+    pub demand: ModelDemand,
 }
 
 /// Returns the heartbeat period in a fleet of `nodes` nodes.
@@ -163,6 +166,7 @@
             running: RunningRequests::new(),
             stop: NodeStop::new(),
             phase: Arc::new(watch::channel(NodePhase::Starting).0),
+            demand: ModelDemand::new(),
             settings: Arc::new(settings),
             dialect,
             network,
--- a/serving/src/serving_metrics.rs
+++ b/serving/src/serving_metrics.rs
@@ -20,7 +20,7 @@
 const QUANTILES: [f64; 4] = [0.5, 0.9, 0.95, 0.99];
 
 /// Names of all metrics with their help texts.
-pub const CATALOGUE: [(&str, &str); 20] = [
+pub const CATALOGUE: [(&str, &str); 22] = [
     ("requests_total", "Requests of callers, by route and outcome."),
     ("first_event_seconds", "Time to the first byte of an answer, by route, in seconds."),
     ("request_seconds", "Time to the end of an answer, by route, in seconds."),
@@ -56,6 +56,14 @@
         "Requests that were passed on to another node, or received from one, by direction.",
     ),
     ("log_lines_dropped_total", "Lines of the log that were dropped since its reader was slow."),
+    (
+        "model_slots",
+        "Slots of a model of a measured service, by service, model and state: needed by demand, serving, or planned. Set by the holder of the lease.",
+    ),
+    (
+        "instances_by_use",
+        "Instances of a measured service, by service and use. Set by the holder of the lease.",
+    ),
 ];
 
 /// Handle to the metrics of a node.
@@ -68,6 +76,7 @@
 struct Inner {
     counters: BTreeMap<&'static str, BTreeMap<String, u64>>,
     histograms: BTreeMap<&'static str, BTreeMap<String, Histogram<u32>>>,
+    gauges: BTreeMap<&'static str, BTreeMap<String, u64>>,
 }
 
 impl ServingMetrics {
@@ -180,6 +189,17 @@
         self.count("crash_marks_total", &[("source", source), ("kind", kind)], 1);
     }
 
+    /// Sets the slots of a model that are needed, serving or planned.
+    pub fn model_slots(&self, service: &str, model: &str, state: &str, slots: u64) {
+        let labels = [("service", service), ("model", model), ("state", state)];
+        self.set("model_slots", &labels, slots);
+    }
+
+    /// Sets the number of instances of a service with a use.
+    pub fn instances_by_use(&self, service: &str, used_for: &str, instances: u64) {
+        self.set("instances_by_use", &[("service", service), ("use", used_for)], instances);
+    }
+
     /// Sets the total number of dropped log lines.
     pub fn log_lines_dropped(&self, lines: u64) {
         let mut inner = self.lock();
@@ -203,6 +223,12 @@
                     let _ = writeln!(text, "guavaladder_{name}{} {value}", braced(labels));
                 }
             }
+            if let Some(series) = inner.gauges.get(name) {
+                let _ = writeln!(text, "# TYPE guavaladder_{name} gauge");
+                for (labels, value) in series {
+                    let _ = writeln!(text, "guavaladder_{name}{} {value}", braced(labels));
+                }
+            }
             if let Some(series) = inner.histograms.get(name) {
                 let _ = writeln!(text, "# TYPE guavaladder_{name} summary");
                 for (labels, histogram) in series {
@@ -220,6 +246,13 @@
         *series.entry(labels).or_default() += n;
     }
 
+    fn set(&self, name: &'static str, labels: &[(&str, &str)], value: u64) {
+        let mut inner = self.lock();
+        let series = inner.gauges.entry(name).or_default();
+        let labels = bounded_labels(series, format_labels(labels));
+        series.insert(labels, value);
+    }
+
     fn record_duration(&self, name: &'static str, route: &str, took: Duration) {
         let mut inner = self.lock();
         let series = inner.histograms.entry(name).or_default();
--- a/serving/src/serving_node.rs
+++ b/serving/src/serving_node.rs
@@ -119,6 +119,7 @@
             spawn_until(&peers_stopping, exchange.clone().crash_digest_loop());
             spawn_until(&peers_stopping, exchange.clone().rate_limit_loop());
             spawn_until(&peers_stopping, exchange.clone().reach_loop());
+            spawn_until(&peers_stopping, exchange.clone().demand_loop());
             spawn_until(&peers_stopping, exchange.clone().instance_delta_loop(deltas));
             exchange_tx.send_replace(Some(exchange));
         });
--- a/serving/src/upstream_stream.rs
+++ b/serving/src/upstream_stream.rs
@@ -3,8 +3,10 @@
 use crate::attempt;
 use crate::attempt::AttemptError;
 use crate::attempt::UpstreamResponse;
+use crate::demand_sync;
 use crate::instance::InstanceNotice;
 use crate::load_table::RequestGuard;
+use crate::model_demand::WorkGuard;
 use crate::replica_health;
 use crate::replica_set::Replica;
 use crate::request_task::RequestTask;
@@ -26,6 +28,8 @@
     /// Replica that runs the stream.
     pub replica: Arc<Replica>,
     guard: RequestGuard,
+    /// Measures the time at the replica for measured services.
+    work: Option<WorkGuard>,
     upstream: UpstreamResponse,
     decoder: EventDecoder,
     last_event_at: Instant,
@@ -49,13 +53,14 @@
         attempts_left: u32,
     ) -> Result<(Self, StreamItem), AttemptError> {
         let guard = cx.loads.begin_request(replica);
+        let work = demand_sync::begin_work(cx, task, replica);
         let upstream =
             attempt::send(cx, replica, task, last_event_id, attempts_left, false).await?;
         let decoder = EventDecoder::new();
         let last_event_at = Instant::now();
         cx.loads.record_activity(replica.hash, last_event_at);
         let replica = replica.clone();
-        let mut stream = Self { replica, guard, upstream, decoder, last_event_at };
+        let mut stream = Self { replica, guard, work, upstream, decoder, last_event_at };
         if stream.status().is_server_error() {
             return Err(AttemptError::Failure { status: stream.status().as_u16() });
         }
@@ -66,6 +71,9 @@
             return Err(AttemptError::Broken(cause.to_string()));
         }
         stream.guard.mark_answered();
+        if let Some(work) = &mut stream.work {
+            work.mark_answered();
+        }
         Ok((stream, next))
     }
 
--- a/serving/tests/test_group_plan.rs
+++ b/serving/tests/test_group_plan.rs
@@ -80,6 +80,7 @@
         active_loads: 0,
         is_fleet_stable: true,
         is_absence_trusted: true,
+        demand: None,
     }
 }
 
