--- a/serving/src/peer_codec.rs
+++ b/serving/src/peer_codec.rs
@@ -9,6 +9,7 @@
 use crate::instance_list_delta::InstanceListDelta;
 use crate::list_parts::ListPart;
 use crate::list_parts::ListRequest;
+use crate::model_demand::DemandNews;
 use crate::rate_limits::RateNews;
 use crate::store_era::Era;
 use guavaladder_lib::generated::serving_peer::NodeBeat;
@@ -55,6 +56,8 @@
     CustomerUse(UseReport),
     /// How long instances stay cold.
     Cold(Vec<ColdNews>),
+    /// Demand for the models of measured services that the sender has counted.
+    Demand(DemandNews),
 }
 
 /// That a run of a node understands the messages for large fleets.
--- a/serving/src/peer_exchange.rs
+++ b/serving/src/peer_exchange.rs
@@ -10,6 +10,7 @@
 use crate::config_sync;
 use crate::crash_sync;
 use crate::crash_sync::CrashSync;
+use crate::demand_sync;
 use crate::evacuation_sync;
 use crate::fleet_config::ConfigVersion;
 use crate::instance_list_delta::InstanceListDelta;
@@ -237,6 +238,16 @@
         }
     }
 
+    /// Tells other nodes of the demand of this node's callers until the task is cancelled.
+    pub async fn demand_loop(self) {
+        loop {
+            sleep(demand_sync::NEWS_PERIOD).await;
+            if let Some((news, receivers)) = demand_sync::next_news(&self.heartbeats.cx) {
+                self.send_to(PeerMessage::Demand(news), receivers).await;
+            }
+        }
+    }
+
     async fn send(&self, message: PeerMessage) {
         self.send_to(message, self.heartbeats.cx.nodes.addresses()).await;
     }
@@ -306,6 +317,9 @@
                     Ok(PeerMessage::Cold(news)) => {
                         cold_sync::apply(&self.heartbeats.cx, &news, &from.ip().to_string());
                     }
+                    Ok(PeerMessage::Demand(news)) => {
+                        demand_sync::apply(&self.heartbeats.cx, news);
+                    }
                     Err(e) => log::debug!("rejected a message from {from}: {e}"),
                 },
                 // An earlier datagram that this node sent reached a closed port.
--- a/serving/src/serving_cx.rs
+++ b/serving/src/serving_cx.rs
@@ -14,6 +14,7 @@
 use crate::lease_state::LeaseState;
 use crate::listeners::RunningRequests;
 use crate::load_table::LoadTable;
+use crate::model_demand::ModelDemand;
 use crate::network::Network;
 use crate::node_stop::NodeStop;
 use crate::node_table::NodeTable;
@@ -121,6 +122,8 @@
     pub evacuations: Evacuations,
     /// Measurements for the admission of requests.
     pub admission: AdmissionStats,
+    /// Demand for the models of measured services.
+    pub demand: ModelDemand,
 }
 
 /// Largest fleet that exchanges messages without relays and parts.
@@ -182,6 +185,7 @@
             phase: Arc::new(watch::channel(NodePhase::Starting).0),
             evacuations: Evacuations::new(settings.evacuation),
             admission: AdmissionStats::new(),
+            demand: ModelDemand::new(),
             settings: Arc::new(settings),
             dialect,
             network,
--- a/serving/src/serving_metrics.rs
+++ b/serving/src/serving_metrics.rs
@@ -20,7 +20,7 @@
 const QUANTILES: [f64; 4] = [0.5, 0.9, 0.95, 0.99];
 
 /// Names of all metrics with their help texts.
-pub const CATALOGUE: [(&str, &str); 28] = [
+pub const CATALOGUE: [(&str, &str); 30] = [
     ("requests_total", "Requests of callers, by route and outcome."),
     ("first_event_seconds", "Time to the first byte of an answer, by route, in seconds."),
     ("request_seconds", "Time to the end of an answer, by route, in seconds."),
@@ -88,6 +88,14 @@
         "customer_use_reports_total",
         "Reports of what customers use while a model is scarce, by direction.",
     ),
+    (
+        "model_slots",
+        "Slots of a model of a measured service, by service, model and state: needed by demand, serving, or planned. Set by the holder of the lease.",
+    ),
+    (
+        "instances_by_use",
+        "Instances of a measured service, by service and use. Set by the holder of the lease.",
+    ),
 ];
 
 /// Handle to the metrics of a node.
@@ -259,6 +267,17 @@
         self.count("stated_loads_total", &[("outcome", outcome)], 1);
     }
 
+    /// Sets the slots of a model that are needed, serving or planned.
+    pub fn model_slots(&self, service: &str, model: &str, state: &str, slots: u64) {
+        let labels = [("service", service), ("model", model), ("state", state)];
+        self.set("model_slots", &labels, slots);
+    }
+
+    /// Sets the number of instances of a service with a use.
+    pub fn instances_by_use(&self, service: &str, used_for: &str, instances: u64) {
+        self.set("instances_by_use", &[("service", service), ("use", used_for)], instances);
+    }
+
     /// Sets the total number of dropped log lines.
     pub fn log_lines_dropped(&self, lines: u64) {
         let mut inner = self.lock();
@@ -305,6 +324,13 @@
         *series.entry(labels).or_default() += n;
     }
 
+    fn set(&self, name: &'static str, labels: &[(&str, &str)], value: u64) {
+        let mut inner = self.lock();
+        let series = inner.gauges.entry(name).or_default();
+        let labels = bounded_labels(series, format_labels(labels));
+        series.insert(labels, value);
+    }
+
     fn record_duration(&self, name: &'static str, route: &str, took: Duration) {
         let mut inner = self.lock();
         let series = inner.histograms.entry(name).or_default();
