--- a/serving/src/candidates.rs
+++ b/serving/src/candidates.rs
@@ -80,8 +80,11 @@
     input: &PlacementInput<'_>,
     now: Instant,
 ) -> Result<Arc<Replica>, NoCapacity> {
-    let state =
-        |c: &Candidate| cx.cold.state(policy, &c.replica, c.state.requests(), c.state.is_down, now);
+    let light_below = cold_instances::light_below(candidates);
+    let state = |c: &Candidate| {
+        let requests = c.state.requests();
+        cx.cold.state(policy, &c.replica, requests, light_below, c.state.is_down, now)
+    };
     let states: Vec<_> = candidates.iter().map(state).collect();
     cold_instances::choose(candidates, &states, input)
 }
--- a/serving/src/cold_instances.rs
+++ b/serving/src/cold_instances.rs
@@ -35,8 +35,9 @@
 const MAX_DELAY: Duration = Duration::from_millis(100);
 /// Time after an instance was cold, or a replica was down, for which it is filled by the elected nodes alone.
 const FILL_PERIOD: Duration = Duration::from_secs(1);
-/// Fraction of its slots below which a replica counts as light.
-const LIGHT_RATIO: f64 = 0.5;
+/// Fraction of the mean number of requests at the candidates below which a replica counts as light. With half of the
+/// slots instead, all replicas are light at moderate load, and the busier ones are preferred.
+const LIGHT_RATIO: f64 = 0.25;
 /// Slowness from which a warm replica is not preferred to a cold one.
 const SLOW_THRESHOLD: f64 = 2.0;
 /// Age that an entry may have when it is read. One that states an instance to be warm does not end what was
@@ -395,12 +396,14 @@
         }
     }
 
-    /// Returns how far a replica may be used. A run or a replica that is not known yet counts as new.
+    /// Returns how far a replica may be used. A run or a replica that is not known yet counts as new; one with
+    /// fewer requests than `light_below` as light.
     pub fn state(
         &self,
         policy: &ColdPolicy,
         replica: &Replica,
         requests: u32,
+        light_below: f64,
         is_down: bool,
         now: Instant,
     ) -> ColdState {
@@ -409,7 +412,7 @@
             inner.returned(replica.hash, now).last_down = Some(now);
         }
         let limit = inner.limit(policy, replica.run, replica.hash, now);
-        let is_light = f64::from(requests) < f64::from(replica.slots) * LIGHT_RATIO;
+        let is_light = f64::from(requests) < light_below;
         let warmth = match limit {
             Some(limit) => limit.warmth(),
             None if is_light => Warmth::Light,
@@ -620,6 +623,12 @@
     mixed ^ (mixed >> 31)
 }
 
+/// Returns the number of requests below which a replica is light: it has emptied, perhaps because it turned cold.
+pub fn light_below(candidates: &[Candidate]) -> f64 {
+    let requests: u32 = candidates.iter().map(|c| c.state.requests()).sum();
+    f64::from(requests) / candidates.len().max(1) as f64 * LIGHT_RATIO
+}
+
 /// Chooses a replica: a warm one, where a light one counts only if this node's part allows a request; then any
 /// that is not cold; then a cold one within this node's part. `states` are those of the candidates, in order.
 pub fn choose(
--- a/serving/tests/test_cold_instances.rs
+++ b/serving/tests/test_cold_instances.rs
@@ -275,7 +275,7 @@
 }
 
 fn warmth(table: &ColdInstances, run: RunHash, now: Instant) -> Warmth {
-    table.state(&policy(), &replica(run, 1), 20, false, now).warmth
+    table.state(&policy(), &replica(run, 1), 20, 5.0, false, now).warmth
 }
 
 fn start() -> Instant {
@@ -375,7 +375,7 @@
     let table = table_of_one_node(start);
     let later = start + seconds(10.0);
     let state = |replica: &Replica, is_down: bool, now: Instant| {
-        table.state(&policy(), replica, 0, is_down, now).warmth
+        table.state(&policy(), replica, 0, 5.0, is_down, now).warmth
     };
     let opened = replica(RUN, 2);
     assert_eq!(state(&opened, false, later), Warmth::Filling);
@@ -386,6 +386,21 @@
     assert_eq!(state(&opened, false, later + seconds(21.1)), Warmth::Light);
 }
 
+/// Guards against a preference for the busier replicas at moderate load: only a replica that has far fewer requests
+/// than the others is left to the elected nodes.
+#[rstest]
+#[case::all_at_a_third_of_their_slots([7, 6, 8], [false; 3])]
+#[case::one_has_emptied([12, 1, 11], [false, true, false])]
+#[case::none_has_requests([0; 3], [false; 3])]
+fn light_below_by_requests_of_all_candidates(
+    #[case] requests: [u32; 3],
+    #[case] expected: [bool; 3],
+) {
+    let candidates = requests.map(|requests| candidate(&Arc::new(replica(RUN, 1)), requests));
+    let light_below = cold_instances::light_below(&candidates);
+    assert_eq!(requests.map(|requests| f64::from(requests) < light_below), expected);
+}
+
 #[test]
 fn node_that_does_not_know_the_others_sends_nothing_to_cold_instances() {
     let start = start();
@@ -393,7 +408,7 @@
     table.observe([(RUN, Some(ms(100)))].into_iter(), [1].into_iter(), start);
     let later = start + Duration::from_secs(2);
     assert_eq!(table.withdraw(&policy(), &replica(RUN, 1), later), None);
-    let state = table.state(&policy(), &replica(RUN, 1), 0, false, later);
+    let state = table.state(&policy(), &replica(RUN, 1), 0, 5.0, false, later);
     assert_eq!(state.allowance, RateAllowance::NotElected);
 }
 
@@ -423,8 +438,16 @@
     let (warm, cold) = (Arc::new(replica(RUN, 1)), Arc::new(replica(2, 2)));
     let choose = |warm_requests: u32, now: Instant| {
         let mut candidates = [candidate(&warm, warm_requests), candidate(&cold, 0)];
+        let light_below = cold_instances::light_below(&candidates);
         let state = |c: &Candidate| {
-            table.state(&policy(), &c.replica, c.state.requests(), c.state.is_down, now)
+            table.state(
+                &policy(),
+                &c.replica,
+                c.state.requests(),
+                light_below,
+                c.state.is_down,
+                now,
+            )
         };
         let states: Vec<_> = candidates.iter().map(state).collect();
         let chosen = cold_instances::choose(&mut candidates, &states, &input(1));
@@ -473,8 +496,9 @@
         let table = &tables[rand::random_range(0..nodes)];
         let chosen = match is_guarded {
             true => {
+                let light_below = cold_instances::light_below(&candidates);
                 let state = |c: &Candidate| {
-                    table.state(&policy(), &c.replica, c.state.requests(), false, now)
+                    table.state(&policy(), &c.replica, c.state.requests(), light_below, false, now)
                 };
                 let states: Vec<_> = candidates.iter().map(state).collect();
                 cold_instances::choose(&mut candidates, &states, &input(nodes))
