--- a/serving/src/admission_sync.rs
+++ b/serving/src/admission_sync.rs
@@ -67,7 +67,8 @@
     candidates: &[Candidate],
     now: Instant,
 ) -> Option<Decision<'a>> {
-    if !table.config.is_measured(&task.service, cx.settings.measured_from_size_ratio) {
+    let is_measured = table.config.is_measured(&task.service, cx.settings.measured_from_size_ratio);
+    if !is_measured || !cx.settings.uses_admission {
         return None;
     }
     let engine = table.config.engine(&task.service)?;
@@ -241,7 +242,7 @@
 impl MeasuredRequest {
     /// Returns the measurements of a request; `None` if its service is not measured.
     pub fn new(cx: &ServingCx, task: &RequestTask) -> Option<Self> {
-        if !cx.is_measured(&task.service) {
+        if !cx.settings.uses_admission || !cx.is_measured(&task.service) {
             return None;
         }
         let (model, customer) = use_keys(task)?;
--- a/serving/src/attempt.rs
+++ b/serving/src/attempt.rs
@@ -349,7 +349,8 @@
 
 /// Records the load that a replica of a service that is scheduled by measurements stated in its response.
 fn record_stated_load(cx: &ServingCx, replica: &Replica, head: &ResponseHead) {
-    let stated = head.load.filter(|_| !replica.is_node && cx.is_measured(&replica.service));
+    let is_measured = cx.settings.uses_load_estimate && cx.is_measured(&replica.service);
+    let stated = head.load.filter(|_| !replica.is_node && is_measured);
     let Some(stated) = stated else { return };
     let is_used = cx.loads.record_stated_load(replica, stated, Instant::now());
     cx.metrics.stated_load(if is_used { "used" } else { "implausible" });
--- a/serving/src/candidates.rs
+++ b/serving/src/candidates.rs
@@ -101,7 +101,7 @@
         (Some(model), Some(wanted)) => model == wanted,
         _ => true,
     };
-    let is_measured = cx.is_measured(&task.service);
+    let is_measured = cx.settings.uses_load_estimate && cx.is_measured(&task.service);
     let is_untried = |replica: &&Arc<Replica>| !tried.contains(&replica.key);
     let evacuated = cx.evacuations.current();
     let is_allowed = |replica: &&Arc<Replica>| !evacuated.contains_key(&replica.data_centre);
--- a/serving/src/demand_sync.rs
+++ b/serving/src/demand_sync.rs
@@ -54,7 +54,7 @@
 
 fn model_and_kind(cx: &ServingCx, task: &RequestTask) -> Option<(ModelHash, u64)> {
     let model = task.head.model.as_deref()?;
-    if !cx.is_measured(&task.service) {
+    if !cx.settings.uses_demand_allocation || !cx.is_measured(&task.service) {
         return None;
     }
     let table = cx.config.get()?;
@@ -65,7 +65,8 @@
 
 /// Returns whether any service is scheduled by measurements.
 fn is_any_measured(cx: &ServingCx) -> bool {
-    let Some(ratio) = cx.settings.measured_from_size_ratio else { return false };
+    let ratio = cx.settings.measured_from_size_ratio;
+    let Some(ratio) = ratio.filter(|_| cx.settings.uses_demand_allocation) else { return false };
     let table = cx.config.get();
     table.is_some_and(|table| {
         table.config.services.keys().any(|name| table.config.is_measured(name, Some(ratio)))
--- a/serving/src/group_control.rs
+++ b/serving/src/group_control.rs
@@ -287,7 +287,8 @@
         let assembling = self.assembling.iter().filter(|(head, _)| !is_evacuated(head));
         let assembling: Vec<(String, String)> =
             assembling.map(|(_, domain_and_model)| domain_and_model.clone()).collect();
-        let is_measured = self.cx.is_measured(service);
+        let uses_demand = self.cx.settings.uses_demand_allocation;
+        let is_measured = uses_demand && self.cx.is_measured(service);
         let demand = is_measured.then(|| self.demand(service, engine, now)).flatten();
         let input = PlanInput {
             engine,
--- a/serving/src/serving_settings.rs
+++ b/serving/src/serving_settings.rs
@@ -48,6 +48,12 @@
     pub max_descriptors: usize,
     /// Ratio of group sizes from which a service is scheduled by measurements; `None` if no service is.
     pub measured_from_size_ratio: Option<f64>,
+    /// Whether replicas of such services are chosen by estimates of their load.
+    pub uses_load_estimate: bool,
+    /// Whether their groups follow the measured demand of each model.
+    pub uses_demand_allocation: bool,
+    /// Whether their scarce slots go to requests by urgency, share of the customer and timeliness.
+    pub uses_admission: bool,
     /// Names of all data centres; empty if they are not known.
     pub data_centres: Vec<String>,
     /// Multiple of its rate that a cold instance may get in one second.
@@ -118,6 +124,7 @@
         return Err(problems);
     }
     let bounds = settings.bounds.unwrap_or_else(default_bounds);
+    let scheduling = settings.scheduling.as_ref();
     Ok(ServingSettings {
         peers: SocketAddr::new(callers.ip(), settings.peer_port),
         metrics: settings.metrics_port.map(|port| SocketAddr::new(callers.ip(), port)),
@@ -133,7 +140,10 @@
         retry_slack: bounds.retry_slack,
         max_resolve_ttl: Duration::from_secs_f64(bounds.max_answer_keep_s),
         max_descriptors: settings.max_descriptors as usize,
-        measured_from_size_ratio: settings.scheduling.and_then(|s| s.measured_from_size_ratio),
+        measured_from_size_ratio: scheduling.and_then(|s| s.measured_from_size_ratio),
+        uses_load_estimate: scheduling.is_some_and(|s| s.load_estimate),
+        uses_demand_allocation: scheduling.is_some_and(|s| s.demand_allocation),
+        uses_admission: scheduling.is_some_and(|s| s.admission),
         data_centres: settings.data_centres.unwrap_or_default(),
         cold_over: bounds.cold_over.unwrap_or(1.0),
         cold_slack: bounds.cold_slack.unwrap_or(0.0),
--- a/serving/tests/test_serving_settings.rs
+++ b/serving/tests/test_serving_settings.rs
@@ -40,10 +40,12 @@
 fn parse_with_scheduling_settings() {
     let mut document = document();
     document["bounds"] = json!({"cold_over": 1.5, "cold_slack": 5, "evacuate_s": 5000e-3});
-    document["scheduling"] = json!({"measured_from_size_ratio": 3});
+    document["scheduling"] = json!({"measured_from_size_ratio": 3, "load_estimate": false});
     document["data_centres"] = json!(["east", "west"]);
     let settings = parse(&document.to_string()).unwrap();
     assert_eq!(settings.measured_from_size_ratio, Some(3.0));
+    assert!(settings.uses_demand_allocation && settings.uses_admission);
+    assert!(!settings.uses_load_estimate);
     assert_eq!(settings.evacuation, Some(Duration::from_secs(5)));
     assert_eq!((settings.cold_over, settings.cold_slack), (1.5, 5.0));
     assert_eq!(settings.data_centres, ["east", "west"]);
