--- a/serving/src/serving_cx.rs
+++ b/serving/src/serving_cx.rs
@@ -126,9 +126,6 @@
     pub demand: ModelDemand,
 }
 
-/// Largest fleet that exchanges messages without relays and parts.
-const MAX_SMALL_FLEET: usize = 48;
-
 /// Returns the heartbeat period in a fleet of `nodes` nodes.
 pub fn heartbeat_period_of(nodes: usize) -> Duration {
     let period = HEARTBEAT_PERIOD_PER_NODE * u32::try_from(nodes).unwrap_or(u32::MAX).min(1 << 16);
@@ -207,7 +204,7 @@
 
     /// Returns whether this node knows of so many others that the messages for large fleets are used.
     pub fn is_large_fleet(&self) -> bool {
-        self.nodes.count_known() + 1 > MAX_SMALL_FLEET
+        self.nodes.count_known() + 1 > self.settings.large_fleet_above
     }
 
     /// Returns the maximum wait of a watch on the store: `max_wait`, or `HOLDER_WATCH_WAIT` while
--- a/serving/src/serving_settings.rs
+++ b/serving/src/serving_settings.rs
@@ -54,6 +54,8 @@
     pub uses_demand_allocation: bool,
     /// Whether their scarce slots go to requests by urgency, share of the customer and timeliness.
     pub uses_admission: bool,
+    /// Number of nodes above which changes of the instance list are sent in parts, and its reads are spread.
+    pub large_fleet_above: usize,
     /// Names of all data centres; empty if they are not known.
     pub data_centres: Vec<String>,
     /// Multiple of its rate that a cold instance may get in one second.
@@ -144,6 +146,7 @@
         uses_load_estimate: scheduling.is_some_and(|s| s.load_estimate),
         uses_demand_allocation: scheduling.is_some_and(|s| s.demand_allocation),
         uses_admission: scheduling.is_some_and(|s| s.admission),
+        large_fleet_above: settings.large_fleet_above as usize,
         data_centres: settings.data_centres.unwrap_or_default(),
         cold_over: bounds.cold_over.unwrap_or(1.0),
         cold_slack: bounds.cold_slack.unwrap_or(0.0),
