--- /dev/null
+++ b/review/standins/replica.rs
@@ -0,0 +1,88 @@
+//! One process of a plain replica. It writes a line to its standard output for each request that begins to run.
+//! A request whose body holds `POISON` ends the process: its listener closes, then its connections.
+
+use crate::Outcome;
+use crate::http;
+use crate::http::Message;
+use std::io;
+use std::io::Read;
+use std::io::Write;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::process;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
+
+/// Text in the body of a request that crashes each replica which begins to run it.
+pub const POISON: &str = "poison";
+/// Time for which a request runs.
+const WORK: Duration = Duration::from_millis(15);
+/// Interval at which connections are accepted.
+const ACCEPT_PERIOD: Duration = Duration::from_millis(1);
+
+pub fn run(address: &str, id: &str) -> Outcome {
+    let listener = match TcpListener::bind(address) {
+        Ok(listener) => listener,
+        Err(e) => return Outcome::CouldNotRun(format!("cannot listen on {address}: {e}")),
+    };
+    // The process ends with the scenario that started it.
+    thread::spawn(|| {
+        let _ = io::stdin().read(&mut [0]);
+        process::exit(0);
+    });
+    if let Err(e) = listener.set_nonblocking(true) {
+        return Outcome::CouldNotRun(e.to_string());
+    }
+    say("listening");
+    let has_crashed = Arc::new(AtomicBool::new(false));
+    let (id, crash) = (id.to_string(), has_crashed.clone());
+    let handle = Arc::new(move |request: Message, stream: &mut TcpStream| {
+        handle(&id, &request, stream, &crash)
+    });
+    while !has_crashed.load(Ordering::Relaxed) {
+        match listener.accept() {
+            Ok((stream, _)) => http::spawn(stream, handle.clone()),
+            Err(_) => thread::sleep(ACCEPT_PERIOD),
+        }
+    }
+    drop(listener);
+    process::exit(1)
+}
+
+fn say(line: &str) {
+    let mut out = io::stdout().lock();
+    let _ = writeln!(out, "{line}");
+    let _ = out.flush();
+}
+
+fn handle(
+    id: &str,
+    request: &Message,
+    stream: &mut TcpStream,
+    has_crashed: &AtomicBool,
+) -> io::Result<()> {
+    if request.header("x-expect-instance").is_some_and(|expected| expected != id) {
+        return http::respond(stream, 421, &[("X-Not-Executed", "1")], "");
+    }
+    let path = request.target.split('?').next().unwrap_or_default();
+    if path == "/health" {
+        return http::respond(stream, 200, &[("X-Replica-Id", id)], "");
+    }
+    let Some(request_id) = request.header("x-request-id") else {
+        return http::respond(stream, 400, &[("X-Not-Executed", "1")], "");
+    };
+    let tenant = request.header("x-tenant").unwrap_or("-");
+    say(&format!("run {request_id} {path} {tenant}"));
+    if String::from_utf8_lossy(&request.body).contains(POISON) {
+        has_crashed.store(true, Ordering::Relaxed);
+        // The process ends meanwhile.
+        thread::sleep(Duration::from_secs(10));
+    }
+    thread::sleep(WORK);
+    let stamp = format!("{id}.{request_id}");
+    let headers = [("X-Request-Id", request_id), ("X-Response-Stamp", stamp.as_str())];
+    http::respond(stream, 200, &headers, "done\n")
+}
