--- a/review/standins/fleet.rs
+++ b/review/standins/fleet.rs
@@ -41,6 +41,8 @@
 #[derive(Debug, Clone)]
 pub struct Run {
     pub at: Duration,
+    /// Id of the replica.
+    pub replica: String,
     pub request: String,
     pub path: String,
     pub tenant: String,
@@ -79,8 +81,13 @@
         let words: Vec<&str> = line.split(' ').collect();
         let ["run", request, path, tenant] = words[..] else { return };
         self.write(&format!("replica {replica} runs {request} {path} for tenant {tenant}"));
-        let (request, path) = (request.to_string(), path.to_string());
-        let run = Run { at: self.now(), request, path, tenant: tenant.to_string() };
+        let run = Run {
+            at: self.now(),
+            replica: replica.to_string(),
+            request: request.to_string(),
+            path: path.to_string(),
+            tenant: tenant.to_string(),
+        };
         self.runs.lock().expect("the runs").push(run);
     }
 }
@@ -126,14 +133,7 @@
             Self { record, store, network, folder: temporary, nodes: vec![], addresses: vec![] };
         fleet.store.put("config", "main", config);
         for number in 0..replicas {
-            let replica = Replica {
-                address: address(100 + number, REPLICA_PORT),
-                number,
-                restart_after,
-                store: fleet.store.clone(),
-                record: fleet.record.clone(),
-            };
-            thread::spawn(move || replica.run());
+            fleet.start_replica(number, restart_after);
         }
         thread::sleep(Duration::from_millis(300));
         for number in 0..nodes {
@@ -143,6 +143,18 @@
         Ok(fleet)
     }
 
+    /// Starts a replica, which is started again after it has crashed. Its first process has the id `i-NUMBER-0`.
+    pub fn start_replica(&self, number: u8, restart_after: Duration) {
+        let replica = Replica {
+            address: address(self.network, 100 + number, REPLICA_PORT),
+            number,
+            restart_after,
+            store: self.store.clone(),
+            record: self.record.clone(),
+        };
+        thread::spawn(move || replica.run());
+    }
+
     fn start_node(&mut self, daemon: &str, number: u8) -> io::Result<()> {
         let address = |port| address(self.network, 10 + number, port);
         for port in [CALLERS_PORT, READY_PORT, DIRECTORY_PORT, PEER_PORT, METRICS_PORT] {
--- a/review/standins/json.rs
+++ b/review/standins/json.rs
@@ -23,6 +23,14 @@
         }
     }
 
+    /// Replaces a field of an object.
+    pub fn set(&mut self, key: &str, new: Json) {
+        if let Json::Object(fields) = self {
+            fields.retain(|(name, _)| name != key);
+            fields.push((key.to_string(), new));
+        }
+    }
+
     pub fn text(&self) -> Option<&str> {
         match self {
             Json::Text(text) => Some(text),
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -9,6 +9,7 @@
 mod replica;
 mod scenario_crashes;
 mod scenario_keys;
+mod scenario_leaving;
 mod store;
 
 use std::path::Path;
@@ -31,6 +32,9 @@
         ["crashes", daemon, folder] => {
             scenario_crashes::run(daemon, Path::new(folder), with_trouble)
         }
+        ["leaving", daemon, folder] => {
+            scenario_leaving::run(daemon, Path::new(folder), with_trouble)
+        }
         _ => Outcome::CouldNotRun("usage: standins SCENARIO DAEMON FOLDER".to_string()),
     };
     match outcome {
--- a/review/standins/store.rs
+++ b/review/standins/store.rs
@@ -37,6 +37,9 @@
     revision: u64,
     objects: BTreeMap<(String, String), Object>,
     changes: Vec<Change>,
+    is_silent: bool,
+    /// Number of times that the store fell silent.
+    silences: u64,
 }
 
 /// Handle to the store; clones share it.
@@ -69,11 +72,38 @@
         self.state.1.notify_all();
     }
 
+    /// Changes a field of an object. The write is acknowledged when this returns.
+    pub fn set_field(&self, kind: &str, name: &str, field: &str, value: Json) {
+        let mut state = self.lock();
+        let Some(mut spec) = state.get(kind, name).map(|object| object.spec.clone()) else {
+            return;
+        };
+        spec.set(field, value);
+        state.write(kind, name, spec);
+        self.state.1.notify_all();
+    }
+
+    /// Answers no call while the store is silent. Calls that wait when it falls silent are lost: their connections
+    /// return nothing further.
+    pub fn set_silent(&self, is_silent: bool) {
+        let mut state = self.lock();
+        state.is_silent = is_silent;
+        state.silences += u64::from(is_silent);
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.0.lock().expect("the state of the store")
     }
 
     fn handle(&self, request: &Message, stream: &mut TcpStream) -> io::Result<()> {
+        let silences = {
+            let state = self.lock();
+            if state.is_silent {
+                drop(state);
+                forever();
+            }
+            state.silences
+        };
         let (path, query) = request.target.split_once('?').unwrap_or((&request.target, ""));
         let mut parts = path.trim_start_matches(PATH).splitn(2, '/');
         let kind = parts.next().unwrap_or_default();
@@ -102,6 +132,9 @@
             }
             _ => (400, String::new()),
         };
+        if self.lock().silences != silences {
+            forever();
+        }
         http::respond(stream, status, &[("Content-Type", "application/json")], &answer)
     }
 
@@ -218,6 +251,12 @@
     ])
 }
 
+fn forever() -> ! {
+    loop {
+        thread::park();
+    }
+}
+
 fn decode_name(text: &str) -> String {
     let mut bytes = vec![];
     let mut rest = text.as_bytes();
