review: case 4, a node takes bodies beyond its memory while replicas read slowly

Cause: each body is kept whole until its replica has taken it, and nothing bounds their sum.

Nothing is fixed.

--- a/review/standins/fleet.rs
+++ b/review/standins/fleet.rs
@@ -37,6 +37,29 @@
 /// Host of all routes.
 pub const HOST: &str = "a.example";
 
+/// How the replicas of a scenario behave.
+#[derive(Debug, Clone, Copy)]
+pub struct ReplicaKind {
+    /// Time after which a crashed replica is back.
+    pub restart_after: Duration,
+    /// Requests that it runs at once, as its entry states.
+    pub slots: u32,
+    /// Whether it reads bodies slowly.
+    pub reads_slowly: bool,
+}
+
+impl ReplicaKind {
+    fn program(self) -> &'static str {
+        if self.reads_slowly { "slow-replica" } else { "replica" }
+    }
+}
+
+impl Default for ReplicaKind {
+    fn default() -> Self {
+        Self { restart_after: Duration::from_secs(4), slots: 6, reads_slowly: false }
+    }
+}
+
 /// A request that began to run at a replica.
 #[derive(Debug, Clone)]
 pub struct Run {
@@ -119,7 +142,7 @@
         folder: &Path,
         nodes: u8,
         replicas: u8,
-        restart_after: Duration,
+        kind: ReplicaKind,
         config: Json,
     ) -> io::Result<Self> {
         let record = Arc::new(Record::new(folder)?);
@@ -133,7 +156,7 @@
             Self { record, store, network, folder: temporary, nodes: vec![], addresses: vec![] };
         fleet.store.put("config", "main", config);
         for number in 0..replicas {
-            fleet.start_replica(number, restart_after);
+            fleet.start_replica(number, kind);
         }
         thread::sleep(Duration::from_millis(300));
         for number in 0..nodes {
@@ -144,11 +167,11 @@
     }
 
     /// Starts a replica, which is started again after it has crashed. Its first process has the id `i-NUMBER-0`.
-    pub fn start_replica(&self, number: u8, restart_after: Duration) {
+    pub fn start_replica(&self, number: u8, kind: ReplicaKind) {
         let replica = Replica {
             address: address(self.network, 100 + number, REPLICA_PORT),
             number,
-            restart_after,
+            kind,
             store: self.store.clone(),
             record: self.record.clone(),
         };
@@ -210,6 +233,19 @@
         Ok(())
     }
 
+    /// Returns the resident memory of a node's process in bytes.
+    pub fn memory(&self, number: usize) -> Option<u64> {
+        let id = self.nodes[number].0.id();
+        let status = fs::read_to_string(format!("/proc/{id}/status")).ok()?;
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"))?;
+        Some(line.trim().trim_end_matches(" kB").parse::<u64>().ok()? << 10)
+    }
+
+    /// Kills a node's process.
+    pub fn kill(&mut self, number: usize) {
+        let _ = self.nodes[number].0.kill();
+    }
+
     /// Returns the address of a node for clients, in turn.
     pub fn node(&self, turn: usize) -> SocketAddr {
         self.addresses[turn % self.addresses.len()]
@@ -232,7 +268,7 @@
 struct Replica {
     address: SocketAddr,
     number: u8,
-    restart_after: Duration,
+    kind: ReplicaKind,
     store: Store,
     record: Arc<Record>,
 }
@@ -251,14 +287,14 @@
                 thread::sleep(ENTRY_TTL);
                 store.remove("servers", &ended);
             });
-            thread::sleep(self.restart_after);
+            thread::sleep(self.kind.restart_after);
         }
     }
 
     /// Starts a process, registers it and waits until it has ended.
     fn run_process(&self, id: &str) -> io::Result<()> {
         let mut child = Command::new(std::env::current_exe()?)
-            .args(["replica", &self.address.to_string(), id])
+            .args([self.kind.program(), &self.address.to_string(), id])
             .stdin(Stdio::piped())
             .stdout(Stdio::piped())
             .spawn()?;
@@ -279,9 +315,9 @@
     fn entry(&self) -> Json {
         let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis();
         let text = format!(
-            r#"{{"service": "orders", "address": "{}", "zone": "zone-a", "version": "v1", "slots": 6,
+            r#"{{"service": "orders", "address": "{}", "zone": "zone-a", "version": "v1", "slots": {},
             "state": "ready", "coldLeftMs": 0, "sequence": 1, "born": {born}}}"#,
-            self.address
+            self.address, self.kind.slots
         );
         Json::parse(&text).expect("a replica's entry")
     }
@@ -289,10 +325,16 @@
 
 /// Returns a configuration with one plain service; `tenants` is a JSON list.
 pub fn config(version: u64, tenants: &str) -> Json {
+    config_with(version, tenants, Duration::from_millis(800))
+}
+
+/// Returns such a configuration with the time-out of its route.
+pub fn config_with(version: u64, tenants: &str, timeout: Duration) -> Json {
+    let timeout = timeout.as_millis();
     let text = format!(
         r#"{{"version": {version},
         "routes": [{{"name": "book", "host": "{HOST}", "pathPrefix": "/book/",
-            "kind": "non_idempotent", "timeoutMs": 800, "targetLatencyMs": 100, "priority": 2,
+            "kind": "non_idempotent", "timeoutMs": {timeout}, "targetLatencyMs": 100, "priority": 2,
             "service": "orders", "maxAttempts": 1, "public": false, "sticky": false}}],
         "services": [{{"name": "orders", "healthPath": "/health", "maxConnections": 110,
             "protocol": "h1", "tls": false}}],
--- a/review/standins/http.rs
+++ b/review/standins/http.rs
@@ -9,6 +9,7 @@
 use std::net::TcpStream;
 use std::sync::Arc;
 use std::thread;
+use std::time::Duration;
 
 /// A request, or with a status as `target` a response.
 #[derive(Debug, Clone, Default)]
@@ -26,8 +27,15 @@
     }
 }
 
+/// Bytes of a body that are read at once, and the pause after them.
+pub type Pace = Option<(usize, Duration)>;
+
 /// Reads a message; `None` if the connection was closed before it.
 pub fn read(stream: &mut BufReader<TcpStream>) -> io::Result<Option<Message>> {
+    read_at(stream, None)
+}
+
+fn read_at(stream: &mut BufReader<TcpStream>, pace: Pace) -> io::Result<Option<Message>> {
     let mut line = String::new();
     if stream.read_line(&mut line)? == 0 {
         return Ok(None);
@@ -54,7 +62,11 @@
         read_chunks(stream, &mut message.body)?;
     } else if let Some(len) = message.header("content-length").and_then(|len| len.parse().ok()) {
         message.body = vec![0; len];
-        stream.read_exact(&mut message.body)?;
+        let (part, pause) = pace.unwrap_or((usize::MAX, Duration::ZERO));
+        for part in message.body.chunks_mut(part) {
+            stream.read_exact(part)?;
+            thread::sleep(pause);
+        }
     }
     Ok(Some(message))
 }
@@ -95,12 +107,12 @@
 {
     let handle = Arc::new(handle);
     for stream in listener.incoming().flatten() {
-        spawn(stream, handle.clone());
+        spawn(stream, None, handle.clone());
     }
 }
 
-/// Serves a connection in a thread.
-pub fn spawn<F>(stream: TcpStream, handle: Arc<F>)
+/// Serves a connection in a thread and reads bodies at a pace.
+pub fn spawn<F>(stream: TcpStream, pace: Pace, handle: Arc<F>)
 where
     F: Fn(Message, &mut TcpStream) -> io::Result<()> + Send + Sync + 'static,
 {
@@ -108,7 +120,7 @@
         let _ = stream.set_nodelay(true);
         let Ok(mut writer) = stream.try_clone() else { return };
         let mut reader = BufReader::new(stream);
-        while let Ok(Some(message)) = read(&mut reader) {
+        while let Ok(Some(message)) = read_at(&mut reader, pace) {
             if handle(message, &mut writer).is_err() {
                 return;
             }
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -10,6 +10,7 @@
 mod scenario_crashes;
 mod scenario_keys;
 mod scenario_leaving;
+mod scenario_memory;
 mod store;
 
 use std::path::Path;
@@ -27,7 +28,8 @@
     let args: Vec<&str> = args.iter().map(String::as_str).collect();
     let with_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let outcome = match args[1..] {
-        ["replica", address, id] => replica::run(address, id),
+        ["replica", address, id] => replica::run(address, id, false),
+        ["slow-replica", address, id] => replica::run(address, id, true),
         ["keys", daemon, folder] => scenario_keys::run(daemon, Path::new(folder), with_trouble),
         ["crashes", daemon, folder] => {
             scenario_crashes::run(daemon, Path::new(folder), with_trouble)
@@ -35,6 +37,7 @@
         ["leaving", daemon, folder] => {
             scenario_leaving::run(daemon, Path::new(folder), with_trouble)
         }
+        ["memory", daemon, folder] => scenario_memory::run(daemon, Path::new(folder), with_trouble),
         _ => Outcome::CouldNotRun("usage: standins SCENARIO DAEMON FOLDER".to_string()),
     };
     match outcome {
--- a/review/standins/replica.rs
+++ b/review/standins/replica.rs
@@ -20,10 +20,14 @@
 pub const POISON: &str = "poison";
 /// Time for which a request runs.
 const WORK: Duration = Duration::from_millis(15);
+/// Bytes of a body that a replica takes at once if it reads slowly, and the pause after them.
+const SLOW_PART: usize = 64 << 10;
+const SLOW_PAUSE: Duration = Duration::from_millis(40);
 /// Interval at which connections are accepted.
 const ACCEPT_PERIOD: Duration = Duration::from_millis(1);
 
-pub fn run(address: &str, id: &str) -> Outcome {
+/// `reads_slowly` makes it take `SLOW_PART` of a body in each `SLOW_PAUSE`.
+pub fn run(address: &str, id: &str, reads_slowly: bool) -> Outcome {
     let listener = match TcpListener::bind(address) {
         Ok(listener) => listener,
         Err(e) => return Outcome::CouldNotRun(format!("cannot listen on {address}: {e}")),
@@ -42,9 +46,10 @@
     let handle = Arc::new(move |request: Message, stream: &mut TcpStream| {
         handle(&id, &request, stream, &crash)
     });
+    let pace = reads_slowly.then_some((SLOW_PART, SLOW_PAUSE));
     while !has_crashed.load(Ordering::Relaxed) {
         match listener.accept() {
-            Ok((stream, _)) => http::spawn(stream, handle.clone()),
+            Ok((stream, _)) => http::spawn(stream, pace, handle.clone()),
             Err(_) => thread::sleep(ACCEPT_PERIOD),
         }
     }
--- a/review/standins/scenario_crashes.rs
+++ b/review/standins/scenario_crashes.rs
@@ -6,6 +6,7 @@
 use crate::clients::Answer;
 use crate::fleet;
 use crate::fleet::Fleet;
+use crate::fleet::ReplicaKind;
 use crate::replica;
 use std::path::Path;
 use std::sync::atomic::AtomicBool;
@@ -32,7 +33,8 @@
 
 pub fn run(daemon: &str, folder: &Path, with_trouble: bool) -> Outcome {
     let config = fleet::config(1, r#"[{"name": "baker", "apiKeys": ["key-1"], "priority": 1}]"#);
-    let fleet = match Fleet::start(daemon, folder, 2, REPLICAS, RESTART_AFTER, config) {
+    let kind = ReplicaKind { restart_after: RESTART_AFTER, ..ReplicaKind::default() };
+    let fleet = match Fleet::start(daemon, folder, 2, REPLICAS, kind, config) {
         Ok(fleet) => fleet,
         Err(e) => return Outcome::CouldNotRun(e.to_string()),
     };
--- a/review/standins/scenario_keys.rs
+++ b/review/standins/scenario_keys.rs
@@ -4,6 +4,7 @@
 use crate::clients;
 use crate::fleet;
 use crate::fleet::Fleet;
+use crate::fleet::ReplicaKind;
 use std::path::Path;
 use std::thread;
 use std::time::Duration;
@@ -22,7 +23,7 @@
 
 pub fn run(daemon: &str, folder: &Path, with_trouble: bool) -> Outcome {
     let config = fleet::config(1, &tenants(0));
-    let started = Fleet::start(daemon, folder, 2, 2, Duration::from_secs(4), config);
+    let started = Fleet::start(daemon, folder, 2, 2, ReplicaKind::default(), config);
     let fleet = match started {
         Ok(fleet) => fleet,
         Err(e) => return Outcome::CouldNotRun(e.to_string()),
--- a/review/standins/scenario_leaving.rs
+++ b/review/standins/scenario_leaving.rs
@@ -4,6 +4,7 @@
 use crate::clients;
 use crate::fleet;
 use crate::fleet::Fleet;
+use crate::fleet::ReplicaKind;
 use crate::json::Json;
 use std::path::Path;
 use std::sync::atomic::AtomicBool;
@@ -28,7 +29,7 @@
 
 pub fn run(daemon: &str, folder: &Path, with_trouble: bool) -> Outcome {
     let config = fleet::config(1, r#"[{"name": "baker", "apiKeys": ["key-1"], "priority": 1}]"#);
-    let fleet = match Fleet::start(daemon, folder, 3, REPLICAS, Duration::from_secs(4), config) {
+    let fleet = match Fleet::start(daemon, folder, 3, REPLICAS, ReplicaKind::default(), config) {
         Ok(fleet) => fleet,
         Err(e) => return Outcome::CouldNotRun(e.to_string()),
     };
@@ -60,7 +61,7 @@
 /// Returns when the replica's announcement was acknowledged.
 fn play(fleet: &Fleet, with_trouble: bool) -> Duration {
     thread::sleep(Duration::from_secs(1));
-    fleet.start_replica(REPLICAS, Duration::from_secs(4));
+    fleet.start_replica(REPLICAS, ReplicaKind::default());
     thread::sleep(Duration::from_millis(500));
     if with_trouble {
         fleet.store.set_silent(true);
