--- a/review/standins/fleet.rs
+++ b/review/standins/fleet.rs
@@ -3,6 +3,7 @@
 use crate::clients;
 use crate::json::Json;
 use crate::store::Store;
+use std::collections::HashSet;
 use std::fs;
 use std::fs::File;
 use std::io;
@@ -76,12 +77,15 @@
     started: Instant,
     file: Mutex<File>,
     runs: Mutex<Vec<Run>>,
+    /// Ids of the requests that arrived at replicas.
+    arrivals: Mutex<HashSet<String>>,
 }
 
 impl Record {
     fn new(folder: &Path) -> io::Result<Self> {
         let file = Mutex::new(File::create(folder.join("record.txt"))?);
-        Ok(Self { started: Instant::now(), file, runs: Mutex::default() })
+        let (runs, arrivals) = (Mutex::default(), Mutex::default());
+        Ok(Self { started: Instant::now(), file, runs, arrivals })
     }
 
     /// Returns the time since the scenario began.
@@ -100,8 +104,16 @@
         self.runs.lock().expect("the runs").clone()
     }
 
-    fn record_run(&self, replica: &str, line: &str) {
+    /// Returns whether a request has arrived at a replica.
+    pub fn has_arrived(&self, request: &str) -> bool {
+        self.arrivals.lock().expect("the arrivals").contains(request)
+    }
+
+    fn record_line(&self, replica: &str, line: &str) {
         let words: Vec<&str> = line.split(' ').collect();
+        if let ["arrival", request] = words[..] {
+            self.arrivals.lock().expect("the arrivals").insert(request.to_string());
+        }
         let ["run", request, path, tenant] = words[..] else { return };
         self.write(&format!("replica {replica} runs {request} {path} for tenant {tenant}"));
         let run = Run {
@@ -306,7 +318,7 @@
                     self.store.put("servers", id, self.entry());
                     self.record.write(&format!("replica {id} is registered at {}", self.address));
                 }
-                line => self.record.record_run(id, line),
+                line => self.record.record_line(id, line),
             }
         }
         Ok(())
--- a/review/standins/replica.rs
+++ b/review/standins/replica.rs
@@ -1,4 +1,5 @@
-//! One process of a plain replica. It writes a line to its standard output for each request that begins to run.
+//! One process of a plain replica. It writes a line to its standard output for each request that arrives, and for
+//! each that begins to run.
 //! A request whose body holds `POISON` ends the process: its listener closes, then its connections.
 
 use crate::Outcome;
@@ -46,10 +47,14 @@
     let handle = Arc::new(move |request: Message, stream: &mut TcpStream| {
         handle(&id, &request, stream, &crash)
     });
-    let pace = reads_slowly.then_some((SLOW_PART, SLOW_PAUSE));
+    let (part, pause) = match reads_slowly {
+        true => (SLOW_PART, SLOW_PAUSE),
+        false => (usize::MAX, Duration::ZERO),
+    };
+    let reading = http::Reading { part, pause, on_head: say_arrival };
     while !has_crashed.load(Ordering::Relaxed) {
         match listener.accept() {
-            Ok((stream, _)) => http::spawn(stream, pace, handle.clone()),
+            Ok((stream, _)) => http::spawn(stream, reading, handle.clone()),
             Err(_) => thread::sleep(ACCEPT_PERIOD),
         }
     }
@@ -63,6 +68,12 @@
     let _ = out.flush();
 }
 
+fn say_arrival(request: &Message) {
+    if let Some(request) = request.header("x-request-id") {
+        say(&format!("arrival {request}"));
+    }
+}
+
 fn handle(
     id: &str,
     request: &Message,
