--- a/serving/tests/runner.rs
+++ b/serving/tests/runner.rs
@@ -18,6 +18,7 @@
 mod test_evacuated_data_centres;
 mod test_evacuations;
 mod test_expired_members;
+mod test_fleet_retry_budget;
 mod test_fleet_start;
 mod test_fleet_view;
 mod test_group_allocation;
