--- a/serving/src/attempt.rs
+++ b/serving/src/attempt.rs
@@ -248,8 +248,11 @@
     /// Withdraws the next attempt from the retry budget; returns false if none is left. Sending again is
     /// not a retry if no replica has received the request.
     pub fn withdraw(&self, cx: &ServingCx, task: &RequestTask) -> bool {
-        !self.has_reached_replica
-            || cx.budgets.withdraw(&task.service, cx.budget_sharers(), Instant::now())
+        if !self.has_reached_replica {
+            cx.metrics.retries(&task.service, "free", 1);
+            return true;
+        }
+        cx.budgets.withdraw(&task.service, cx.budget_sharers(), Instant::now())
     }
 }
 
--- a/serving/src/lib.rs
+++ b/serving/src/lib.rs
@@ -79,6 +79,7 @@
 pub mod request_task;
 pub mod response_body;
 pub mod retry_budget;
+pub mod retry_sync;
 pub mod route_match;
 pub mod serving_cx;
 pub mod serving_metrics;
--- a/serving/src/peer_exchange.rs
+++ b/serving/src/peer_exchange.rs
@@ -25,6 +25,7 @@
 use crate::peer_codec::ReachNews;
 use crate::rate_limit_sync;
 use crate::replica_health;
+use crate::retry_sync;
 use crate::serving_cx::ServingCx;
 use crate::store_era::Era;
 use guavaladder_lib::generated::serving_peer::NodeBeat;
@@ -248,6 +249,14 @@
         }
     }
 
+    /// Logs what this node uses of the retry budgets until the task is cancelled.
+    pub async fn retry_loop(self) {
+        loop {
+            sleep(retry_sync::LOG_PERIOD).await;
+            retry_sync::log_uses(&self.heartbeats.cx);
+        }
+    }
+
     async fn send(&self, message: PeerMessage) {
         self.send_to(message, self.heartbeats.cx.nodes.addresses()).await;
     }
--- a/serving/src/retry_budget.rs
+++ b/serving/src/retry_budget.rs
@@ -7,6 +7,7 @@
 use std::collections::HashMap;
 use std::collections::VecDeque;
 use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -38,9 +39,31 @@
     services: Mutex<HashMap<String, Window>>,
 }
 
+/// Requests for a service and retries at it, within the window of the budgets.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ServiceUse {
+    /// Requests of callers.
+    pub requests: u32,
+    /// Retries.
+    pub retries: u32,
+}
+
+/// Use of the budget of a service, in numbers of requests and retries within the window.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct BudgetUse {
+    /// Service.
+    pub service: String,
+    /// Requests and retries of this node.
+    pub own: ServiceUse,
+    /// Retries of this node since the use was last taken.
+    pub new_retries: u32,
+}
+
 #[derive(Debug, Default)]
 struct Window {
     buckets: VecDeque<Bucket>,
+    /// Retries since the use was last taken.
+    new_retries: u32,
 }
 
 #[derive(Debug)]
@@ -75,8 +98,7 @@
     /// the window has no slack either, since its earlier run may have used it.
     pub fn withdraw(&self, service: &str, nodes: Option<usize>, now: Instant) -> bool {
         self.with_window(service, now, |window| {
-            let requests = window.requests(now, self.bounds.window);
-            let retries: u32 = window.buckets.iter().map(|bucket| bucket.retries).sum();
+            let ServiceUse { requests, retries } = window.use_at(now, self.bounds.window);
             let sharers =
                 nodes.filter(|_| now.saturating_duration_since(self.started) >= self.retention());
             let own_slack = sharers.map_or(0.0, |nodes| self.bounds.slack / nodes.max(1) as f64);
@@ -86,11 +108,25 @@
                 let bucket = window.current_bucket(now, self.bucket_length());
                 bucket.retries += 1;
                 bucket.last_retry = now;
+                window.new_retries += 1;
             }
             has_left
         })
     }
 
+    /// Returns the use of the budgets from which retries were withdrawn since the last call.
+    pub fn take_uses(&self, now: Instant) -> Vec<BudgetUse> {
+        let services: Vec<String> = self.lock().keys().cloned().collect();
+        let uses = services.into_iter().map(|service| {
+            let (own, new_retries) = self.with_window(&service, now, |window| {
+                let own = window.use_at(now, self.bounds.window);
+                (own, std::mem::take(&mut window.new_retries))
+            });
+            BudgetUse { service, own, new_retries }
+        });
+        uses.filter(|usage| usage.new_retries > 0).collect()
+    }
+
     /// Returns the time for which a retry counts.
     fn retention(&self) -> Duration {
         self.bounds.window + MAX_SEND_DELAY
@@ -106,7 +142,7 @@
         now: Instant,
         use_window: impl FnOnce(&mut Window) -> T,
     ) -> T {
-        let mut services = self.services.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut services = self.lock();
         if !services.contains_key(service) {
             services.insert(service.to_string(), Window::default());
         }
@@ -119,13 +155,20 @@
         }
         use_window(window)
     }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<String, Window>> {
+        self.services.lock().unwrap_or_else(PoisonError::into_inner)
+    }
 }
 
 impl Window {
-    /// Returns the number of requests within the last `length`.
-    fn requests(&self, now: Instant, length: Duration) -> u32 {
+    /// Returns the requests within the last `length` and the retries that still count.
+    fn use_at(&self, now: Instant, length: Duration) -> ServiceUse {
         let recent = self.buckets.iter().filter(|bucket| now - bucket.start < length);
-        recent.map(|bucket| bucket.requests).sum()
+        ServiceUse {
+            requests: recent.map(|bucket| bucket.requests).sum(),
+            retries: self.buckets.iter().map(|bucket| bucket.retries).sum(),
+        }
     }
 
     fn current_bucket(&mut self, now: Instant, length: Duration) -> &mut Bucket {
--- a/serving/src/serving_metrics.rs
+++ b/serving/src/serving_metrics.rs
@@ -20,12 +20,16 @@
 const QUANTILES: [f64; 4] = [0.5, 0.9, 0.95, 0.99];
 
 /// Names of all metrics with their help texts.
-pub const CATALOGUE: [(&str, &str); 30] = [
+pub const CATALOGUE: [(&str, &str); 31] = [
     ("requests_total", "Requests of callers, by route and outcome."),
     ("first_event_seconds", "Time to the first byte of an answer, by route, in seconds."),
     ("request_seconds", "Time to the end of an answer, by route, in seconds."),
     ("sends_total", "Sends to replicas, by service and outcome."),
     ("moves_total", "Sends beyond the first of a request, by service and cause."),
+    (
+        "retries_total",
+        "Sends beyond the first of a request, by service and whether they were withdrawn from the retry budget or free, as no replica had received the request.",
+    ),
     (
         "retries_withheld_total",
         "Requests that were not sent to another replica after a failed attempt, by service and reason.",
@@ -142,6 +146,11 @@
         self.count("moves_total", &[("service", service), ("cause", cause)], 1);
     }
 
+    /// Counts sends beyond the first of a request.
+    pub fn retries(&self, service: &str, budget: &str, retries: u64) {
+        self.count("retries_total", &[("service", service), ("budget", budget)], retries);
+    }
+
     /// Counts a request that is not sent to another replica after a failed attempt.
     pub fn retry_withheld(&self, service: &str, reason: &str) {
         self.count("retries_withheld_total", &[("service", service), ("reason", reason)], 1);
--- a/serving/src/serving_node.rs
+++ b/serving/src/serving_node.rs
@@ -127,6 +127,7 @@
             spawn_until(&peers_stopping, exchange.clone().evacuation_loop());
             spawn_until(&peers_stopping, exchange.clone().customer_use_loop());
             spawn_until(&peers_stopping, exchange.clone().demand_loop());
+            spawn_until(&peers_stopping, exchange.clone().retry_loop());
             spawn_until(&peers_stopping, exchange.clone().instance_delta_loop(deltas));
             spawn_until(&peers_stopping, exchange.clone().list_request_loop());
             exchange_tx.send_replace(Some(exchange));
--- a/serving/tests/test_retry_budget.rs
+++ b/serving/tests/test_retry_budget.rs
@@ -146,3 +146,18 @@
     assert!(retries > 100);
     assert!(f64::from(retries) <= BOUNDS.slack, "{retries} of {}", BOUNDS.slack);
 }
+
+#[test]
+fn use_is_logged_without_new_retries() {
+    let budgets = RetryBudgets::new(BOUNDS);
+    let start = Instant::now() + BOUNDS.window + MAX_SEND_DELAY;
+    budgets.count_request("drafting", start);
+    assert!(budgets.take_uses(start).is_empty());
+    assert!(budgets.withdraw("drafting", Some(1), start));
+    assert!(budgets.withdraw("drafting", Some(1), start));
+    let uses = budgets.take_uses(start);
+    let [usage] = uses.as_slice() else { panic!("{uses:?}") };
+    assert_eq!((usage.service.as_str(), usage.new_retries), ("drafting", 2));
+    assert_eq!((usage.own.requests, usage.own.retries), (1, 2));
+    assert!(budgets.take_uses(start).is_empty());
+}
