--- a/serving/src/lib.rs
+++ b/serving/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod expired_members;
 pub mod failed_attempts;
 pub mod fleet_config;
+pub mod fleet_retries;
 pub mod fleet_view;
 pub mod group_allocation;
 pub mod group_control;
--- a/serving/src/peer_codec.rs
+++ b/serving/src/peer_codec.rs
@@ -6,6 +6,7 @@
 use crate::crash_sync::CrashMessage;
 use crate::customer_use::UseReport;
 use crate::evacuations::EvacuationNews;
+use crate::fleet_retries::RetryNews;
 use crate::instance_list_delta::InstanceListDelta;
 use crate::list_parts::ListPart;
 use crate::list_parts::ListRequest;
@@ -58,6 +59,8 @@
     Cold(Vec<ColdNews>),
     /// Demand for the models of measured services that the sender has counted.
     Demand(DemandNews),
+    /// What the sender has used of the retry budgets.
+    Retries(RetryNews),
 }
 
 /// That a run of a node understands the messages for large fleets.
--- a/serving/src/peer_exchange.rs
+++ b/serving/src/peer_exchange.rs
@@ -249,11 +249,14 @@
         }
     }
 
-    /// Logs what this node uses of the retry budgets until the task is cancelled.
+    /// Tells the other nodes what this one has used of the retry budgets until the task is cancelled.
     pub async fn retry_loop(self) {
         loop {
-            sleep(retry_sync::LOG_PERIOD).await;
+            sleep(retry_sync::NEWS_PERIOD).await;
             retry_sync::log_uses(&self.heartbeats.cx);
+            if let Some(news) = retry_sync::next_news(&self.heartbeats.cx) {
+                self.send(PeerMessage::Retries(news)).await;
+            }
         }
     }
 
@@ -329,6 +332,9 @@
                     Ok(PeerMessage::Demand(news)) => {
                         demand_sync::apply(&self.heartbeats.cx, news);
                     }
+                    Ok(PeerMessage::Retries(news)) => {
+                        retry_sync::apply(&self.heartbeats.cx, news);
+                    }
                     Err(e) => log::debug!("rejected a message from {from}: {e}"),
                 },
                 // An earlier datagram that this node sent reached a closed port.
--- a/serving/src/retry_budget.rs
+++ b/serving/src/retry_budget.rs
@@ -2,8 +2,16 @@
 //!
 //! Load pattern: many requests fail at the same time because a replica or a data centre was lost, and
 //! every node wants to retry its own. Each node may use the configured ratio of its own requests and an
-//! equal part of the slack, so the sum over all nodes stays within the budget of the service.
-
+//! equal part of the slack.
+//!
+//! These parts exceed the budget when callers move: nodes that lose their callers have used parts that rest on
+//! requests of the window before, and the nodes that the callers turn to get parts for the same callers. So nodes
+//! tell each other what they have used, and a node also stays within what the others have left.
+
+use crate::fleet_retries::FleetRetries;
+use crate::fleet_retries::RetryNews;
+use crate::fleet_retries::ServiceUse;
+use crate::key_hash::key_hash;
 use std::collections::HashMap;
 use std::collections::VecDeque;
 use std::sync::Mutex;
@@ -17,6 +25,9 @@
 /// Maximum time from the withdrawal of a retry until it arrives at a replica, which may be paused for more
 /// than a second. Retries count for that much longer, since the platform counts arrivals.
 pub const MAX_SEND_DELAY: Duration = Duration::from_secs(2);
+/// Fraction of its part that a node may have used without telling the other nodes. It is all that a node has
+/// which started within the window, as others may not know what its earlier run has used.
+const UNTOLD_FRACTION: f64 = 0.25;
 /// Number of buckets of the sliding window.
 const BUCKETS: u32 = 20;
 
@@ -37,15 +48,7 @@
     bounds: RetryBounds,
     started: Instant,
     services: Mutex<HashMap<String, Window>>,
-}
-
-/// Requests for a service and retries at it, within the window of the budgets.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct ServiceUse {
-    /// Requests of callers.
-    pub requests: u32,
-    /// Retries.
-    pub retries: u32,
+    fleet: FleetRetries,
 }
 
 /// Use of the budget of a service, in numbers of requests and retries within the window.
@@ -55,6 +58,8 @@
     pub service: String,
     /// Requests and retries of this node.
     pub own: ServiceUse,
+    /// Requests and retries that other nodes told of.
+    pub others: ServiceUse,
     /// Retries of this node since the use was last taken.
     pub new_retries: u32,
 }
@@ -64,6 +69,8 @@
     buckets: VecDeque<Bucket>,
     /// Retries since the use was last taken.
     new_retries: u32,
+    /// Whether the last use that the other nodes were told of is above the untold fraction.
+    is_told: bool,
 }
 
 #[derive(Debug)]
@@ -83,7 +90,8 @@
 impl RetryBudgets {
     /// Creates unused budgets.
     pub fn new(bounds: RetryBounds) -> Self {
-        Self { bounds, started: Instant::now(), services: Mutex::default() }
+        let fleet = FleetRetries::new(bounds.window, bounds.window + MAX_SEND_DELAY);
+        Self { bounds, started: Instant::now(), services: Mutex::default(), fleet }
     }
 
     /// Counts a request to a service.
@@ -98,12 +106,15 @@
     /// the window has no slack either, since its earlier run may have used it.
     pub fn withdraw(&self, service: &str, nodes: Option<usize>, now: Instant) -> bool {
         self.with_window(service, now, |window| {
-            let ServiceUse { requests, retries } = window.use_at(now, self.bounds.window);
-            let sharers =
-                nodes.filter(|_| now.saturating_duration_since(self.started) >= self.retention());
-            let own_slack = sharers.map_or(0.0, |nodes| self.bounds.slack / nodes.max(1) as f64);
-            let budget = USABLE_RATIO * (self.bounds.ratio * f64::from(requests) + own_slack);
-            let has_left = f64::from(retries) + 1.0 <= budget;
+            let own = window.use_at(now, self.bounds.window);
+            let others = self.fleet.use_by_others(key_hash(service.as_bytes()), now);
+            let part = match self.has_window_passed(now) {
+                true => self.part(own.requests, nodes),
+                false => UNTOLD_FRACTION * self.part(own.requests, None),
+            };
+            let fleet_budget = self.budget(own.requests + others.requests, self.bounds.slack);
+            let has_left = f64::from(own.retries) + 1.0 <= part
+                && f64::from(own.retries + others.retries) + 1.0 <= fleet_budget;
             if has_left {
                 let bucket = window.current_bucket(now, self.bucket_length());
                 bucket.retries += 1;
@@ -114,17 +125,73 @@
         })
     }
 
+    /// Returns what the other nodes have to know of the use of this one; `None` if it is so little that they
+    /// need not.
+    pub fn next_news(
+        &self,
+        node: &str,
+        incarnation: u64,
+        nodes: Option<usize>,
+        now: Instant,
+    ) -> Option<RetryNews> {
+        let mut services = vec![];
+        for service in self.services() {
+            self.with_window(&service, now, |window| {
+                let own = window.use_at(now, self.bounds.window);
+                let untold = UNTOLD_FRACTION * self.part(own.requests, nodes);
+                let is_due = f64::from(own.retries) > untold;
+                // The others have to know that the use has fallen, too.
+                if std::mem::replace(&mut window.is_told, is_due) || is_due {
+                    services.push((key_hash(service.as_bytes()), own));
+                }
+            });
+        }
+        match services.is_empty() {
+            true => None,
+            false => Some(self.fleet.next_news(node, incarnation, services)),
+        }
+    }
+
+    /// Records what another node has used.
+    pub fn record_news(&self, news: RetryNews, now: Instant) {
+        self.fleet.record(news, now);
+    }
+
     /// Returns the use of the budgets from which retries were withdrawn since the last call.
     pub fn take_uses(&self, now: Instant) -> Vec<BudgetUse> {
-        let services: Vec<String> = self.lock().keys().cloned().collect();
-        let uses = services.into_iter().map(|service| {
+        let mut uses = vec![];
+        for service in self.services() {
+            let hash = key_hash(service.as_bytes());
             let (own, new_retries) = self.with_window(&service, now, |window| {
                 let own = window.use_at(now, self.bounds.window);
                 (own, std::mem::take(&mut window.new_retries))
             });
-            BudgetUse { service, own, new_retries }
-        });
-        uses.filter(|usage| usage.new_retries > 0).collect()
+            if new_retries > 0 {
+                let others = self.fleet.use_by_others(hash, now);
+                uses.push(BudgetUse { service, own, others, new_retries });
+            }
+        }
+        uses
+    }
+
+    /// Returns this node's part of the budget.
+    fn part(&self, requests: u32, nodes: Option<usize>) -> f64 {
+        let slack = nodes.map_or(0.0, |nodes| self.bounds.slack / nodes.max(1) as f64);
+        self.budget(requests, slack)
+    }
+
+    /// Returns the usable retries for some requests and some slack.
+    fn budget(&self, requests: u32, slack: f64) -> f64 {
+        USABLE_RATIO * (self.bounds.ratio * f64::from(requests) + slack)
+    }
+
+    /// Returns whether no retry of an earlier run of this node counts any more.
+    fn has_window_passed(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.started) >= self.retention()
+    }
+
+    fn services(&self) -> Vec<String> {
+        self.lock().keys().cloned().collect()
     }
 
     /// Returns the time for which a retry counts.
--- a/serving/src/retry_sync.rs
+++ b/serving/src/retry_sync.rs
@@ -1,12 +1,13 @@
-//! Logs what this node uses of the retry budgets.
+//! Tells the other nodes what this one has used of the retry budgets, and logs it.
 
+use crate::fleet_retries::RetryNews;
 use crate::serving_cx::ServingCx;
 use guavaladder_lib::generated::events::Event;
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// Interval at which the use is logged.
-pub const LOG_PERIOD: Duration = Duration::from_millis(500);
+/// Interval at which the use is told.
+pub const NEWS_PERIOD: Duration = Duration::from_millis(500);
 
 /// Logs the budgets from which this node has withdrawn retries since the last call.
 pub fn log_uses(cx: &ServingCx) {
@@ -17,7 +18,21 @@
             retries: u64::from(usage.new_retries),
             own_requests: u64::from(usage.own.requests),
             own_retries: u64::from(usage.own.retries),
+            other_requests: u64::from(usage.others.requests),
+            other_retries: u64::from(usage.others.retries),
             sharers: cx.budget_sharers().unwrap_or(0) as u64,
         });
     }
 }
+
+/// Returns the next statement; `None` if there is nothing that the other nodes have to know.
+pub fn next_news(cx: &ServingCx) -> Option<RetryNews> {
+    cx.budgets.next_news(cx.node(), cx.incarnation, cx.budget_sharers(), Instant::now())
+}
+
+/// Records the statement of another node.
+pub fn apply(cx: &ServingCx, news: RetryNews) {
+    if news.node != cx.node() {
+        cx.budgets.record_news(news, Instant::now());
+    }
+}
--- a/serving/tests/test_retry_budget.rs
+++ b/serving/tests/test_retry_budget.rs
@@ -86,7 +86,7 @@
     let (mut requests, mut retries) = (0, 0);
     for budget in &budgets {
         let cx = util::serving_cx(1);
-        for _ in 0..20 {
+        for _ in 0..40 {
             budget.count_request("drafting", start);
             requests += 1;
         }
