attempt: a refusal without an id on a kept connection proves nothing

Cause: a refusal was taken for that of the request unless it carried another request's id; one without an id was believed on any connection. Requests that may run once go over kept connections if they are streams that can't be resumed. An earlier refusal that carries its id was rejected before, and plain requests that may run once use new connections.

Change: on a connection that had a request before, a refusal without an id ends such an attempt as one that may have run. Other requests may run again, and refusals without an id still count for them.

--- a/serving/src/attempt.rs
+++ b/serving/src/attempt.rs
@@ -7,7 +7,6 @@
 use crate::connection::Connection;
 use crate::dialect::UpstreamParams;
 use crate::failed_attempts;
-use crate::fleet_config::RouteKind;
 use crate::instance::InstanceId;
 use crate::instance::ResponseHead;
 use crate::instance_notices;
@@ -229,13 +228,9 @@
 
     /// Returns why the request may not be sent again, apart from the retry budget.
     pub fn limit(&self, cx: &ServingCx, task: &RequestTask) -> Option<Withheld> {
-        let is_allowed = match task.kind {
-            RouteKind::Idempotent | RouteKind::Streaming { is_resumable: true } => {
-                self.counted_runs(cx) < task.max_attempts
-            }
-            RouteKind::NonIdempotent | RouteKind::Streaming { is_resumable: false } => {
-                self.runs == 0
-            }
+        let is_allowed = match task.kind.is_repeatable() {
+            true => self.counted_runs(cx) < task.max_attempts,
+            false => self.runs == 0,
         };
         if task.time_left(Instant::now()).is_zero() {
             return Some(Withheld::Deadline);
@@ -345,7 +340,7 @@
         false => instance_notices::record(cx, replica.run, &head.notice, answer),
     }
     let is_reusable = !head.closes && task.body.len() <= MAX_BODY_FOR_CONNECTION_REUSE;
-    validate_response(task, response.status(), &head)?;
+    validate_response(task, response.status(), &head, connection.uses)?;
     record_stated_load(cx, replica, &head);
     Ok(UpstreamResponse { response, head, connection, is_reusable })
 }
@@ -374,11 +369,13 @@
     Ok(req)
 }
 
-/// Checks that a response belongs to this request and can be forwarded to the caller.
+/// Checks that a response belongs to this request and can be forwarded to the caller. `uses` is the number of
+/// requests sent on its connection.
 fn validate_response(
     task: &RequestTask,
     status: StatusCode,
     head: &ResponseHead,
+    uses: u32,
 ) -> Result<(), AttemptError> {
     if head.request_id.as_ref().is_some_and(|id| *id != task.head.id) {
         return Err(AttemptError::Broken(
@@ -386,6 +383,11 @@
         ));
     }
     if head.is_not_run {
+        // On a kept connection, a refusal without an id may be that of an earlier request.
+        if head.request_id.is_none() && uses > 1 && !task.kind.is_repeatable() {
+            let reason = "a refusal on a kept connection carries no request id";
+            return Err(AttemptError::Broken(reason.to_string()));
+        }
         let at_fault = head.at_fault.clone();
         return Err(AttemptError::NotRun { status: status.as_u16(), at_fault });
     }
--- a/serving/src/fleet_config.rs
+++ b/serving/src/fleet_config.rs
@@ -38,6 +38,13 @@
     },
 }
 
+impl RouteKind {
+    /// Returns whether a request may run more than once.
+    pub fn is_repeatable(self) -> bool {
+        matches!(self, Self::Idempotent | Self::Streaming { is_resumable: true })
+    }
+}
+
 /// Routing of the requests with one host and path prefix.
 #[derive(Debug, Clone)]
 pub struct Route {
--- a/serving/tests/runner.rs
+++ b/serving/tests/runner.rs
@@ -54,6 +54,7 @@
 mod test_sse;
 mod test_store;
 mod test_store_era;
+mod test_stray_answers;
 mod test_unframed_answers;
 mod test_unframed_streams;
 mod util;
