next_replica: a node that lost its links tells whether an instance was reached

Cause: a node to which a request was passed on, and which lost its links after an instance had refused the request there, answered that it cannot pass requests on, and has not sent this one. The first node then sent it to a third node as if no instance had received it.

Change: that answer is given only if no instance has received the request. Otherwise the node refuses it like any other, which is final.

Result: refusal_is_forgotten_by_a_node_that_loses_its_links failed before (3 arrivals, one of them free) and passes (1); the other tests of partitioned nodes pass.

--- a/serving/src/next_replica.rs
+++ b/serving/src/next_replica.rs
@@ -98,7 +98,7 @@
             NextStep::Respond(refuse(trace, reason.name(), retry_after, occupancy))
         }
         Withheld::NoReplica(no_capacity, occupancy) if attempts.runs == 0 => {
-            NextStep::Respond(refuse_request(task, trace, no_capacity, occupancy))
+            NextStep::Respond(refuse_request(task, trace, attempts, no_capacity, occupancy))
         }
         _ => NextStep::Respond(fail_request(task, trace, attempts)),
     }
@@ -196,10 +196,12 @@
 fn refuse_request(
     task: &RequestTask,
     trace: &mut RequestTrace,
+    attempts: &Attempts,
     no_capacity: NoCapacity,
     occupancy: Occupancy,
 ) -> Response<ResponseBody> {
-    if no_capacity == NoCapacity::Unreachable && task.ticket.is_some() {
+    let is_unsent = !attempts.has_reached_replica;
+    if no_capacity == NoCapacity::Unreachable && task.ticket.is_some() && is_unsent {
         trace.record_refused(
             StatusCode::SERVICE_UNAVAILABLE.as_u16(),
             no_capacity.name(),
--- a/serving/tests/test_partitioned_nodes.rs
+++ b/serving/tests/test_partitioned_nodes.rs
@@ -469,3 +469,36 @@
     let crashes = fleet.fake_platform.crash_runs().len();
     assert!(crashes <= 6, "{crashes} crashes");
 }
+
+/// A node that passes a request on for another one loses its links after an instance has refused the request. The
+/// first node sent it to a third one, as if it had not reached any instance, and without the retry budget.
+#[tokio::test]
+async fn refusal_is_forgotten_by_a_node_that_loses_its_links() {
+    let (fleet, links) = start_fleet().await;
+    for id in ["p-00", "p-01"] {
+        fleet.fake_platform.set_mode(id, InstanceMode::Refuses);
+        fleet.fake_platform.set_refusal_delay(id, Duration::from_millis(900));
+    }
+    let lose_links = async |node: usize| {
+        links[node].set_mode(LinkMode::RefusingNew);
+        let call = Call::new(Method::GET, "/look/x").with_deadline(Duration::from_millis(200));
+        call.status(fleet.callers(node)).await;
+        eventually(|| fleet.nodes[node].cx.reach.is_cut()).await;
+    };
+    let relayed = |node: usize| fleet.nodes[node].cx.metrics.sum("requests_relayed_total");
+    let arrivals = |call: &Call| {
+        let all = fleet.fake_platform.arrivals();
+        all.into_iter().filter(|arrival| arrival.request == call.id).count()
+    };
+    lose_links(0).await;
+    let before: Vec<u64> = (0..NODES).map(relayed).collect();
+    let call = Call::new(Method::POST, "/book/x");
+    let respond = call.status(fleet.callers(0));
+    let lose_links_of_second = async {
+        eventually(|| arrivals(&call) == 1).await;
+        let second = (1..NODES).find(|node| relayed(*node) > before[*node]);
+        lose_links(second.expect("a node that received the request")).await;
+    };
+    let (status, ()) = tokio::join!(respond, lose_links_of_second);
+    assert_eq!((status, arrivals(&call)), (503, 1));
+}
