--- a/bench/src/serving_soak.rs
+++ b/bench/src/serving_soak.rs
@@ -92,6 +92,8 @@
     pub logs: Option<PathBuf>,
     /// Program of the daemons; `None` for the one beside this program.
     pub daemon: Option<PathBuf>,
+    /// Program of another build, with which daemons run beside those of `daemon`, and change at each restart.
+    pub other_daemon: Option<PathBuf>,
     /// Whether the faults are only stops of daemons and silence of instances.
     pub only_stops: bool,
     /// Whether instances also leave and rest, as they state in their answers.
@@ -108,6 +110,7 @@
     options.optopt("", "nodes", "number of daemons", "N");
     options.optopt("", "logs", "directory in which the logs are kept", "DIR");
     options.optopt("", "daemon", "program of the daemons, to compare builds", "FILE");
+    options.optopt("", "other-daemon", "another build, to run beside the first one", "FILE");
     options.optflag("", "stops", "inject only stops of daemons, and silence of instances");
     options.optflag("", "notices", "let instances also leave and rest, stated in their answers");
     options.optflag("", "returns", "let the store also return from older copies");
@@ -118,6 +121,7 @@
         nodes: matches.opt_get_default("nodes", 3)?,
         logs: matches.opt_str("logs").map(PathBuf::from),
         daemon: matches.opt_str("daemon").map(PathBuf::from),
+        other_daemon: matches.opt_str("other-daemon").map(PathBuf::from),
         only_stops: matches.opt_present("stops"),
         has_notices: matches.opt_present("notices"),
         has_returns: matches.opt_present("returns"),
@@ -155,6 +159,7 @@
     let directory = daemon_process::RunDirectory::new("serving-soak")?;
     let node_plan = NodePlan {
         program: plan.daemon.clone().map_or_else(daemon_process::daemon_program, Ok)?,
+        other_program: plan.other_daemon.clone(),
         directory: directory.path().to_path_buf(),
         logs: plan.logs.clone(),
         stores,
--- a/bench/src/serving_soak_nodes.rs
+++ b/bench/src/serving_soak_nodes.rs
@@ -107,6 +107,9 @@
 pub struct NodePlan {
     /// Program of the daemons.
     pub program: PathBuf,
+    /// Program that daemons with an odd number begin with; at each restart a daemon changes to the other
+    /// program.
+    pub other_program: Option<PathBuf>,
     /// Directory of the settings files.
     pub directory: PathBuf,
     /// Directory of the logs, if they are kept.
@@ -125,6 +128,8 @@
     /// Number of times that the process was killed since it had not exited after [`GRACE`].
     pub overdue: usize,
     program: PathBuf,
+    /// Program that the daemon is started with next, if it changes at each restart.
+    next_program: Option<PathBuf>,
     config: PathBuf,
     /// File that the daemon's log is appended to.
     log: Option<PathBuf>,
@@ -150,9 +155,13 @@
         let config = plan.directory.join(format!("n{number}.json"));
         std::fs::write(&config, settings.to_string())?;
         let log = plan.logs.as_ref().map(|logs| logs.join(format!("n{number}.log")));
-        let program = plan.program.clone();
+        let mut program = plan.program.clone();
+        let mut next_program = plan.other_program.clone();
+        if let Some(next) = next_program.as_mut().filter(|_| number % 2 == 1) {
+            std::mem::swap(&mut program, next);
+        }
         let child = spawn(&program, &config, log.as_deref())?;
-        Ok(Self { caller_address, overdue: 0, program, config, log, child })
+        Ok(Self { caller_address, overdue: 0, program, next_program, config, log, child })
     }
 
     /// Ends the process.
@@ -174,6 +183,9 @@
             self.child.kill().await?;
         }
         sleep(delay).await;
+        if let Some(next) = &mut self.next_program {
+            std::mem::swap(&mut self.program, next);
+        }
         self.child = spawn(&self.program, &self.config, self.log.as_deref())?;
         Ok(())
     }
--- a/bench/tests/test_serving_soak.rs
+++ b/bench/tests/test_serving_soak.rs
@@ -24,6 +24,7 @@
             nodes: NODES,
             logs: None,
             daemon: None,
+            other_daemon: None,
             only_stops: false,
             has_notices,
             has_returns,
