tests: requests of many callers around SIGTERM, with streams and relays

The tests of a stop had single requests without pauses, and none that another daemon passes on.

The fakes' plain instances can work on a request, and streams can pause midway. `request_is_lost_around_sigterm` stops a daemon with 30 callers that keep their connections, beside silences, signals, changed settings and configurations; `request_that_is_passed_on_is_lost_around_sigterm` does so to and by a daemon whose links are cut; `body_that_is_half_read_when_answers_are_due_has_no_answer` ends bodies before, at and after that time. They judge by the rule on planned work.

--- a/daemon/tests/runner.rs
+++ b/daemon/tests/runner.rs
@@ -1,7 +1,10 @@
 //! Test binary with all integration tests of the daemon.
 
+mod kept_callers;
 mod process;
+mod stop_fleet;
 mod test_lifecycle;
 mod test_serving_log;
 mod test_serving_stop;
+mod test_serving_stop_requests;
 mod test_start;
