stream: the log tells a stream that a stop cut from one at its deadline

GL0526 named `no response before this node stopped` for requests that got a 504 and for streams that were cut, and `no end of the stream before the deadline` for both the caller's deadline and the end of a stop, depending on which check noticed it. So the log could not tell whether a stream around SIGTERM ran out of its own time or out of the node's.

The cause now tells whether the response had begun, and whether the deadline or the stop ended it. `log_does_not_tell_stop_from_deadline_as_cause_of_a_cut` fails with the daemon of: two lines with the first cause, where one is right.

--- a/daemon/tests/runner.rs
+++ b/daemon/tests/runner.rs
@@ -7,4 +7,5 @@
 mod test_serving_log;
 mod test_serving_stop;
 mod test_serving_stop_requests;
+mod test_serving_stop_streams;
 mod test_start;
--- a/daemon/tests/stop_fleet.rs
+++ b/daemon/tests/stop_fleet.rs
@@ -45,6 +45,8 @@
     pub links: NodeLinks,
     /// Path of its settings file.
     pub settings: String,
+    /// Path of its log.
+    pub log: String,
 }
 
 /// Daemons with replicas of a model engine and of a plain service.
@@ -127,7 +129,7 @@
         let log = self.dir.write(&format!("n{number}.log"), "");
         let process =
             ServingDaemon::start(&file, Stdio::from(std::fs::File::create(&log).unwrap()));
-        self.daemons.push(FleetDaemon { process, callers, links, settings: file });
+        self.daemons.push(FleetDaemon { process, callers, links, settings: file, log });
     }
 
     async fn wait_until_serving(&self) {
--- /dev/null
+++ b/daemon/tests/test_serving_stop_streams.rs
@@ -0,0 +1,48 @@
+//! Tests of daemons that are stopped while streams run, callers keep their connections, and the machine is late.
+
+use crate::kept_callers;
+use crate::kept_callers::SentRequest;
+use crate::stop_fleet::StopFleet;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::task::JoinSet;
+use tokio::time::Instant;
+use tokio::time::sleep_until;
+
+/// Time that the daemons have for a shutdown.
+const GRACE: Duration = Duration::from_secs(3);
+/// Retry slack that is never used up.
+const RETRY_SLACK: u32 = 100_000;
+
+async fn start(test: &str, event_interval: Duration) -> StopFleet {
+    StopFleet::new(test, 1, GRACE, event_interval, RETRY_SLACK).await
+}
+
+/// Sends a request on a connection of its own.
+fn send(requests: &mut JoinSet<SentRequest>, fleet: &StopFleet, method: &'static str, path: &str) {
+    let (to, message) = (fleet.daemons[0].callers, (method, path.to_string(), vec![]));
+    requests.spawn(async move {
+        let mut stream = TcpStream::connect(to).await.unwrap();
+        kept_callers::exchange(&mut stream, &message).await.0
+    });
+}
+
+#[tokio::test]
+async fn log_does_not_tell_stop_from_deadline_as_cause_of_a_cut() {
+    let mut fleet = start("stop-log", Duration::from_millis(20)).await;
+    let (mut requests, stopped) = (JoinSet::new(), Instant::now());
+    fleet.daemons[0].process.signal("TERM");
+    sleep_until(stopped + Duration::from_millis(300)).await;
+    send(&mut requests, &fleet, "POST", "/speak/pause-4000");
+    send(&mut requests, &fleet, "POST", "/book/work-4000");
+    assert!(!fleet.wait_for_exit(0, stopped).await, "the process had to be killed");
+    requests.join_all().await;
+    let log = std::fs::read_to_string(&fleet.daemons[0].log).unwrap();
+    let lost: Vec<&str> = log.lines().filter(|line| line.contains("GL0526")).collect();
+    for cause in
+        ["no response before this node stopped", "no end of the stream before this node stopped"]
+    {
+        let count = lost.iter().filter(|line| line.contains(cause)).count();
+        assert_eq!(count, 1, "{cause}: {lost:?}");
+    }
+}
--- a/serving/src/request_task.rs
+++ b/serving/src/request_task.rs
@@ -97,10 +97,20 @@
     /// Waits until the request ends and returns the reason.
     pub async fn wait_until_due(&self) -> &'static str {
         tokio::select! {
-            () = sleep_until(self.deadline) => "no response before the deadline",
-            () = self.stop.wait_until(|times| self.stop_time(times)) => {
-                "no response before this node stopped"
-            }
+            () = sleep_until(self.deadline) => {}
+            () = self.stop.wait_until(|times| self.stop_time(times)) => {}
+        }
+        self.reason_of_end()
+    }
+
+    /// Returns why a request that is not complete at [`Self::due`] ends.
+    pub fn reason_of_end(&self) -> &'static str {
+        let is_stopped = self.due() < self.deadline;
+        match (is_stopped, self.has_begun.load(Ordering::Relaxed)) {
+            (false, false) => "no response before the deadline",
+            (false, true) => "no end of the stream before the deadline",
+            (true, false) => "no response before this node stopped",
+            (true, true) => "no end of the stream before this node stopped",
         }
     }
 
--- a/serving/src/upstream_stream.rs
+++ b/serving/src/upstream_stream.rs
@@ -89,7 +89,7 @@
         loop {
             // Bytes that keep arriving would otherwise never let this wait for the deadline.
             if task.time_left(Instant::now()).is_zero() {
-                return Err(AttemptError::TimedOut("no end of the stream before the deadline"));
+                return Err(AttemptError::TimedOut(task.reason_of_end()));
             }
             if let Some(event) = self.decoder.next_event().map_err(to_broken)? {
                 let now = Instant::now();
