stream: a late process relays what has arrived before it ends a stream

A stream was ended by the clock alone: `UpstreamStream::next` looked at the time before it looked at the connection, and the timer and the socket of a late process become ready at once. What had arrived in time was not read any more. The same holds for a single response and for the caller's deadline.

A process that notices an end more than 10 ms late now reads for 50 ms what has arrived; a process that is in time ends requests as before.

`stream_that_has_arrived_is_cut_since_process_is_late` stops the process from before the end of 16 streams until 60 ms after they are due.

--- a/daemon/tests/test_serving_stop_streams.rs
+++ b/daemon/tests/test_serving_stop_streams.rs
@@ -1,8 +1,10 @@
 //! Tests of daemons that are stopped while streams run, callers keep their connections, and the machine is late.
 
 use crate::kept_callers;
+use crate::kept_callers::Outcome;
 use crate::kept_callers::SentRequest;
 use crate::stop_fleet::StopFleet;
+use guavaladder_platform_testutils::ArrivalEnd;
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::task::JoinSet;
@@ -11,6 +13,8 @@
 
 /// Time that the daemons have for a shutdown.
 const GRACE: Duration = Duration::from_secs(3);
+/// Time from SIGTERM at which streams are ended.
+const STREAMS_END: Duration = Duration::from_millis(2625);
 /// Retry slack that is never used up.
 const RETRY_SLACK: u32 = 100_000;
 
@@ -46,3 +50,28 @@
         assert_eq!(count, 1, "{cause}: {lost:?}");
     }
 }
+
+/// The replicas finish the streams before they are due, while the daemon does not run.
+#[tokio::test]
+async fn stream_that_has_arrived_is_cut_since_process_is_late() {
+    let mut fleet = start("stop-late-stream", Duration::from_millis(100)).await;
+    let (mut requests, stopped) = (JoinSet::new(), Instant::now());
+    fleet.daemons[0].process.signal("TERM");
+    sleep_until(stopped + Duration::from_millis(300)).await;
+    for _ in 0..8 {
+        send(&mut requests, &fleet, "POST", "/draft/a");
+        send(&mut requests, &fleet, "POST", "/speak/a");
+    }
+    sleep_until(stopped + Duration::from_millis(2100)).await;
+    fleet.daemons[0].process.signal("STOP");
+    sleep_until(stopped + STREAMS_END + Duration::from_millis(60)).await;
+    let arrivals = fleet.fake_platform.arrivals();
+    fleet.daemons[0].process.signal("CONT");
+    for request in requests.join_all().await {
+        let mut of_request = arrivals.iter().filter(|a| a.request == request.id);
+        let is_done = of_request.any(|a| matches!(a.end, Some((_, ArrivalEnd::Responded))));
+        assert!(is_done, "a stream was not finished by its replica: {request:?}");
+        assert_eq!(request.outcome, Outcome::Complete(200), "{request:?}");
+    }
+    assert!(!fleet.wait_for_exit(0, stopped).await, "the process had to be killed");
+}
--- a/serving/src/node_stop.rs
+++ b/serving/src/node_stop.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 use tokio::sync::watch;
 use tokio::time::Instant;
+use tokio::time::sleep;
 use tokio::time::sleep_until;
 
 /// Maximum time for which a stopping node still accepts requests of callers that have cached an earlier
@@ -16,6 +17,11 @@
 /// Maximum part of the shutdown time that is left when the process exits.
 const EXIT_RESERVE: Duration = Duration::from_millis(200);
 
+/// Lateness from which a process first reads what has arrived before it ends requests.
+const LATENESS_TOLERANCE: Duration = Duration::from_millis(10);
+/// Time in which a late process reads and relays what has arrived while it did not run.
+pub const CATCH_UP_TIME: Duration = Duration::from_millis(50);
+
 /// Times of a shutdown.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct StopTimes {
@@ -67,13 +73,31 @@
         self.times().is_some_and(|times| now >= times.refusing_from)
     }
 
-    /// Waits until a time of the shutdown; never returns if the node is not asked to stop.
+    /// Waits until a time of the shutdown, and longer if the process is late; never returns if the node is not
+    /// asked to stop.
     pub async fn wait_until(&self, time: impl Fn(&StopTimes) -> Instant) {
         let mut times = self.0.subscribe();
         // The sender is kept by `self`, so waiting does not fail.
         let Ok(begun) = times.wait_for(Option::is_some).await.map(|times| *times) else { return };
         if let Some(begun) = begun {
-            sleep_until(time(&begun)).await;
+            sleep_until_caught_up(time(&begun), CATCH_UP_TIME).await;
+        }
+    }
+}
+
+/// Returns whether a process that checks at `now` what was due at `due` is late, since it has not run meanwhile.
+pub fn is_late(due: Instant, now: Instant) -> bool {
+    now.saturating_duration_since(due) > LATENESS_TOLERANCE
+}
+
+/// Waits until `time`, and for `catch_up` longer if the process is late then: responses that have arrived by
+/// `time` have not been read yet.
+pub fn sleep_until_caught_up(time: Instant, catch_up: Duration) -> impl Future<Output = ()> {
+    let due = time.max(Instant::now());
+    async move {
+        sleep_until(due).await;
+        if is_late(due, Instant::now()) {
+            sleep(catch_up).await;
         }
     }
 }
--- a/serving/src/request_task.rs
+++ b/serving/src/request_task.rs
@@ -16,8 +16,10 @@
 use crate::key_hash::key_hash;
 use crate::listeners::RunningRequestGuard;
 use crate::node_relay::RelayTicket;
+use crate::node_stop::CATCH_UP_TIME;
 use crate::node_stop::NodeStop;
 use crate::node_stop::StopTimes;
+use crate::node_stop::sleep_until_caught_up;
 use crate::placement::Occupancy;
 use crate::placement::Timeliness;
 use crate::replica_set::Replica;
@@ -32,7 +34,6 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::time::Instant;
-use tokio::time::sleep_until;
 
 /// A request of a caller whose body has been read and whose route is known.
 #[derive(Debug)]
@@ -94,10 +95,10 @@
         self.due().saturating_duration_since(now)
     }
 
-    /// Waits until the request ends and returns the reason.
+    /// Waits until the request ends, and longer if the process is late; returns the reason.
     pub async fn wait_until_due(&self) -> &'static str {
         tokio::select! {
-            () = sleep_until(self.deadline) => {}
+            () = sleep_until_caught_up(self.deadline, CATCH_UP_TIME) => {}
             () = self.stop.wait_until(|times| self.stop_time(times)) => {}
         }
         self.reason_of_end()
--- a/serving/src/stream_relay.rs
+++ b/serving/src/stream_relay.rs
@@ -8,6 +8,7 @@
 use crate::attempt_loop::PendingAttempt;
 use crate::failed_attempts;
 use crate::node_relay;
+use crate::node_stop::CATCH_UP_TIME;
 use crate::replica_health::MIN_SILENCE;
 use crate::request_task::RequestTask;
 use crate::request_task::RequestTrace;
@@ -198,7 +199,8 @@
         }
         self.trace.events += 1;
         self.cx.metrics.stream_events(&self.task.service, 1);
-        let sent = timeout_at(self.task.due(), self.tx.send(Ok(event.bytes))).await;
+        let until = self.task.due().max(Instant::now() + CATCH_UP_TIME);
+        let sent = timeout_at(until, self.tx.send(Ok(event.bytes))).await;
         sent.map(|sent| sent.is_ok()).map_err(|_| AttemptError::TimedOut(CALLER_NOT_READING))
     }
 
--- a/serving/src/upstream_stream.rs
+++ b/serving/src/upstream_stream.rs
@@ -7,6 +7,8 @@
 use crate::instance::InstanceNotice;
 use crate::load_table::RequestGuard;
 use crate::model_demand::WorkGuard;
+use crate::node_stop;
+use crate::node_stop::CATCH_UP_TIME;
 use crate::replica_health;
 use crate::replica_set::Replica;
 use crate::request_task::RequestTask;
@@ -22,6 +24,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
+use tokio::time::sleep_until;
 
 /// An event stream being received from a replica.
 pub struct UpstreamStream {
@@ -33,6 +36,8 @@
     upstream: UpstreamResponse,
     decoder: EventDecoder,
     last_event_at: Instant,
+    /// Until when events that have arrived are read; set once the request is over.
+    read_until: Option<Instant>,
 }
 
 /// Next item of an event stream.
@@ -62,7 +67,8 @@
         let last_event_at = Instant::now();
         cx.loads.record_activity(replica.hash, last_event_at);
         let replica = replica.clone();
-        let mut stream = Self { replica, guard, work, upstream, decoder, last_event_at };
+        let mut stream =
+            Self { replica, guard, work, upstream, decoder, last_event_at, read_until: None };
         let status = stream.status();
         if status.is_server_error() || (has_begun && !status.is_success()) {
             return Err(AttemptError::Failure { status: status.as_u16() });
@@ -88,7 +94,7 @@
     ) -> Result<StreamItem, AttemptError> {
         loop {
             // Bytes that keep arriving would otherwise never let this wait for the deadline.
-            if task.time_left(Instant::now()).is_zero() {
+            if self.is_over(task, Instant::now()) {
                 return Err(AttemptError::TimedOut(task.reason_of_end()));
             }
             if let Some(event) = self.decoder.next_event().map_err(to_broken)? {
@@ -121,7 +127,29 @@
         cx: &ServingCx,
         task: &RequestTask,
     ) -> Result<StreamItem, AttemptError> {
-        task.run_until_due(self.next(cx, task)).await
+        let read_until = self.read_until;
+        let over = async {
+            task.wait_until_due().await;
+            if let Some(read_until) = read_until {
+                sleep_until(read_until).await;
+            }
+            AttemptError::TimedOut(task.reason_of_end())
+        };
+        tokio::select! {
+            biased;
+            next = self.next(cx, task) => next,
+            e = over => Err(e),
+        }
+    }
+
+    /// Returns whether the stream is to be ended. If the process is late, what has arrived is read before.
+    fn is_over(&mut self, task: &RequestTask, now: Instant) -> bool {
+        let due = task.due();
+        if now < due {
+            return false;
+        }
+        let catch_up = if node_stop::is_late(due, now) { CATCH_UP_TIME } else { Duration::ZERO };
+        now >= *self.read_until.get_or_insert(now + catch_up)
     }
 
     /// Returns the status of the response.
