node: stop reading requests once answers are due

While a stream ran, the listener stayed open until the stream ended, 0.2 s before the exit, and was then served for 50 ms more. So the last requests were accepted by a process with a tenth of a second left. They could only be refused, and a process that was late did not even do that.

The listener and the connections without a running request are now closed when answers are due, a second before the end. Later callers are refused by the system and turn to another daemon at once; connections with a running request close after it.

--- a/daemon/tests/test_serving_stop_streams.rs
+++ b/daemon/tests/test_serving_stop_streams.rs
@@ -13,8 +13,12 @@
 
 /// Time that the daemons have for a shutdown.
 const GRACE: Duration = Duration::from_secs(3);
+/// Time from SIGTERM at which requests without a response are answered.
+const ANSWERS_DUE: Duration = Duration::from_millis(2250);
 /// Time from SIGTERM at which streams are ended.
 const STREAMS_END: Duration = Duration::from_millis(2625);
+/// Time from SIGTERM at which the process exits.
+const EXIT: Duration = Duration::from_millis(2812);
 /// Retry slack that is never used up.
 const RETRY_SLACK: u32 = 100_000;
 
@@ -75,3 +79,29 @@
     }
     assert!(!fleet.wait_for_exit(0, stopped).await, "the process had to be killed");
 }
+
+/// A stream whose replica pauses keeps the process running, and the process is late at its end.
+#[tokio::test]
+async fn request_that_arrives_before_exit_is_lost_since_process_is_late() {
+    let mut fleet = start("stop-late-request", Duration::from_millis(20)).await;
+    let (mut requests, stopped) = (JoinSet::new(), Instant::now());
+    fleet.daemons[0].process.signal("TERM");
+    sleep_until(stopped + Duration::from_millis(500)).await;
+    send(&mut requests, &fleet, "POST", "/draft/pause-4000");
+    sleep_until(stopped + ANSWERS_DUE + Duration::from_millis(200)).await;
+    fleet.daemons[0].process.signal("STOP");
+    let mut late = JoinSet::new();
+    for path in ["/book/a", "/draft/a", "/speak/a", "/book/b"] {
+        // A connection that is refused carries no request.
+        if let Ok(mut stream) = TcpStream::connect(fleet.daemons[0].callers).await {
+            let message = ("POST", path.to_string(), vec![]);
+            late.spawn(async move { kept_callers::exchange(&mut stream, &message).await.0 });
+        }
+    }
+    sleep_until(stopped + EXIT + Duration::from_millis(30)).await;
+    fleet.daemons[0].process.signal("CONT");
+    assert!(!fleet.wait_for_exit(0, stopped).await, "the process had to be killed");
+    for request in late.join_all().await {
+        assert_eq!(request.outcome, Outcome::Complete(503), "{request:?}");
+    }
+}
--- a/serving/src/serving_node.rs
+++ b/serving/src/serving_node.rs
@@ -139,7 +139,8 @@
     ///
     /// The node is first left out of the directory's responses but still accepts requests. It then
     /// refuses new requests and waits for the running ones to finish. A request without a response by
-    /// `StopTimes::answers_due` is answered with an error while its caller can still receive it.
+    /// `StopTimes::answers_due` is answered with an error while its caller can still receive it; from then on
+    /// no requests are read.
     pub async fn stop(self) {
         let started = Instant::now();
         let cx = &self.cx;
@@ -157,9 +158,10 @@
             async move { node_registry::unregister(&cx).await }
         });
         sleep_until(times.refusing_from).await;
-        while cx.running.get() > 0 && Instant::now() < times.exit {
+        while cx.running.get() > 0 && Instant::now() < times.answers_due {
             sleep(STOP_POLL_PERIOD).await;
         }
+        // Requests that arrive later might not be answered before the process exits.
         self.closing_callers.cancel();
         for (listener, name) in [(self.callers, "callers"), (self.relay, "other nodes")] {
             match timeout_at(times.exit, listener).await {
