requests: end those that still run when a node of our own interface stops

Callers saw: their connection ended without a byte, when a node got SIGTERM while their request was at an upstream that did not respond, or waited for a replica. Whole replies, streams, calls, and calls with a key.

Cause: `drain` handed back streams only, and only when a timer of the stream elapsed (up to `silence_ms` or `first_token_ms`). Nothing told a request that had no stream yet, a call of a plain service or a request in the queue of the shutdown; they ended with the process.

Change: the last part of a shutdown cancels a token that every wait of a request observes. Requests that wait for a replica are refused as not run, streams are handed back, and the others get `shutting_down` with `ran` unknown; under a key, the ledger records the same.

--- a/daemon/tests/process.rs
+++ b/daemon/tests/process.rs
@@ -142,8 +142,19 @@
 
     /// Sends SIGTERM to the daemon.
     pub fn terminate(&self) {
+        self.signal("TERM");
+    }
+
+    /// Sends a signal to the daemon, for example `STOP`.
+    pub fn signal(&self, name: &str) {
         let pid = self.child.id().to_string();
-        assert!(Command::new("kill").args(["-TERM", &pid]).status().unwrap().success());
+        let status = Command::new("kill").args([&format!("-{name}"), &pid]).status();
+        assert!(status.unwrap().success());
+    }
+
+    /// Returns whether the process is still running.
+    pub fn is_running(&mut self) -> bool {
+        self.child.try_wait().unwrap().is_none()
     }
 
     /// Waits for the daemon to exit and returns its exit status.
--- a/daemon/tests/runner.rs
+++ b/daemon/tests/runner.rs
@@ -4,6 +4,7 @@
 mod process;
 mod stop_fleet;
 mod test_lifecycle;
+mod test_node_stop;
 mod test_serving_log;
 mod test_serving_stop;
 mod test_serving_stop_requests;
--- a/lib/src/attempt.rs
+++ b/lib/src/attempt.rs
@@ -40,8 +40,6 @@
     WrongGroup,
     /// The replica violated the protocol.
     Malformed(String),
-    /// This node is shutting down and hands its streams back to their callers.
-    Moved,
     /// The deadline of the request has passed.
     Deadline,
 }
@@ -119,13 +117,7 @@
     }
 
     /// Waits for tokens and appends them to `emitted`, or returns how the attempt ended.
-    ///
-    /// `is_moving` is checked when a timeout elapses, not for each record.
-    pub async fn progress(
-        &mut self,
-        emitted: &mut Vec<String>,
-        is_moving: impl Fn() -> bool,
-    ) -> Progress {
+    pub async fn progress(&mut self, emitted: &mut Vec<String>) -> Progress {
         if let Some(interruption) = self.pending_interruption.take() {
             return Progress::Interrupted(interruption);
         }
@@ -141,7 +133,7 @@
             let item = tokio::select! {
                 biased;
                 item = self.stream.next() => item,
-                () = self.timer.as_mut() => match self.check_timeouts(&is_moving) {
+                () = self.timer.as_mut() => match self.check_timeouts() {
                     Some(interruption) => return Progress::Interrupted(interruption),
                     None => continue,
                 },
@@ -157,7 +149,7 @@
             }
             if self.progress_marks(emitted) != before {
                 self.last_record_at = Instant::now();
-            } else if let Some(interruption) = self.check_timeouts(&is_moving) {
+            } else if let Some(interruption) = self.check_timeouts() {
                 return Progress::Interrupted(interruption);
             }
         }
@@ -191,7 +183,7 @@
         self.slot
     }
 
-    fn check_timeouts(&mut self, is_moving: &impl Fn() -> bool) -> Option<Interruption> {
+    fn check_timeouts(&mut self) -> Option<Interruption> {
         let now = Instant::now();
         let timeout = match self.has_tokens {
             true => self.timeouts.between_tokens,
@@ -200,9 +192,6 @@
         if now >= self.timeouts.deadline {
             return Some(Interruption::Deadline);
         }
-        if is_moving() {
-            return Some(Interruption::Moved);
-        }
         let due = self.last_record_at + timeout;
         if now >= due {
             return Some(Interruption::Silent);
--- a/lib/src/caller_api.rs
+++ b/lib/src/caller_api.rs
@@ -27,6 +27,7 @@
 use crate::request::fingerprint;
 use crate::request_limits::RequestLimits;
 use crate::request_path::RequestPath;
+use crate::request_path::ended_by_shutdown;
 use crate::request_path::no_config;
 use bytes::Bytes;
 use futures_util::stream::unfold;
@@ -223,9 +224,7 @@
                 return Ok(keyed_generation::reply(&generation, reason));
             }
             GenerationEvent::Moved => {
-                let message = "this node shut down before the response was complete";
-                let error = RequestError::unknown(ErrorCode::ShuttingDown, message);
-                return Err(error.with_request(&generation.request().id));
+                return Err(ended_by_shutdown().with_request(&generation.request().id));
             }
         }
     }
--- a/lib/src/generation.rs
+++ b/lib/src/generation.rs
@@ -25,6 +25,7 @@
 use crate::request_outcome::record_error;
 use crate::request_path::RequestGuard;
 use crate::request_path::RequestPath;
+use crate::request_path::refused_by_shutdown;
 use crate::service_levels::RequestOutcome;
 use crate::service_levels::RequestSample;
 use std::ops::Range;
@@ -122,7 +123,11 @@
     /// Acquires a slot at a replica, or refuses the request, which has certainly not run so far.
     pub async fn admit(&mut self) -> Result<(), RequestError> {
         let admitted = match self.refuse_convicted() {
-            Ok(()) => self.acquire().await,
+            Ok(()) => {
+                let path = self.path.clone();
+                let acquired = path.run_until_moving(self.acquire()).await;
+                acquired.unwrap_or_else(|| Err(refused_by_shutdown()))
+            }
             Err(e) => Err(e),
         };
         self.slot = Some(admitted.map_err(|e| self.fail(e))?);
@@ -131,7 +136,19 @@
 
     /// Waits for the next tokens or the end of the generation.
     pub async fn next(&mut self) -> Result<GenerationEvent, RequestError> {
-        self.next_event().await.map_err(|e| self.fail(e))
+        let path = self.path.clone();
+        match path.run_until_moving(self.next_event()).await {
+            Some(event) => event.map_err(|e| self.fail(e)),
+            None => Ok(self.hand_back()),
+        }
+    }
+
+    /// Ends the request, which its caller resumes at another node.
+    fn hand_back(&mut self) -> GenerationEvent {
+        self.path.cx().metrics.count(metric_names::STREAMS_MOVED, 1);
+        self.path.record_moved_stream();
+        self.finish(Incomplete::Moved);
+        GenerationEvent::Moved
     }
 
     /// Ends the request and returns the error as it is sent to the caller.
@@ -157,8 +174,7 @@
                 },
                 Some(attempt) => {
                     let offset_before = self.emitted.len();
-                    let path = &self.path;
-                    match attempt.progress(&mut self.emitted, || path.is_moving()).await {
+                    match attempt.progress(&mut self.emitted).await {
                         Progress::Tokens => {
                             self.record_first_tokens();
                             return Ok(GenerationEvent::Tokens(offset_before..self.emitted.len()));
@@ -167,12 +183,6 @@
                             self.complete();
                             return Ok(GenerationEvent::End(reason));
                         }
-                        Progress::Interrupted(Interruption::Moved) => {
-                            self.path.cx().metrics.count(metric_names::STREAMS_MOVED, 1);
-                            self.path.record_moved_stream();
-                            self.finish(Incomplete::Moved);
-                            return Ok(GenerationEvent::Moved);
-                        }
                         Progress::Interrupted(interruption) => interruption,
                     }
                 }
--- a/lib/src/generation_recovery.rs
+++ b/lib/src/generation_recovery.rs
@@ -96,7 +96,7 @@
             Interruption::Cut(_) | Interruption::Silent => {
                 self.probe_replica(&replica, &interruption, is_accepted).await?;
             }
-            Interruption::Moved | Interruption::Deadline => {}
+            Interruption::Deadline => {}
         }
         Ok(())
     }
--- a/lib/src/keyed_generation.rs
+++ b/lib/src/keyed_generation.rs
@@ -14,6 +14,7 @@
 use crate::request::RequestError;
 use crate::request_limits::RequestLimits;
 use crate::request_path::RequestPath;
+use crate::request_path::ended_by_shutdown;
 use bytes::Bytes;
 use std::sync::Arc;
 use tokio::sync::mpsc;
@@ -68,7 +69,7 @@
                 run.done(OK, reply.clone());
                 return Ok(reply);
             }
-            Ok(GenerationEvent::Moved) => return Err(run.failed(shutdown_error()).await),
+            Ok(GenerationEvent::Moved) => return Err(run.failed(ended_by_shutdown()).await),
             Err(e) => return Err(run.failed(e).await),
         }
     }
@@ -78,7 +79,7 @@
     let mut buf = caller_sse::start_event(&answer);
     let error = loop {
         let part = match answer.next().await {
-            Ok(GenerationEvent::Moved) => break shutdown_error(),
+            Ok(GenerationEvent::Moved) => break ended_by_shutdown(),
             Ok(part) => part,
             Err(e) => break e,
         };
@@ -95,11 +96,6 @@
     let _ = tx.send(Bytes::from(buf)).await;
 }
 
-fn shutdown_error() -> RequestError {
-    let message = "this node shut down before the response was complete";
-    RequestError::unknown(ErrorCode::ShuttingDown, message)
-}
-
 /// Returns the JSON response body of a complete generation.
 pub fn reply(answer: &Generation, reason: crate::generated::engine::FinishReason) -> String {
     let reply = GenerateReply {
--- a/lib/src/plain_call.rs
+++ b/lib/src/plain_call.rs
@@ -17,6 +17,8 @@
 use crate::request_limits::RequestLimits;
 use crate::request_outcome::record_error;
 use crate::request_path::RequestPath;
+use crate::request_path::ended_by_shutdown;
+use crate::request_path::refused_by_shutdown;
 use crate::router::SelectionCriteria;
 use crate::router::Suspicion;
 use crate::silent_upstreams;
@@ -87,7 +89,7 @@
             Err(e) if may_have_run => return Err(RequestError::unknown(e.code, e.message)),
             Err(e) => return Err(e),
         };
-        let error = match send(path, req, &slot, limits, 0).await {
+        let error = match send(path, req, &slot, limits, 0).await? {
             Ok(reply) => {
                 path.suspects().clear(req.fingerprint);
                 return Ok(reply);
@@ -138,11 +140,12 @@
     let mut avoid = vec![];
     loop {
         let error = match send(path, req, &slot, limits, run.epoch()).await {
-            Ok(reply) => {
+            Ok(Ok(reply)) => {
                 run.done(reply.status, reply.body.clone());
                 return Ok(reply);
             }
-            Err(e) => e,
+            Ok(Err(e)) => e,
+            Err(e) => return Err(run.failed(e).await),
         };
         detect_crash(path, req, &slot, &error).await;
         if error.may_have_run() {
@@ -193,16 +196,19 @@
         max_wait: limits.queue_wait.min(left),
         has_started: false,
     };
-    path.admission().acquire(&request).await
+    let acquired = path.run_until_moving(path.admission().acquire(&request)).await;
+    acquired.unwrap_or_else(|| Err(refused_by_shutdown()))
 }
 
+/// Sends the call to a replica. The inner error is a failure of this attempt, which may be retried; the
+/// outer one ends the request.
 async fn send(
     path: &RequestPath,
     req: &Request,
     slot: &Slot,
     limits: &RequestLimits,
     epoch: u64,
-) -> Result<PlainReply, UpstreamError> {
+) -> Result<Result<PlainReply, UpstreamError>, RequestError> {
     let sent = Instant::now();
     let plain_req = PlainRequest {
         request: req.id.clone(),
@@ -213,8 +219,11 @@
     };
     let address = &slot.replica().identity.address;
     let left = req.deadline.saturating_duration_since(Instant::now());
-    let calling = path.plain().call(address, &plain_req);
-    let result = tokio::time::timeout(left, calling).await.unwrap_or_else(|_| {
+    let calling = tokio::time::timeout(left, path.plain().call(address, &plain_req));
+    let Some(result) = path.run_until_moving(calling).await else {
+        return Err(ended_by_shutdown());
+    };
+    let result = result.unwrap_or_else(|_| {
         let reason = format!("no response within {left:?}");
         Err(UpstreamError::Interrupted { reason })
     });
@@ -225,7 +234,7 @@
         }
         Err(e) => path.record_error(slot.replica(), e),
     }
-    result
+    Ok(result)
 }
 
 /// Records a crash if the call was interrupted and a probe on a new connection shows that the instance has
--- a/lib/src/request_path.rs
+++ b/lib/src/request_path.rs
@@ -82,7 +82,8 @@
     running: AtomicUsize,
     moved: AtomicU64,
     is_draining: AtomicBool,
-    is_moving: AtomicBool,
+    /// Cancelled when the requests that still run must end.
+    moving: CancellationToken,
     refresh_needed: Notify,
 }
 
@@ -125,7 +126,7 @@
             running: AtomicUsize::new(0),
             moved: AtomicU64::new(0),
             is_draining: AtomicBool::new(false),
-            is_moving: AtomicBool::new(false),
+            moving: CancellationToken::new(),
             refresh_needed: Notify::new(),
             cx,
         };
@@ -137,9 +138,7 @@
     /// Counts a request as running, or rejects it during shutdown or at the request limit.
     pub fn begin_request(&self) -> Result<RequestGuard, RequestError> {
         if self.inner.is_draining.load(Ordering::Acquire) {
-            let message = "this node is shutting down; use another one";
-            let error = RequestError::not_run(ErrorCode::ShuttingDown, message);
-            return Err(error.with_retry_after(REJECTED_RETRY_AFTER));
+            return Err(refused_by_shutdown());
         }
         let running = self.inner.running.fetch_add(1, Ordering::AcqRel);
         let guard = RequestGuard { path: self.clone() };
@@ -166,13 +165,14 @@
     }
 
     /// Drains the node: rejects new requests, waits up to `bound` for running ones to finish, then
-    /// hands the remaining streams back to their callers and returns the number of these.
+    /// hands the remaining streams back to their callers, answers the other requests with an error, and
+    /// returns the number of these streams.
     pub async fn drain(&self, bound: Duration) -> u64 {
         self.inner.is_draining.store(true, Ordering::Release);
         let before = self.running();
         let moved_before = self.moved();
         self.wait_until_idle(bound).await;
-        self.inner.is_moving.store(true, Ordering::Release);
+        self.inner.moving.cancel();
         self.wait_until_idle(MOVE_TIMEOUT).await;
         let moved = self.moved() - moved_before;
         self.cx().record(Event::StreamsMoved {
@@ -251,9 +251,14 @@
         self.inner.is_draining.load(Ordering::Acquire)
     }
 
-    /// Returns whether running streams must be handed back to their callers.
-    pub fn is_moving(&self) -> bool {
-        self.inner.is_moving.load(Ordering::Relaxed)
+    /// Runs a step of a request; returns `None` if the request must end because the node is shutting
+    /// down.
+    pub async fn run_until_moving<T>(&self, step: impl Future<Output = T>) -> Option<T> {
+        tokio::select! {
+            biased;
+            outcome = step => Some(outcome),
+            () = self.inner.moving.cancelled() => None,
+        }
     }
 
     /// Counts a stream that was handed back to its caller.
@@ -399,6 +404,19 @@
     error.with_retry_after(Duration::from_secs(2))
 }
 
+/// Returns the error of a request that a node in shutdown has not sent to an upstream.
+pub fn refused_by_shutdown() -> RequestError {
+    let message = "this node is shutting down; use another one";
+    let error = RequestError::not_run(ErrorCode::ShuttingDown, message);
+    error.with_retry_after(REJECTED_RETRY_AFTER)
+}
+
+/// Returns the error of a request whose response was not complete when the node shut down.
+pub fn ended_by_shutdown() -> RequestError {
+    let message = "this node shut down before the response was complete";
+    RequestError::unknown(ErrorCode::ShuttingDown, message)
+}
+
 /// Returns the error of a service that does not exist.
 pub fn no_service() -> RequestError {
     RequestError::not_run(ErrorCode::NotFound, "the service does not exist")
--- a/lib/tests/test_attempt.rs
+++ b/lib/tests/test_attempt.rs
@@ -98,8 +98,8 @@
     };
     let mut attempt = Attempt::new(ATTEMPT, slot, begin, stream, timeouts, 100);
     let mut emitted = vec![];
-    assert!(matches!(attempt.progress(&mut emitted, || false).await, Progress::Tokens));
-    let progress = attempt.progress(&mut emitted, || false).await;
+    assert!(matches!(attempt.progress(&mut emitted).await, Progress::Tokens));
+    let progress = attempt.progress(&mut emitted).await;
     let elapsed = begin.elapsed();
     assert!(
         matches!(progress, Progress::Interrupted(Interruption::Silent)),
