node: a stop waits until callers have received their responses

Callers saw: 2,807,808 of 6,000,000 bytes of a reply with a length, then the end of the connection, when they read slowly around SIGTERM (a whole reply and a call; what the buffers of the kernel hold).

Cause: a node counted what it had produced, not what its callers had received. Once no request was running, connections had 500 ms for what was not written, however much of `shutdown_ms` was left.

Change: connections stay open until their callers have read them, at most up to a reserve before the end of `shutdown_ms`. Domains are released meanwhile, so that a slow caller delays no hand-over. The parts of a short shutdown fit into it: the times for handing streams back (2 s) and for the operators' listener (0.5 s) were constants, and exceeded a `shutdown_ms` of 4 s together.

--- a/daemon/src/node.rs
+++ b/daemon/src/node.rs
@@ -39,13 +39,15 @@
 const MAX_CALLER_CONNECTIONS: usize = 20_000;
 /// Maximum number of concurrent connections of operators.
 const MAX_OPERATOR_CONNECTIONS: usize = 256;
-/// Timeout for a listener to close its connections after their requests have ended.
-const LISTENER_STOP_TIMEOUT: Duration = Duration::from_millis(500);
+/// Timeout for the operators' listener to close its connections.
+const OPERATORS_STOP_TIMEOUT: Duration = Duration::from_millis(250);
 /// Longest time for which a leaving node still accepts requests from callers that still use an
 /// address list from before it left.
 const LEAVE_GRACE: Duration = Duration::from_secs(1);
 /// Part of the shutdown timeout reserved for the steps after running requests were drained.
 const POST_DRAIN_RESERVE: Duration = Duration::from_secs(4);
+/// Part of the shutdown timeout that is left when callers must have received their responses.
+const EXIT_RESERVE: Duration = Duration::from_secs(1);
 
 /// Components of a running node that are stopped at shutdown.
 struct Node {
@@ -121,21 +123,25 @@
     async fn stop(self) {
         let started = self.cx.clock.now();
         let bound = self.cx.settings.shutdown;
+        let left = |reserve: Duration| {
+            let elapsed = self.cx.clock.now() - started;
+            bound.saturating_sub(elapsed + reserve)
+        };
         let name = self.cx.node().to_string();
         self.cx.record(Event::ShutdownStarted { node: name.clone(), bound });
 
         self.fleet.leave().await;
         tokio::time::sleep(LEAVE_GRACE.min(bound / 4)).await;
-        let elapsed = self.cx.clock.now() - started + POST_DRAIN_RESERVE.min(bound / 2);
-        let moved = self.path.drain(bound.saturating_sub(elapsed)).await;
-        self.callers.stop(LISTENER_STOP_TIMEOUT).await;
+        let moved = self.path.drain(left(POST_DRAIN_RESERVE.min(bound / 2)), bound / 4).await;
+        // The domains are released while callers receive the rest of their responses.
+        let callers = self.callers.stop(left(EXIT_RESERVE.min(bound / 8)));
         self.shutdown.cancel();
-        let _ = self.control.await;
+        let _ = tokio::join!(callers, self.control);
         self.fleet.stop().await;
 
         let took = self.cx.clock.now() - started;
         self.cx.record(Event::ShutdownFinished { node: name, moved, took });
-        self.operators.stop(LISTENER_STOP_TIMEOUT).await;
+        self.operators.stop(OPERATORS_STOP_TIMEOUT.min(bound / 16)).await;
     }
 }
 
--- a/daemon/tests/test_node_stop.rs
+++ b/daemon/tests/test_node_stop.rs
@@ -31,6 +31,7 @@
 use std::time::UNIX_EPOCH;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
+use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
 use tokio::task::JoinSet;
 use tokio::time::sleep;
@@ -41,6 +42,8 @@
 const ACCEPT_TIME: Duration = Duration::from_secs(1);
 /// Timeout for conditions that a test waits for.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(10);
+/// Receive buffer of a caller that reads slowly, in bytes.
+const SMALL_BUFFER: u32 = 4096;
 /// Number of tokens of a response that is larger than the buffers of a connection; each has 7 bytes.
 const LONG_LENGTH: u32 = 900_000;
 /// Length of a call's response that is larger than the buffers of a connection, in bytes.
@@ -243,6 +246,62 @@
     receive(stream).await
 }
 
+async fn connect_with_small_buffer(to: SocketAddr) -> TcpStream {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.set_recv_buffer_size(SMALL_BUFFER).unwrap();
+    socket.connect(to).await.unwrap()
+}
+
+/// The node has produced the whole response and has no other work before the caller reads it.
+#[rstest]
+#[case::reply(&generate(&format!("length:{LONG_LENGTH}"), false))]
+#[case::call(&call("large", ""))]
+#[tokio::test]
+async fn caller_that_reads_slowly_gets_whole_reply(#[case] request: &[u8]) {
+    let mut stand = Stand::new("node-slow").await;
+    let mut stream = connect_with_small_buffer(stand.callers).await;
+    stream.write_all(request).await.unwrap();
+    stream.readable().await.unwrap();
+    let stopped_at = Instant::now();
+    stand.daemon.signal("TERM");
+    sleep(SHUTDOWN * 5 / 8).await;
+    let received = receive(stream).await;
+    assert_eq!(received.status(), "200");
+    received.assert_complete();
+    stand.wait_for_exit(stopped_at).await;
+    assert!(stopped_at.elapsed() < SHUTDOWN, "{:?}", stopped_at.elapsed());
+}
+
+#[tokio::test]
+async fn caller_that_reads_slowly_gets_end_of_its_stream() {
+    let mut stand = Stand::new("node-slow-stream").await;
+    let mut stream = connect_with_small_buffer(stand.callers).await;
+    stream.write_all(&generate(&format!("length:{LONG_LENGTH}"), true)).await.unwrap();
+    stream.readable().await.unwrap();
+    let stopped_at = Instant::now();
+    stand.daemon.signal("TERM");
+    sleep(SHUTDOWN * 5 / 8).await;
+    let received = receive(stream).await;
+    received.assert_complete();
+    let has_end = ["event: end", "event: moved"].iter().any(|end| received.tail.contains(end));
+    assert!(has_end, "{:?}", received.tail);
+    stand.wait_for_exit(stopped_at).await;
+    assert!(stopped_at.elapsed() < SHUTDOWN, "{:?}", stopped_at.elapsed());
+}
+
+/// A caller that never reads must not keep the process beyond its shutdown time.
+#[tokio::test]
+async fn caller_that_does_not_read_does_not_delay_exit_beyond_shutdown_time() {
+    let mut stand = Stand::new("node-unread").await;
+    let mut stream = connect_with_small_buffer(stand.callers).await;
+    stream.write_all(&call("large", "")).await.unwrap();
+    stream.readable().await.unwrap();
+    let stopped_at = Instant::now();
+    stand.daemon.signal("TERM");
+    stand.wait_for_exit(stopped_at).await;
+    assert!(stopped_at.elapsed() < SHUTDOWN, "{:?}", stopped_at.elapsed());
+}
+
 /// The shutdown ends before the requests' deadlines, and the upstreams do not respond.
 #[rstest]
 #[case::reply(&generate("x", false), r#""ran":"unknown""#)]
--- a/lib/src/request_path.rs
+++ b/lib/src/request_path.rs
@@ -55,7 +55,7 @@
 const LOAD_STEP: u32 = 64;
 /// Time for which an upstream that reported that it is leaving is kept out of the routes.
 const LEAVING_TTL: Duration = Duration::from_secs(120);
-/// Time allowed for streams to be handed back to their callers, and for a cancellation.
+/// Longest time allowed for streams to be handed back to their callers, and for a cancellation.
 const MOVE_TIMEOUT: Duration = Duration::from_secs(2);
 /// Retry delay sent to a caller when the node is shutting down or at its request limit.
 const REJECTED_RETRY_AFTER: Duration = Duration::from_secs(1);
@@ -165,15 +165,15 @@
     }
 
     /// Drains the node: rejects new requests, waits up to `bound` for running ones to finish, then
-    /// hands the remaining streams back to their callers, answers the other requests with an error, and
-    /// returns the number of these streams.
-    pub async fn drain(&self, bound: Duration) -> u64 {
+    /// hands the remaining streams back to their callers within `move_bound`, answers the other requests
+    /// with an error, and returns the number of these streams.
+    pub async fn drain(&self, bound: Duration, move_bound: Duration) -> u64 {
         self.inner.is_draining.store(true, Ordering::Release);
         let before = self.running();
         let moved_before = self.moved();
         self.wait_until_idle(bound).await;
         self.inner.moving.cancel();
-        self.wait_until_idle(MOVE_TIMEOUT).await;
+        self.wait_until_idle(MOVE_TIMEOUT.min(move_bound)).await;
         let moved = self.moved() - moved_before;
         self.cx().record(Event::StreamsMoved {
             node: self.cx().node().to_string(),
--- a/lib/tests/test_generation.rs
+++ b/lib/tests/test_generation.rs
@@ -169,7 +169,7 @@
     tokio::time::sleep(Duration::from_millis(100)).await;
     let draining = tokio::spawn({
         let path = path.clone();
-        async move { path.drain(Duration::from_secs(2)).await }
+        async move { path.drain(Duration::from_secs(2), Duration::from_secs(2)).await }
     });
     tokio::time::sleep(Duration::from_millis(10)).await;
     let e = generate_text(&path, drafting("r2", "c0", "p", 10)).await.unwrap_err();
--- a/lib/tests/test_ledger.rs
+++ b/lib/tests/test_ledger.rs
@@ -121,7 +121,7 @@
     let rig = rig(2).await;
     let key = key(&rig, 0);
     call(&rig.nodes[0].path, filing("a", &key, "pay")).await.unwrap();
-    rig.nodes[1].path.drain(Duration::ZERO).await;
+    rig.nodes[1].path.drain(Duration::ZERO, Duration::ZERO).await;
     let e = call(&rig.nodes[1].path, filing("b", &key, "pay")).await.unwrap_err();
     assert_eq!((e.code, e.ran), (ErrorCode::ShuttingDown, RunStatus::MaybeRun));
 }
