http_server: requests that have arrived are answered before connections close

Callers saw: a connection that ended without an answer although their request had been sent while the node still accepted requests; on kept connections and on those that waited to be accepted. A kept connection was never told that the node stops.

Cause: a stop closed the listener and all idle connections at once. What was still in the buffers of the kernel, as after a pause of the process, was discarded.

Change: as on the platform's side, responses carry `Connection: close` from the first moment of a stop, and connections are accepted and served for 50 ms more before they close.

--- a/daemon/src/node.rs
+++ b/daemon/src/node.rs
@@ -130,6 +130,7 @@
         let name = self.cx.node().to_string();
         self.cx.record(Event::ShutdownStarted { node: name.clone(), bound });
 
+        self.path.begin_stop();
         self.fleet.leave().await;
         tokio::time::sleep(LEAVE_GRACE.min(bound / 4)).await;
         let moved = self.path.drain(left(POST_DRAIN_RESERVE.min(bound / 2)), bound / 4).await;
--- a/daemon/tests/test_node_stop.rs
+++ b/daemon/tests/test_node_stop.rs
@@ -361,6 +361,56 @@
     assert!(stopped_at.elapsed() < SHUTDOWN, "{:?}", stopped_at.elapsed());
 }
 
+/// The process is late, as on a busy machine: the requests have arrived when the node closes its
+/// connections, and the process has not read them.
+#[tokio::test]
+async fn requests_that_arrived_before_connections_close_are_answered() {
+    let mut stand = Stand::new("node-late").await;
+    let mut streams = vec![];
+    for _ in 0..6 {
+        let mut stream = TcpStream::connect(stand.callers).await.unwrap();
+        stream.write_all(&call("filing", "")).await.unwrap();
+        let mut buf = [0; 4096];
+        assert!(stream.read(&mut buf).await.unwrap() > 0);
+        streams.push(stream);
+    }
+    let stopped_at = Instant::now();
+    stand.daemon.signal("TERM");
+    sleep(ACCEPT_TIME / 2).await;
+    stand.daemon.signal("STOP");
+    for _ in 0..6 {
+        streams.push(TcpStream::connect(stand.callers).await.unwrap());
+    }
+    for stream in &mut streams {
+        stream.write_all(&call("filing", "")).await.unwrap();
+    }
+    sleep(ACCEPT_TIME).await;
+    stand.daemon.signal("CONT");
+    let mut callers = JoinSet::new();
+    for stream in streams {
+        callers.spawn(receive(stream));
+    }
+    stand.wait_for_exit(stopped_at).await;
+    let received = callers.join_all().await;
+    let incomplete = received.iter().filter(|r| !r.is_complete).count();
+    assert_eq!(incomplete, 0, "of {}: {received:?}", received.len());
+}
+
+#[tokio::test]
+async fn stopping_node_asks_callers_to_leave_their_connections() {
+    let mut stand = Stand::new("node-close").await;
+    let mut stream = TcpStream::connect(stand.callers).await.unwrap();
+    let stopped_at = Instant::now();
+    stand.daemon.signal("TERM");
+    sleep(ACCEPT_TIME / 2).await;
+    stream.write_all(&call("filing", "")).await.unwrap();
+    let received = receive(stream).await;
+    assert_eq!((received.status(), received.is_complete), ("200", true), "{received:?}");
+    assert!(received.head.contains("connection: close"), "{received:?}");
+    assert!(stopped_at.elapsed() < ACCEPT_TIME, "{:?}", stopped_at.elapsed());
+    stand.wait_for_exit(stopped_at).await;
+}
+
 /// A call that was sent to its upstream before the node stopped is not run again under its key.
 #[tokio::test]
 async fn keyed_call_that_a_stop_ends_runs_at_most_once() {
--- a/lib/src/caller_api.rs
+++ b/lib/src/caller_api.rs
@@ -31,6 +31,8 @@
 use crate::request_path::no_config;
 use bytes::Bytes;
 use futures_util::stream::unfold;
+use salvo::Depot;
+use salvo::FlowCtrl;
 use salvo::Router;
 use salvo::handler;
 use salvo::http::HeaderValue;
@@ -50,6 +52,7 @@
 /// Returns the router of the callers' API.
 pub fn router(path: RequestPath) -> Router {
     Router::new()
+        .hoop(LeaveConnections { path: path.clone() })
         .push(Router::with_path("v1/generate").post(Generate { path: path.clone() }))
         .push(Router::with_path("v1/call/{service}/{**path}").post(Call { path: path.clone() }))
         .push(Router::with_path("v1/requests/{key}").get(RequestStatus { path: path.clone() }))
@@ -60,6 +63,28 @@
         .push(Router::with_path("{**rest}").goal(UnknownPath))
 }
 
+/// Asks callers to leave their connections from the beginning of a shutdown.
+struct LeaveConnections {
+    path: RequestPath,
+}
+
+#[handler]
+impl LeaveConnections {
+    async fn handle(
+        &self,
+        req: &mut salvo::Request,
+        depot: &mut Depot,
+        res: &mut Response,
+        ctrl: &mut FlowCtrl,
+    ) {
+        ctrl.call_next(req, depot, res).await;
+        if self.path.is_stopping() {
+            let close = HeaderValue::from_static("close");
+            res.headers_mut().insert(header::CONNECTION, close);
+        }
+    }
+}
+
 struct Health;
 
 #[handler]
--- a/lib/src/http_server.rs
+++ b/lib/src/http_server.rs
@@ -12,6 +12,7 @@
 use tokio::net::TcpListener;
 use tokio::net::TcpSocket;
 use tokio::task::JoinHandle;
+use tokio::time::sleep;
 
 /// Maximum size of a request head in bytes.
 const MAX_HEAD_BYTES: usize = 32 * 1024;
@@ -26,6 +27,10 @@
 /// Longest time for which a client may leave written response data unread.
 const WRITE_STALL_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Time for which connections are still accepted and served once they are to be closed, so that a request
+/// that has already arrived is answered.
+const CLOSE_DELAY: Duration = Duration::from_millis(50);
+
 /// Errors of binding a listener.
 #[derive(Debug, thiserror::Error)]
 pub enum ListenError {
@@ -130,9 +135,12 @@
         self.address
     }
 
-    /// Stops accepting connections and waits up to `timeout` for running requests to finish.
+    /// Serves the requests that have already arrived, stops accepting connections, and waits up to
+    /// `timeout` until callers have received their responses.
     pub async fn stop(self, timeout: Duration) {
-        self.handle.stop_graceful(timeout);
+        let delay = CLOSE_DELAY.min(timeout);
+        sleep(delay).await;
+        self.handle.stop_graceful(timeout - delay);
         let _ = self.task.await;
     }
 }
--- a/lib/src/request_path.rs
+++ b/lib/src/request_path.rs
@@ -81,6 +81,7 @@
     leaving: Mutex<BTreeMap<InstanceId, Instant>>,
     running: AtomicUsize,
     moved: AtomicU64,
+    is_stopping: AtomicBool,
     is_draining: AtomicBool,
     /// Cancelled when the requests that still run must end.
     moving: CancellationToken,
@@ -125,6 +126,7 @@
             leaving: Mutex::default(),
             running: AtomicUsize::new(0),
             moved: AtomicU64::new(0),
+            is_stopping: AtomicBool::new(false),
             is_draining: AtomicBool::new(false),
             moving: CancellationToken::new(),
             refresh_needed: Notify::new(),
@@ -164,6 +166,16 @@
         Ok(answer)
     }
 
+    /// Begins a shutdown: requests are still accepted until `drain` is called.
+    pub fn begin_stop(&self) {
+        self.inner.is_stopping.store(true, Ordering::Release);
+    }
+
+    /// Returns whether a shutdown has begun.
+    pub fn is_stopping(&self) -> bool {
+        self.inner.is_stopping.load(Ordering::Acquire)
+    }
+
     /// Drains the node: rejects new requests, waits up to `bound` for running ones to finish, then
     /// hands the remaining streams back to their callers within `move_bound`, answers the other requests
     /// with an error, and returns the number of these streams.
