http_server: a close does not discard what a caller has not received

Callers saw: "connection reset by peer" after 294,912 to 1,007,616 of 6,000,000 bytes, when they had sent bytes that the node had not read: a request behind the one that was answered during a stop, or a body beyond the limit, whose 413 did not arrive (without a stop).

Cause: closing a socket with unread bytes resets its connection, and the system discards what has been sent. The platform's listener was fixed for this, our own was not.

Change: `LingeringStream` moves to the library, for any stream, and the listeners of our own interface use it: a connection is read until its caller has closed it, for at most 1 s.

--- a/daemon/tests/test_node_stop.rs
+++ b/daemon/tests/test_node_stop.rs
@@ -48,6 +48,10 @@
 const LONG_LENGTH: u32 = 900_000;
 /// Length of a call's response that is larger than the buffers of a connection, in bytes.
 const LARGE_BODY: usize = 6_000_000;
+/// Length of a body that is larger than what a node reads while it writes a response, in bytes.
+const NEXT_BODY: usize = 500_000;
+/// Length of a body above the limit of a node, in bytes.
+const TOO_LARGE_BODY: usize = 9_000_000;
 /// Number of requests at once that is larger than the capacity of an upstream.
 const MANY_REQUESTS: usize = 150;
 const TOKEN: &str = "token-of-caller";
@@ -411,6 +415,37 @@
     stand.wait_for_exit(stopped_at).await;
 }
 
+/// Bytes that the node has not read when it closes a connection reset it, and the caller loses the rest of
+/// the response.
+#[tokio::test]
+async fn request_behind_last_answer_does_not_reset_connection() {
+    let mut stand = Stand::new("node-reset").await;
+    let mut stream = connect_with_small_buffer(stand.callers).await;
+    stream.write_all(&call("large", "")).await.unwrap();
+    stream.readable().await.unwrap();
+    let stopped_at = Instant::now();
+    stand.daemon.signal("TERM");
+    sleep(ACCEPT_TIME / 2).await;
+    let next = request("/v1/call/large/x", "", &"b".repeat(NEXT_BODY));
+    stream.write_all(&next[..NEXT_BODY / 2]).await.unwrap();
+    sleep(ACCEPT_TIME).await;
+    let received = receive(stream).await;
+    assert_eq!(received.status(), "200");
+    received.assert_complete();
+    stand.wait_for_exit(stopped_at).await;
+}
+
+/// The node answers without reading the rest of the body.
+#[tokio::test]
+async fn answer_to_body_that_is_too_large_reaches_caller() {
+    let stand = Stand::new("node-large").await;
+    let mut stream = TcpStream::connect(stand.callers).await.unwrap();
+    let body = "a".repeat(TOO_LARGE_BODY);
+    stream.write_all(&request("/v1/call/filing/x", "", &body)).await.unwrap();
+    let received = receive(stream).await;
+    assert_eq!((received.status(), received.is_complete), ("413", true), "{received:?}");
+}
+
 /// A call that was sent to its upstream before the node stopped is not run again under its key.
 #[tokio::test]
 async fn keyed_call_that_a_stop_ends_runs_at_most_once() {
--- a/lib/src/http_server.rs
+++ b/lib/src/http_server.rs
@@ -1,9 +1,15 @@
 //! HTTP listeners of a daemon, with limits on connections, header size and time.
 
+use crate::lingering_stream::LingeringStream;
 use salvo::Router;
 use salvo::Server;
 use salvo::Service;
+use salvo::conn::Accepted;
+use salvo::conn::Acceptor;
+use salvo::conn::Holding;
 use salvo::conn::tcp::TcpAcceptor;
+use salvo::conn::tcp::TcpCoupler;
+use salvo::fuse::ArcFusePolicy;
 use salvo::fuse::FuseConfig;
 use salvo::server::ServerHandle;
 use std::io;
@@ -73,7 +79,29 @@
 /// An HTTP listener that is bound but does not accept connections yet.
 #[derive(Debug)]
 pub struct HttpListener {
-    acceptor: TcpAcceptor,
+    acceptor: LingeringAcceptor,
+}
+
+/// Accepts connections as `LingeringStream`s, whose callers receive a response also if the server has not
+/// read all that they sent.
+#[derive(Debug)]
+struct LingeringAcceptor(TcpAcceptor);
+
+impl Acceptor for LingeringAcceptor {
+    type Coupler = TcpCoupler<Self::Stream>;
+    type Stream = LingeringStream<<TcpAcceptor as Acceptor>::Stream>;
+
+    fn holdings(&self) -> &[Holding] {
+        self.0.holdings()
+    }
+
+    async fn accept(
+        &mut self,
+        fuse_policy: Option<ArcFusePolicy>,
+    ) -> io::Result<Accepted<Self::Coupler, Self::Stream>> {
+        let accepted = self.0.accept(fuse_policy).await?;
+        Ok(accepted.map_into(|_| TcpCoupler::new(), LingeringStream::new))
+    }
 }
 
 /// A running HTTP server.
@@ -90,12 +118,12 @@
         let to_listen_error = |e: &io::Error| ListenError::from_io(setting, address, e);
         let listener = listen(address).map_err(|e| to_listen_error(&e))?;
         let acceptor = TcpAcceptor::try_from(listener).map_err(|e| to_listen_error(&e))?;
-        Ok(Self { acceptor })
+        Ok(Self { acceptor: LingeringAcceptor(acceptor) })
     }
 
     /// Returns the bound address.
     pub fn local_addr(&self) -> Option<SocketAddr> {
-        self.acceptor.local_addr().ok()
+        self.acceptor.0.local_addr().ok()
     }
 
     /// Starts to serve a router with at most `max_connections` concurrent connections.
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -66,6 +66,7 @@
 pub mod ledger_writer;
 pub mod level_sampler;
 pub mod limited_body;
+pub mod lingering_stream;
 pub mod load_schedule;
 pub mod log_account;
 pub mod log_explain;
--- a/serving/src/lingering_stream.rs
+++ b/lib/src/lingering_stream.rs
@@ -1,4 +1,4 @@
-//! TCP stream of a caller that is closed only after the caller has closed its side, or after a short
+//! Stream of a caller that is closed only after the caller has closed its side, or after a short
 //! time. If it were closed with unread received bytes, the system would reset the connection, and the
 //! caller would lose the part of the response that it has not received yet.
 
@@ -12,7 +12,6 @@
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
-use tokio::net::TcpStream;
 use tokio::time::Sleep;
 use tokio::time::sleep;
 
@@ -21,20 +20,22 @@
 /// Size of the buffer for discarded bytes.
 const DISCARD_BUFFER: usize = 4096;
 
-/// A TCP stream whose shutdown reads and discards what the peer still sends.
+/// A stream whose shutdown reads and discards what the peer still sends.
 #[derive(Debug)]
-pub struct LingeringStream {
-    stream: TcpStream,
+pub struct LingeringStream<S> {
+    stream: S,
     /// End of the shutdown; set once the write side has been shut down.
     linger: Option<Pin<Box<Sleep>>>,
 }
 
-impl LingeringStream {
+impl<S> LingeringStream<S> {
     /// Wraps a connected stream.
-    pub fn new(stream: TcpStream) -> Self {
+    pub fn new(stream: S) -> Self {
         Self { stream, linger: None }
     }
+}
 
+impl<S: AsyncRead + Unpin> LingeringStream<S> {
     /// Reads and discards bytes until the peer has closed its side.
     fn poll_discard(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         loop {
@@ -48,7 +49,7 @@
     }
 }
 
-impl AsyncRead for LingeringStream {
+impl<S: AsyncRead + Unpin> AsyncRead for LingeringStream<S> {
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
@@ -58,7 +59,7 @@
     }
 }
 
-impl AsyncWrite for LingeringStream {
+impl<S: AsyncRead + AsyncWrite + Unpin> AsyncWrite for LingeringStream<S> {
     fn poll_write(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
--- a/serving/src/lib.rs
+++ b/serving/src/lib.rs
@@ -48,7 +48,6 @@
 pub mod key_hash;
 pub mod lease_manager;
 pub mod lease_state;
-pub mod lingering_stream;
 pub mod list_part_sync;
 pub mod list_parts;
 pub mod listeners;
--- a/serving/src/listeners.rs
+++ b/serving/src/listeners.rs
@@ -1,11 +1,11 @@
 //! HTTP listeners of a node, with limits on connections, header size and idle time.
 
 use crate::directory;
-use crate::lingering_stream::LingeringStream;
 use crate::local_response;
 use crate::request_handler;
 use crate::response_body::ResponseBody;
 use crate::serving_cx::ServingCx;
+use guavaladder_lib::lingering_stream::LingeringStream;
 use http::HeaderValue;
 use http::Request;
 use http::Response;
