--- a/daemon/tests/process.rs
+++ b/daemon/tests/process.rs
@@ -186,6 +186,11 @@
         Self { child }
     }
 
+    /// Returns the id of the process.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Sends a signal to the daemon, for example `TERM`.
     pub fn signal(&self, name: &str) {
         let pid = self.child.id().to_string();
--- a/daemon/tests/runner.rs
+++ b/daemon/tests/runner.rs
@@ -1,6 +1,7 @@
 //! Test binary with all integration tests of the daemon.
 
 mod kept_callers;
+#[expect(dead_code, reason = "shared with the other test binary")]
 mod process;
 mod stop_fleet;
 mod test_lifecycle;
