serving: give the place of a waiting connection to a new one at the limit

Callers that opened connections and sent nothing, a part of a head, or a part of a body kept all others out: at its limit of connections the listener closed each new one until the crowd left.

Cause: places went to whoever asked first, and none was taken back. Each connection now records whether it is idle, in a head, in a body or busy. At the limit the one that has waited longest for its peer is closed: stalled heads first, then stalled bodies, then idle ones. Its own task closes it, after one more poll, so a request that arrives meanwhile is served; while a request runs or its response is unwritten, the connection keeps its place. If all are busy, the new one is closed as before. Connections are searched only at the limit.

--- /dev/null
+++ b/serving/src/connection_state.rs
@@ -0,0 +1,211 @@
+//! What a listener's connection is doing, as its stream and its requests record it.
+
+use crate::response_body::ResponseBody;
+use bytes::Bytes;
+use hyper::body::Body;
+use hyper::body::Frame;
+use hyper::body::SizeHint;
+use std::io;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::task::Context;
+use std::task::Poll;
+use tokio::sync::Notify;
+use tokio::time::Instant;
+
+/// Part of an exchange that a connection is in.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum ConnectionPhase {
+    /// No byte of a request head has been received.
+    Idle,
+    /// A part of a request head has been received.
+    Head,
+    /// A part of a request body has been received; the request has not been passed on.
+    Body,
+    /// A request runs, or its response has not been written completely.
+    Busy,
+}
+
+impl ConnectionPhase {
+    /// All phases.
+    pub const ALL: [Self; 4] = [Self::Idle, Self::Head, Self::Body, Self::Busy];
+
+    /// Returns the label of the phase in metrics.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Idle => "idle",
+            Self::Head => "head",
+            Self::Body => "body",
+            Self::Busy => "busy",
+        }
+    }
+}
+
+/// State of one connection. Only the task of the connection changes it.
+#[derive(Debug)]
+pub struct ConnectionState {
+    activity: Mutex<Activity>,
+    close_requested: Notify,
+    close_answered: Notify,
+}
+
+#[derive(Debug)]
+struct Activity {
+    phase: ConnectionPhase,
+    /// When the phase began, or the last part of the body was received.
+    since: Instant,
+    /// Whether bytes were received while a request ran: they belong to the next head.
+    has_read_ahead: bool,
+    /// Whether a part of the last response is still to be written.
+    is_unflushed: bool,
+}
+
+impl ConnectionState {
+    /// Returns the state of a connection that has just been accepted.
+    pub fn new() -> Self {
+        let activity = Activity {
+            phase: ConnectionPhase::Idle,
+            since: Instant::now(),
+            has_read_ahead: false,
+            is_unflushed: false,
+        };
+        Self {
+            activity: Mutex::new(activity),
+            close_requested: Notify::new(),
+            close_answered: Notify::new(),
+        }
+    }
+
+    /// Returns the phase and when it began. In a body, it is the time at which the last part was received.
+    pub fn phase(&self) -> (ConnectionPhase, Instant) {
+        let activity = self.lock();
+        match activity.is_unflushed {
+            true => (ConnectionPhase::Busy, activity.since),
+            false => (activity.phase, activity.since),
+        }
+    }
+
+    /// Returns whether the connection waits for its peer, and holds no response.
+    pub fn is_waiting(&self) -> bool {
+        self.phase().0 != ConnectionPhase::Busy
+    }
+
+    /// Records that bytes were received.
+    pub fn record_read(&self) {
+        let mut activity = self.lock();
+        match activity.phase {
+            ConnectionPhase::Idle => activity.begin(ConnectionPhase::Head),
+            ConnectionPhase::Head => {}
+            ConnectionPhase::Body => activity.since = Instant::now(),
+            ConnectionPhase::Busy => activity.has_read_ahead = true,
+        }
+    }
+
+    /// Records that a request head is complete.
+    pub fn record_head(&self, has_body: bool) {
+        let mut activity = self.lock();
+        activity.has_read_ahead = false;
+        activity.begin(match has_body {
+            true => ConnectionPhase::Body,
+            false => ConnectionPhase::Busy,
+        });
+    }
+
+    /// Records that a request is complete and may be passed on from now on.
+    pub fn record_request(&self) {
+        self.lock().phase = ConnectionPhase::Busy;
+    }
+
+    /// Records that no further part of a response follows.
+    fn record_response_end(&self) {
+        let mut activity = self.lock();
+        let next = match activity.has_read_ahead {
+            true => ConnectionPhase::Head,
+            false => ConnectionPhase::Idle,
+        };
+        activity.begin(next);
+        activity.is_unflushed = true;
+    }
+
+    /// Records that all bytes so far have been written.
+    pub fn record_flush(&self) {
+        self.lock().is_unflushed = false;
+    }
+
+    /// Asks the task of the connection to close it, and waits until the connection is closed or the task has
+    /// declined since a request has arrived.
+    pub async fn close(&self) {
+        self.close_requested.notify_one();
+        self.close_answered.notified().await;
+    }
+
+    /// Waits until the connection is to be closed.
+    pub async fn close_requested(&self) {
+        self.close_requested.notified().await;
+    }
+
+    /// Answers a request to close the connection: it was closed, or stays open.
+    pub fn answer_close(&self) {
+        self.close_answered.notify_one();
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Activity> {
+        self.activity.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Default for ConnectionState {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Activity {
+    fn begin(&mut self, phase: ConnectionPhase) {
+        self.phase = phase;
+        self.since = Instant::now();
+    }
+}
+
+/// Body of a response that records its end in the state of its connection.
+#[derive(Debug)]
+pub struct RecordedBody {
+    body: ResponseBody,
+    connection: Arc<ConnectionState>,
+}
+
+impl RecordedBody {
+    /// Wraps the body of a response on a connection.
+    pub fn new(body: ResponseBody, connection: Arc<ConnectionState>) -> Self {
+        Self { body, connection }
+    }
+}
+
+impl Drop for RecordedBody {
+    fn drop(&mut self) {
+        self.connection.record_response_end();
+    }
+}
+
+impl Body for RecordedBody {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
+        Pin::new(&mut self.body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
--- a/serving/src/listeners.rs
+++ b/serving/src/listeners.rs
@@ -1,7 +1,13 @@
 //! HTTP listeners of a node, with limits on connections, header size and idle time.
 
+use crate::connection_pressure::ConnectionPressure;
+use crate::connection_state::ConnectionState;
+use crate::connection_state::RecordedBody;
+use crate::connection_table::ConnectionPlace;
+use crate::connection_table::ConnectionTable;
 use crate::directory;
 use crate::local_response;
+use crate::recorded_stream::RecordedStream;
 use crate::request_handler;
 use crate::response_body::ResponseBody;
 use crate::serving_cx::ServingCx;
@@ -10,6 +16,7 @@
 use http::Request;
 use http::Response;
 use http::header;
+use hyper::body::Body;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -48,12 +55,27 @@
     Callers,
     /// Requests of callers that other nodes pass on.
     Relay,
-    /// Readiness probes and resolve queries.
+    /// Readiness probes of the platform.
+    Readiness,
+    /// Resolve queries of callers.
     Directory,
     /// Metrics in text format.
     Metrics,
 }
 
+impl ListenerRole {
+    /// Returns the label of the listener in metrics.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Callers => "callers",
+            Self::Relay => "relay",
+            Self::Readiness => "readiness",
+            Self::Directory => "directory",
+            Self::Metrics => "metrics",
+        }
+    }
+}
+
 /// Error of binding a listener.
 #[derive(Debug, thiserror::Error)]
 #[error(
@@ -121,6 +143,9 @@
         ListenerRole::Relay => cx.settings.max_descriptors / 8,
         _ => cx.settings.max_descriptors / 2,
     };
+    let table = ConnectionTable::new(role.label(), max_connections);
+    cx.connections.add(table.clone());
+    let mut pressure = ConnectionPressure::new(table.clone());
     let connections = TaskTracker::new();
     // The connections that wait to be accepted are served like the others before the listener closes.
     let closed = async {
@@ -142,13 +167,16 @@
                 continue;
             }
         };
-        if connections.len() >= max_connections {
-            log::debug!(
-                "closed a new connection: the limit of {max_connections} open connections is reached"
-            );
+        if table.is_full() && !pressure.make_room(&cx).await {
             continue;
         }
-        connections.spawn(serve_connection(cx.clone(), stream, role, shutdown.clone()));
+        connections.spawn(serve_connection(
+            cx.clone(),
+            stream,
+            table.add(),
+            role,
+            shutdown.clone(),
+        ));
     }
     drop(listener);
     connections.close();
@@ -159,6 +187,7 @@
 async fn serve_connection(
     cx: ServingCx,
     stream: TcpStream,
+    place: ConnectionPlace,
     role: ListenerRole,
     shutdown: CancellationToken,
 ) {
@@ -166,44 +195,65 @@
         log::debug!("failed to set TCP_NODELAY: {e}");
     }
     let limits = cx.config.get().map(|table| table.config.limits).unwrap_or_default();
+    let state = place.state.clone();
     let service = service_fn(|req| {
-        let cx = cx.clone();
-        async move { Ok::<_, Infallible>(dispatch(&cx, role, req).await) }
+        let (cx, state) = (cx.clone(), state.clone());
+        async move {
+            let response = dispatch(&cx, &state, role, req).await;
+            Ok::<_, Infallible>(response.map(|body| RecordedBody::new(body, state)))
+        }
     });
     let mut builder = http1::Builder::new();
     builder
         .timer(TokioTimer::new())
         .header_read_timeout(limits.idle_timeout + IDLE_TIMEOUT_MARGIN)
         .max_buf_size((limits.max_header_bytes + 1024).max(8192));
-    let connection = builder.serve_connection(TokioIo::new(LingeringStream::new(stream)), service);
+    let stream = LingeringStream::new(RecordedStream::new(stream, state.clone()));
+    let connection = builder.serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
     let closing = async {
         shutdown.cancelled().await;
         sleep(CLOSE_DELAY).await;
     };
-    let ended = tokio::select! {
-        biased;
-        ended = connection.as_mut() => ended,
-        () = closing => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
+    let mut closing = std::pin::pin!(closing);
+    let mut is_closing = false;
+    loop {
+        tokio::select! {
+            biased;
+            ended = connection.as_mut() => {
+                if let Err(e) = ended {
+                    log::debug!("connection closed with an error: {e}");
+                }
+                return;
+            }
+            () = closing.as_mut(), if !is_closing => {
+                is_closing = true;
+                connection.as_mut().graceful_shutdown();
+            }
+            () = state.close_requested() => {
+                // A request may have been received since the connection was chosen.
+                if state.is_waiting() {
+                    return;
+                }
+                state.answer_close();
+            }
         }
-    };
-    if let Err(e) = ended {
-        log::debug!("connection closed with an error: {e}");
     }
 }
 
 async fn dispatch(
     cx: &ServingCx,
+    state: &ConnectionState,
     role: ListenerRole,
     req: Request<Incoming>,
 ) -> Response<ResponseBody> {
+    let is_forwarded = matches!(role, ListenerRole::Callers | ListenerRole::Relay);
+    state.record_head(is_forwarded && !req.body().is_end_stream());
     match role {
         ListenerRole::Callers | ListenerRole::Relay => {
             let mut response = match role {
-                ListenerRole::Relay => request_handler::handle_relayed(cx, req).await,
-                _ => request_handler::handle(cx, req).await,
+                ListenerRole::Relay => request_handler::handle_relayed(cx, state, req).await,
+                _ => request_handler::handle(cx, state, req).await,
             };
             if cx.stop.times().is_some() {
                 let close = HeaderValue::from_static("close");
@@ -211,8 +261,9 @@
             }
             response
         }
-        ListenerRole::Directory => directory::handle(cx, &req),
+        ListenerRole::Readiness | ListenerRole::Directory => directory::handle(cx, &req),
         ListenerRole::Metrics => {
+            cx.connections.record(&cx.metrics);
             local_response::text(http::StatusCode::OK, cx.metrics.render().trim_end())
         }
     }
--- a/serving/src/request_handler.rs
+++ b/serving/src/request_handler.rs
@@ -1,6 +1,7 @@
 //! Entry point for requests of callers: matches a request to a route and a customer, reads its body and
 //! dispatches it to the forwarder for the kind of the route.
 
+use crate::connection_state::ConnectionState;
 use crate::crash_keys::CrashKeys;
 use crate::demand_sync;
 use crate::dialect::RequestHead;
@@ -43,19 +44,27 @@
 const MAX_DEADLINE: Duration = Duration::from_secs(600);
 
 /// Handles a request of a caller and returns the response.
-pub async fn handle(cx: &ServingCx, req: Request<Incoming>) -> Response<ResponseBody> {
-    handle_request(cx, req, None).await
+pub async fn handle(
+    cx: &ServingCx,
+    connection: &ConnectionState,
+    req: Request<Incoming>,
+) -> Response<ResponseBody> {
+    handle_request(cx, connection, req, None).await
 }
 
 /// Handles a request of a caller that another node passes on. It is not passed on again.
-pub async fn handle_relayed(cx: &ServingCx, mut req: Request<Incoming>) -> Response<ResponseBody> {
+pub async fn handle_relayed(
+    cx: &ServingCx,
+    connection: &ConnectionState,
+    mut req: Request<Incoming>,
+) -> Response<ResponseBody> {
     let ticket = node_relay::take_ticket(cx, &mut req);
     let is_outdated = cx.evacuations.is_outdated(Instant::now());
     let can_send = cx.config.get().is_some() && !cx.reach.is_cut() && !is_outdated;
     match ticket.filter(|_| can_send && !cx.stop.is_refusing(Instant::now())) {
         Some(ticket) => {
             cx.metrics.relayed("received");
-            handle_request(cx, req, Some(ticket)).await
+            handle_request(cx, connection, req, Some(ticket)).await
         }
         None => node_relay::unavailable(),
     }
@@ -63,6 +72,7 @@
 
 async fn handle_request(
     cx: &ServingCx,
+    connection: &ConnectionState,
     req: Request<Incoming>,
     ticket: Option<RelayTicket>,
 ) -> Response<ResponseBody> {
@@ -82,7 +92,9 @@
         return incoming.reject("unknown", &Rejection::UnknownEvacuations);
     }
     let _running = cx.running.begin_request();
-    match read_request(&incoming, &table, parts, head, body, received).await {
+    let request = read_request(&incoming, &table, parts, head, body, received).await;
+    connection.record_request();
+    match request {
         Ok(task) if cx.stop.is_refusing(Instant::now()) => {
             incoming.reject(&task.route, &Rejection::Stopping)
         }
--- a/serving/src/serving_cx.rs
+++ b/serving/src/serving_cx.rs
@@ -3,6 +3,7 @@
 use crate::admission_stats::AdmissionStats;
 use crate::awaited_config::AwaitedConfig;
 use crate::cold_instances::ColdInstances;
+use crate::connection_table::ConnectionTables;
 use crate::crash_record::CrashRecord;
 use crate::dialect::Dialect;
 use crate::down_reports::DownReports;
@@ -110,6 +111,8 @@
     pub lease: LeaseState,
     /// Connection pool for the replicas.
     pub pool: UpstreamPool,
+    /// Open connections of the listeners.
+    pub connections: ConnectionTables,
     /// Number of running requests.
     pub running: RunningRequests,
     /// Instances that are cold.
@@ -176,6 +179,7 @@
             lease: LeaseState::new(clock.clone(), store.era().clone()),
             store,
             pool: UpstreamPool::new(network.clone(), metrics.clone(), reach),
+            connections: ConnectionTables::new(),
             running: RunningRequests::new(),
             cold: ColdInstances::new(),
             stop: NodeStop::new(),
--- a/serving/src/serving_metrics.rs
+++ b/serving/src/serving_metrics.rs
@@ -20,7 +20,7 @@
 const QUANTILES: [f64; 4] = [0.5, 0.9, 0.95, 0.99];
 
 /// Names of all metrics with their help texts.
-pub const CATALOGUE: [(&str, &str); 31] = [
+pub const CATALOGUE: [(&str, &str); 33] = [
     ("requests_total", "Requests of callers, by route and outcome."),
     ("first_event_seconds", "Time to the first byte of an answer, by route, in seconds."),
     ("request_seconds", "Time to the end of an answer, by route, in seconds."),
@@ -100,6 +100,14 @@
         "instances_by_use",
         "Instances of a measured service, by service and use. Set by the holder of the lease.",
     ),
+    (
+        "open_connections",
+        "Open connections, by listener and state: idle, in an unfinished head or body, or busy with a request.",
+    ),
+    (
+        "connections_closed_total",
+        "Connections that the node closed, by listener and reason: to make room for others (idle, head or body), or since all others were busy (refused).",
+    ),
 ];
 
 /// Handle to the metrics of a node.
@@ -171,6 +179,18 @@
         self.count("connections_opened_total", &[("service", service)], 1);
     }
 
+    /// Sets the number of open connections of a listener in a state.
+    pub fn open_connections(&self, listener: &str, state: &str, connections: u64) {
+        let labels = [("listener", listener), ("state", state)];
+        self.set("open_connections", &labels, connections);
+    }
+
+    /// Counts a connection of a listener that the node closed.
+    pub fn connection_closed(&self, listener: &str, reason: &str) {
+        let labels = [("listener", listener), ("reason", reason)];
+        self.count("connections_closed_total", &labels, 1);
+    }
+
     /// Counts a call to the store.
     pub fn store_call(&self, call: &str, kind: ObjectKind) {
         let kind = match kind {
--- a/serving/src/serving_node.rs
+++ b/serving/src/serving_node.rs
@@ -90,7 +90,7 @@
         let callers = serve(callers, ListenerRole::Callers, &closing_callers);
         let relay = serve(relay, ListenerRole::Relay, &closing_callers);
         serve(directory, ListenerRole::Directory, &stopping);
-        serve(readiness, ListenerRole::Directory, &stopping);
+        serve(readiness, ListenerRole::Readiness, &stopping);
         if let Some(metrics) = metrics {
             serve(metrics, ListenerRole::Metrics, &stopping);
         }
--- a/serving/tests/fleet.rs
+++ b/serving/tests/fleet.rs
@@ -47,6 +47,8 @@
     pub retry_slack: u64,
     /// Bound of an evacuation at the nodes started from now on, in seconds.
     pub evacuate_s: Option<f64>,
+    /// Descriptors that the nodes started from now on may use; `None` for the default.
+    pub max_descriptors: Option<u32>,
 }
 
 impl Fleet {
@@ -80,6 +82,7 @@
             started: vec![],
             retry_slack: 100,
             evacuate_s: None,
+            max_descriptors: None,
         }
     }
 
@@ -141,6 +144,9 @@
             settings["bounds"]["evacuate_s"] = json!(evacuate_s);
             settings["data_centres"] = json!(["east", "west"]);
         }
+        if let Some(max_descriptors) = self.max_descriptors {
+            settings["max_descriptors"] = json!(max_descriptors);
+        }
         let settings = serving_settings::parse(&settings.to_string()).expect("valid settings");
         let dialect = Arc::new(PlatformDialect::new());
         self.nodes.push(ServingNode::start(settings, dialect).await.expect("a node"));
