serving: close connections whose request head takes too long

A caller that sent a part of a request head held its connection for the idle timeout and 2 s, whatever `headerTimeoutMs` of the configuration said: the value was decoded and used nowhere.

Cause: hyper's timeout for heads starts when a connection becomes idle, so it was used as the idle timeout, and nothing bounded the head itself. The listener now has a timer for the phase of the connection: idle connections are closed as before, and a head that is not complete `headerTimeoutMs` and 2 s after its first byte closes its connection. The idle time before does not count, and the margin keeps callers within the limit from meeting it. The timer is set again only once it has expired.

unfinished_head_is_closed_after_the_header_timeout failed before (still open after 20 s, with 300 ms allowed) and passes now, for the first head of a connection and for a later one. The idle timeout has a test, too.

--- a/serving/src/connection_state.rs
+++ b/serving/src/connection_state.rs
@@ -126,13 +126,16 @@
             true => ConnectionPhase::Head,
             false => ConnectionPhase::Idle,
         };
-        activity.begin(next);
+        activity.phase = next;
         activity.is_unflushed = true;
     }
 
     /// Records that all bytes so far have been written.
     pub fn record_flush(&self) {
-        self.lock().is_unflushed = false;
+        let mut activity = self.lock();
+        if std::mem::take(&mut activity.is_unflushed) && activity.phase != ConnectionPhase::Body {
+            activity.since = Instant::now();
+        }
     }
 
     /// Asks the task of the connection to close it, and waits until the connection is closed or the task has
--- a/serving/src/lib.rs
+++ b/serving/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod connection_pressure;
 pub mod connection_state;
 pub mod connection_table;
+pub mod connection_timer;
 pub mod crash_keys;
 pub mod crash_record;
 pub mod crash_store;
--- a/serving/src/listeners.rs
+++ b/serving/src/listeners.rs
@@ -1,11 +1,14 @@
 //! HTTP listeners of a node, with limits on connections, header size and idle time.
 
 use crate::connection_pressure::ConnectionPressure;
+use crate::connection_state::ConnectionPhase;
 use crate::connection_state::ConnectionState;
 use crate::connection_state::RecordedBody;
 use crate::connection_table::ConnectionPlace;
 use crate::connection_table::ConnectionTable;
+use crate::connection_timer::ConnectionTimer;
 use crate::directory;
+use crate::fleet_config::CallerLimits;
 use crate::local_response;
 use crate::recorded_stream::RecordedStream;
 use crate::request_handler;
@@ -26,6 +29,7 @@
 use socket2::Socket;
 use socket2::Type;
 use std::convert::Infallible;
+use std::future::poll_fn;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -34,6 +38,7 @@
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
+use tokio::time::Instant;
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
@@ -48,6 +53,10 @@
 /// Time added to the idle timeout of callers, so that the caller closes an idle connection first.
 const IDLE_TIMEOUT_MARGIN: Duration = Duration::from_secs(2);
 
+/// Time added to the timeout of request heads, so that a caller within it is served whatever the delay of the
+/// network.
+const HEADER_TIMEOUT_MARGIN: Duration = Duration::from_secs(2);
+
 /// Kind of requests that a listener serves.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ListenerRole {
@@ -204,9 +213,10 @@
         }
     });
     let mut builder = http1::Builder::new();
+    // The timeout of hyper also counts the idle time before a head.
     builder
         .timer(TokioTimer::new())
-        .header_read_timeout(limits.idle_timeout + IDLE_TIMEOUT_MARGIN)
+        .header_read_timeout(None)
         .max_buf_size((limits.max_header_bytes + 1024).max(8192));
     let stream = LingeringStream::new(RecordedStream::new(stream, state.clone()));
     let connection = builder.serve_connection(TokioIo::new(stream), service);
@@ -217,6 +227,7 @@
     };
     let mut closing = std::pin::pin!(closing);
     let mut is_closing = false;
+    let mut timer = ConnectionTimer::new();
     loop {
         tokio::select! {
             biased;
@@ -237,7 +248,24 @@
                 }
                 state.answer_close();
             }
+            () = poll_fn(|task_cx| timer.poll(task_cx, deadline(&state, &limits))) => {
+                if state.phase().0 == ConnectionPhase::Head {
+                    cx.metrics.connection_closed(role.label(), "header_timeout");
+                }
+                return;
+            }
+        }
+    }
+}
+
+/// Returns when a connection is closed unless its peer sends more.
+fn deadline(state: &ConnectionState, limits: &CallerLimits) -> Option<Instant> {
+    match state.phase() {
+        (ConnectionPhase::Idle, since) => Some(since + limits.idle_timeout + IDLE_TIMEOUT_MARGIN),
+        (ConnectionPhase::Head, since) => {
+            Some(since + limits.header_timeout + HEADER_TIMEOUT_MARGIN)
         }
+        (ConnectionPhase::Body | ConnectionPhase::Busy, _) => None,
     }
 }
 
--- a/serving/src/serving_metrics.rs
+++ b/serving/src/serving_metrics.rs
@@ -106,7 +106,7 @@
     ),
     (
         "connections_closed_total",
-        "Connections that the node closed, by listener and reason: to make room for others (idle, head or body), or since all others were busy (refused).",
+        "Connections that the node closed, by listener and reason: to make room for others (idle, head or body), since all others were busy (refused), or since a head took too long (header_timeout).",
     ),
 ];
 
--- a/serving/tests/runner.rs
+++ b/serving/tests/runner.rs
@@ -7,6 +7,7 @@
 mod test_admission_load;
 mod test_attempts;
 mod test_cold_instances;
+mod test_connection_timeouts;
 mod test_connections;
 mod test_crash_record;
 mod test_crash_sync;
