serving: bound the receive buffers of accepted connections

A caller could send megabytes behind a running request. The platform counts bytes that a process has received and not yet read as its memory, and the resident size does not show them.

Cause: the kernel grows the receive buffer of a connection while a large body is read, and nothing took it back. The listening sockets now have a buffer of a fixed size, which accepted connections inherit. An error of setting it is no reason not to listen.

bytes_behind_a_running_request_stay_bounded failed before (1,440,626 bytes taken behind a running request, after a body of 4 MiB; 256 KiB are allowed) and passes now. Links with a delay were not measured.

--- a/serving/src/listeners.rs
+++ b/serving/src/listeners.rs
@@ -46,6 +46,9 @@
 
 /// Maximum number of connections that wait to be accepted.
 const ACCEPT_BACKLOG: i32 = 1024;
+/// Size of the receive buffer of an accepted connection, which the kernel doubles. Without it, the buffer grows to
+/// megabytes, which the process holds while it does not read.
+const RECEIVE_BUFFER: usize = 64 << 10;
 /// Delay after a failed `accept`, for example when no file descriptors are left.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 /// Time for which a connection is still served once it is to be closed, so that a request that has already
@@ -146,6 +149,10 @@
         let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
         socket.set_reuse_address(true)?;
         socket.set_nonblocking(true)?;
+        // Accepted connections inherit the size.
+        if let Err(e) = socket.set_recv_buffer_size(RECEIVE_BUFFER) {
+            log::debug!("failed to set the size of receive buffers: {e}");
+        }
         socket.bind(&address.into())?;
         socket.listen(ACCEPT_BACKLOG)?;
         TcpListener::from_std(socket.into())
--- a/serving/tests/runner.rs
+++ b/serving/tests/runner.rs
@@ -42,6 +42,7 @@
 mod test_partitioned_nodes;
 mod test_pause_record;
 mod test_peer_codec;
+mod test_pipelined_bytes;
 mod test_placement;
 mod test_rate_limited_log;
 mod test_rate_limits;
