node: a late process answers what is due before it exits

Each step of the stop looked at the clock for itself, so that the steps of a late process fell together, and the exit won.

The exit now follows 0.1 s after a late process has noticed it, twice the time that requests get to be read and answered. The platform kills the process no sooner than before: a process that exits at once and one that is killed while it answers lose the same.

--- a/daemon/tests/test_serving_stop_streams.rs
+++ b/daemon/tests/test_serving_stop_streams.rs
@@ -44,14 +44,14 @@
     send(&mut requests, &fleet, "POST", "/speak/pause-4000");
     send(&mut requests, &fleet, "POST", "/book/work-4000");
     assert!(!fleet.wait_for_exit(0, stopped).await, "the process had to be killed");
-    requests.join_all().await;
+    let requests = requests.join_all().await;
     let log = std::fs::read_to_string(&fleet.daemons[0].log).unwrap();
     let lost: Vec<&str> = log.lines().filter(|line| line.contains("GL0526")).collect();
     for cause in
         ["no response before this node stopped", "no end of the stream before this node stopped"]
     {
         let count = lost.iter().filter(|line| line.contains(cause)).count();
-        assert_eq!(count, 1, "{cause}: {lost:?}");
+        assert_eq!(count, 1, "{cause}: {lost:?}; {requests:?}");
     }
 }
 
@@ -105,3 +105,25 @@
         assert_eq!(request.outcome, Outcome::Complete(503), "{request:?}");
     }
 }
+
+/// The process does not run from before the time at which requests without a response are answered until after
+/// that at which it exits.
+#[tokio::test]
+async fn requests_at_replicas_are_not_answered_since_process_is_late() {
+    let mut fleet = start("stop-late-answers", Duration::from_millis(20)).await;
+    let (mut requests, stopped) = (JoinSet::new(), Instant::now());
+    fleet.daemons[0].process.signal("TERM");
+    sleep_until(stopped + Duration::from_millis(300)).await;
+    for _ in 0..4 {
+        send(&mut requests, &fleet, "POST", "/book/work-7000");
+        send(&mut requests, &fleet, "GET", "/look/work-7000");
+    }
+    sleep_until(stopped + ANSWERS_DUE - Duration::from_millis(150)).await;
+    fleet.daemons[0].process.signal("STOP");
+    sleep_until(stopped + EXIT + Duration::from_millis(30)).await;
+    fleet.daemons[0].process.signal("CONT");
+    assert!(!fleet.wait_for_exit(0, stopped).await, "the process had to be killed");
+    for request in requests.join_all().await {
+        assert_eq!(request.outcome, Outcome::Complete(504), "{request:?}");
+    }
+}
--- a/serving/src/serving_node.rs
+++ b/serving/src/serving_node.rs
@@ -13,7 +13,9 @@
 use crate::listeners::ListenerRole;
 use crate::network::Network;
 use crate::node_registry;
+use crate::node_stop::CATCH_UP_TIME;
 use crate::node_stop::StopTimes;
+use crate::node_stop::sleep_until_caught_up;
 use crate::peer_exchange::PeerExchange;
 use crate::replica_health;
 use crate::serving_cx::ServingCx;
@@ -31,13 +33,14 @@
 use tokio::time::Instant;
 use tokio::time::sleep;
 use tokio::time::sleep_until;
-use tokio::time::timeout_at;
 use tokio_util::sync::CancellationToken;
 
 /// Capacity of the queue of instance list changes that wait to be sent to the other nodes.
 const DELTA_QUEUE_LEN: usize = 16;
 /// Interval at which a stopping node checks whether its requests have finished.
 const STOP_POLL_PERIOD: Duration = Duration::from_millis(50);
+/// Time for which a process that is late at the end of a shutdown still writes its last responses.
+const EXIT_CATCH_UP_TIME: Duration = CATCH_UP_TIME.saturating_mul(2);
 /// Interval at which the process checks whether it was paused.
 const PAUSE_CHECK_PERIOD: Duration = Duration::from_millis(500);
 
@@ -146,6 +149,7 @@
         let cx = &self.cx;
         let running = cx.running.get() as u64;
         let times = StopTimes::new(started, cx.settings.shutdown);
+        let exit = sleep_until_caught_up(times.exit, EXIT_CATCH_UP_TIME);
         cx.stop.begin(times);
         cx.phase.send_replace(NodePhase::Leaving);
         cx.log.record(Event::ServingStopping { node: cx.node().to_string(), running });
@@ -163,14 +167,25 @@
         }
         // Requests that arrive later might not be answered before the process exits.
         self.closing_callers.cancel();
-        for (listener, name) in [(self.callers, "callers"), (self.relay, "other nodes")] {
-            match timeout_at(times.exit, listener).await {
-                Ok(Ok(())) => {}
-                Ok(Err(e)) => log::warn!("the listener for {name} failed: {e}"),
-                Err(_) => log::info!("stopped before all {name} had received their responses"),
+        let (mut callers, mut relay, mut unregistered) = (self.callers, self.relay, unregistered);
+        let finished = async {
+            for task in [&mut callers, &mut relay, &mut unregistered] {
+                if let Err(e) = task.await {
+                    log::warn!("a task of the shutdown failed: {e}");
+                }
+            }
+        };
+        tokio::select! {
+            biased;
+            () = finished => {}
+            () = exit => {}
+        }
+        for (listener, name) in [(callers, "callers"), (relay, "other nodes")] {
+            if !listener.is_finished() {
+                log::info!("stopped before all {name} had received their responses");
             }
         }
-        if timeout_at(times.exit, unregistered).await.is_err() {
+        if !unregistered.is_finished() {
             log::info!("stopped before the store confirmed that this node is unregistered");
         }
         self.stopping.cancel();
