serving: bound what is read after a refusal

A caller that went on sending after its request was refused made the node read for a second, as fast as it could send, and any number of callers could do so at once.

Cause: discarding, which keeps the system from resetting a connection before the caller has its response, was bounded by time only. A connection that discards gives its place to a new one like a stalled body.

--- a/lib/src/http_server.rs
+++ b/lib/src/http_server.rs
@@ -1,5 +1,6 @@
 //! HTTP listeners of a daemon, with limits on connections, header size and time.
 
+use crate::lingering_stream::LingerLimit;
 use crate::lingering_stream::LingeringStream;
 use salvo::Router;
 use salvo::Server;
@@ -14,9 +15,11 @@
 use salvo::server::ServerHandle;
 use std::io;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::net::TcpSocket;
+use tokio::sync::Semaphore;
 use tokio::task::JoinHandle;
 use tokio::time::sleep;
 
@@ -37,6 +40,11 @@
 /// that has already arrived is answered.
 const CLOSE_DELAY: Duration = Duration::from_millis(50);
 
+/// Maximum number of connections of a listener whose bytes are discarded at once.
+const MAX_LINGERING: usize = 1024;
+/// Maximum number of bytes that are discarded on one connection.
+const MAX_DISCARDED_BYTES: usize = 8 << 20;
+
 /// Errors of binding a listener.
 #[derive(Debug, thiserror::Error)]
 pub enum ListenError {
@@ -85,22 +93,27 @@
 /// Accepts connections as `LingeringStream`s, whose callers receive a response also if the server has not
 /// read all that they sent.
 #[derive(Debug)]
-struct LingeringAcceptor(TcpAcceptor);
+struct LingeringAcceptor {
+    acceptor: TcpAcceptor,
+    limit: LingerLimit,
+}
 
 impl Acceptor for LingeringAcceptor {
     type Coupler = TcpCoupler<Self::Stream>;
     type Stream = LingeringStream<<TcpAcceptor as Acceptor>::Stream>;
 
     fn holdings(&self) -> &[Holding] {
-        self.0.holdings()
+        self.acceptor.holdings()
     }
 
     async fn accept(
         &mut self,
         fuse_policy: Option<ArcFusePolicy>,
     ) -> io::Result<Accepted<Self::Coupler, Self::Stream>> {
-        let accepted = self.0.accept(fuse_policy).await?;
-        Ok(accepted.map_into(|_| TcpCoupler::new(), LingeringStream::new))
+        let accepted = self.acceptor.accept(fuse_policy).await?;
+        let limit = self.limit.clone();
+        let with_limit = |stream| LingeringStream::new(stream, limit);
+        Ok(accepted.map_into(|_| TcpCoupler::new(), with_limit))
     }
 }
 
@@ -118,12 +131,14 @@
         let to_listen_error = |e: &io::Error| ListenError::from_io(setting, address, e);
         let listener = listen(address).map_err(|e| to_listen_error(&e))?;
         let acceptor = TcpAcceptor::try_from(listener).map_err(|e| to_listen_error(&e))?;
-        Ok(Self { acceptor: LingeringAcceptor(acceptor) })
+        let connections = Arc::new(Semaphore::new(MAX_LINGERING));
+        let limit = LingerLimit { connections, max_bytes: MAX_DISCARDED_BYTES };
+        Ok(Self { acceptor: LingeringAcceptor { acceptor, limit } })
     }
 
     /// Returns the bound address.
     pub fn local_addr(&self) -> Option<SocketAddr> {
-        self.acceptor.0.local_addr().ok()
+        self.acceptor.acceptor.local_addr().ok()
     }
 
     /// Starts to serve a router with at most `max_connections` concurrent connections.
--- a/lib/src/lingering_stream.rs
+++ b/lib/src/lingering_stream.rs
@@ -1,10 +1,11 @@
 //! Stream of a caller that is closed only after the caller has closed its side, or after a short
-//! time. If it were closed with unread received bytes, the system would reset the connection, and the
-//! caller would lose the part of the response that it has not received yet.
+//! time or a number of bytes. If it were closed with unread received bytes, the system would reset the
+//! connection, and the caller would lose the part of the response that it has not received yet.
 
 use std::io;
 use std::io::IoSlice;
 use std::pin::Pin;
+use std::sync::Arc;
 use std::task::Context;
 use std::task::Poll;
 use std::task::ready;
@@ -12,6 +13,8 @@
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
+use tokio::sync::OwnedSemaphorePermit;
+use tokio::sync::Semaphore;
 use tokio::time::Sleep;
 use tokio::time::sleep;
 
@@ -20,31 +23,65 @@
 /// Size of the buffer for discarded bytes.
 const DISCARD_BUFFER: usize = 4096;
 
+/// Limits on discarding bytes.
+#[derive(Debug, Clone)]
+pub struct LingerLimit {
+    /// Number of further connections that may discard bytes.
+    pub connections: Arc<Semaphore>,
+    /// Maximum number of bytes that a connection discards.
+    pub max_bytes: usize,
+}
+
+#[derive(Debug)]
+struct Linger {
+    end: Pin<Box<Sleep>>,
+    bytes_left: usize,
+    _permit: OwnedSemaphorePermit,
+}
+
 /// A stream whose shutdown reads and discards what the peer still sends.
 #[derive(Debug)]
 pub struct LingeringStream<S> {
     stream: S,
-    /// End of the shutdown; set once the write side has been shut down.
-    linger: Option<Pin<Box<Sleep>>>,
+    limit: LingerLimit,
+    is_shut_down: bool,
+    /// Set while received bytes are discarded after the write side has been shut down.
+    linger: Option<Linger>,
 }
 
 impl<S> LingeringStream<S> {
     /// Wraps a connected stream.
-    pub fn new(stream: S) -> Self {
-        Self { stream, linger: None }
+    pub fn new(stream: S, limit: LingerLimit) -> Self {
+        Self { stream, limit, is_shut_down: false, linger: None }
+    }
+
+    /// Begins to discard bytes; `None` if too many connections do.
+    fn begin_linger(&self) -> Option<Linger> {
+        let permit = self.limit.connections.clone().try_acquire_owned().ok()?;
+        let end = Box::pin(sleep(LINGER_TIMEOUT));
+        Some(Linger { end, bytes_left: self.limit.max_bytes, _permit: permit })
     }
 }
 
-impl<S: AsyncRead + Unpin> LingeringStream<S> {
-    /// Reads and discards bytes until the peer has closed its side.
-    fn poll_discard(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+impl Linger {
+    /// Reads and discards bytes until the peer has closed its side, or a limit is reached.
+    fn poll_discard<S: AsyncRead + Unpin>(
+        &mut self,
+        stream: &mut S,
+        cx: &mut Context<'_>,
+    ) -> Poll<io::Result<()>> {
+        if self.end.as_mut().poll(cx).is_ready() {
+            return Poll::Ready(Ok(()));
+        }
         loop {
             let mut bytes = [0; DISCARD_BUFFER];
             let mut buf = ReadBuf::new(&mut bytes);
-            ready!(Pin::new(&mut self.stream).poll_read(cx, &mut buf))?;
-            if buf.filled().is_empty() {
+            ready!(Pin::new(&mut *stream).poll_read(cx, &mut buf))?;
+            let len = buf.filled().len();
+            if len == 0 || len > self.bytes_left {
                 return Poll::Ready(Ok(()));
             }
+            self.bytes_left -= len;
         }
     }
 }
@@ -85,14 +122,15 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        if self.linger.is_none() {
+        if !self.is_shut_down {
             ready!(Pin::new(&mut self.stream).poll_shutdown(cx))?;
-            self.linger = Some(Box::pin(sleep(LINGER_TIMEOUT)));
+            self.is_shut_down = true;
+            self.linger = self.begin_linger();
         }
-        let is_over = self.linger.as_mut().is_some_and(|end| end.as_mut().poll(cx).is_ready());
-        if is_over {
-            return Poll::Ready(Ok(()));
+        let Self { stream, linger, .. } = &mut *self;
+        match linger {
+            Some(linger) => linger.poll_discard(stream, cx),
+            None => Poll::Ready(Ok(())),
         }
-        self.poll_discard(cx)
     }
 }
--- a/serving/src/connection_state.rs
+++ b/serving/src/connection_state.rs
@@ -27,11 +27,13 @@
     Body,
     /// A request runs, or its response has not been written completely.
     Busy,
+    /// The response has been written and the write side shut down; what the peer still sends is discarded.
+    Lingering,
 }
 
 impl ConnectionPhase {
     /// All phases.
-    pub const ALL: [Self; 4] = [Self::Idle, Self::Head, Self::Body, Self::Busy];
+    pub const ALL: [Self; 5] = [Self::Idle, Self::Head, Self::Body, Self::Busy, Self::Lingering];
 
     /// Returns the label of the phase in metrics.
     pub fn label(self) -> &'static str {
@@ -40,6 +42,7 @@
             Self::Head => "head",
             Self::Body => "body",
             Self::Busy => "busy",
+            Self::Lingering => "lingering",
         }
     }
 }
@@ -98,7 +101,7 @@
         let mut activity = self.lock();
         match activity.phase {
             ConnectionPhase::Idle => activity.begin(ConnectionPhase::Head),
-            ConnectionPhase::Head => {}
+            ConnectionPhase::Head | ConnectionPhase::Lingering => {}
             ConnectionPhase::Body => activity.since = Instant::now(),
             ConnectionPhase::Busy => activity.has_read_ahead = true,
         }
@@ -138,6 +141,11 @@
         }
     }
 
+    /// Records that the write side has been shut down.
+    pub fn record_shutdown(&self) {
+        self.lock().begin(ConnectionPhase::Lingering);
+    }
+
     /// Asks the task of the connection to close it, and waits until the connection is closed or the task has
     /// declined since a request has arrived.
     pub async fn close(&self) {
--- a/serving/src/connection_table.rs
+++ b/serving/src/connection_table.rs
@@ -13,11 +13,15 @@
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::time::Duration;
+use tokio::sync::Semaphore;
 use tokio::time::Instant;
 
 /// Time without progress after which an unfinished head or body gives its place before an idle connection does.
 const STALLED_AFTER: Duration = Duration::from_millis(250);
 
+/// Divisor of the number of connections whose bytes are discarded at once. Beyond it, connections close without.
+const LINGERING_PART: usize = 4;
+
 /// Shared table of the open connections of a listener.
 #[derive(Debug, Clone)]
 pub struct ConnectionTable {
@@ -25,6 +29,7 @@
     max_connections: usize,
     /// Budget that the connections share with those to replicas; `None` if they have a share of their own.
     shared: Option<DescriptorBudget>,
+    lingering: Arc<Semaphore>,
     open: Arc<Mutex<OpenConnections>>,
 }
 
@@ -39,6 +44,8 @@
 pub struct ConnectionPlace {
     /// State of the connection.
     pub state: Arc<ConnectionState>,
+    /// Bounds the connections of the listener whose bytes are discarded.
+    pub lingering: Arc<Semaphore>,
     id: u64,
     table: ConnectionTable,
 }
@@ -56,13 +63,14 @@
 impl ConnectionTable {
     /// Returns the table of a listener with at most `max_connections` connections.
     pub fn new(listener: &'static str, max_connections: usize) -> Self {
-        Self { listener, max_connections, shared: None, open: Arc::default() }
+        let lingering = Arc::new(Semaphore::new(max_connections.div_ceil(LINGERING_PART)));
+        Self { listener, max_connections, shared: None, lingering, open: Arc::default() }
     }
 
     /// Returns the table of a listener whose connections share a budget with those to replicas.
     pub fn with_shared(listener: &'static str, shared: DescriptorBudget) -> Self {
         let max_connections = shared.shares.callers;
-        Self { listener, max_connections, shared: Some(shared), open: Arc::default() }
+        Self { shared: Some(shared), ..Self::new(listener, max_connections) }
     }
 
     /// Returns the label of the listener in metrics.
@@ -92,7 +100,7 @@
         open.connections.insert(id, state.clone());
         self.record_len(&open);
         drop(open);
-        ConnectionPlace { state, id, table: self.clone() }
+        ConnectionPlace { state, lingering: self.lingering.clone(), id, table: self.clone() }
     }
 
     /// Returns the connection that gives its place first, with its phase; `None` if all are busy.
@@ -132,10 +140,10 @@
     let is_stalled = now.saturating_duration_since(since) >= STALLED_AFTER;
     match (phase, is_stalled) {
         (ConnectionPhase::Head, true) => Some(0),
-        (ConnectionPhase::Body, true) => Some(1),
+        (ConnectionPhase::Body | ConnectionPhase::Lingering, true) => Some(1),
         (ConnectionPhase::Idle, _) => Some(2),
         (ConnectionPhase::Head, false) => Some(3),
-        (ConnectionPhase::Body, false) => Some(4),
+        (ConnectionPhase::Body | ConnectionPhase::Lingering, false) => Some(4),
         (ConnectionPhase::Busy, _) => None,
     }
 }
--- a/serving/src/recorded_stream.rs
+++ b/serving/src/recorded_stream.rs
@@ -19,12 +19,14 @@
 pub struct RecordedStream {
     stream: TcpStream,
     connection: Arc<ConnectionState>,
+    /// Whether the write side has been shut down, after which received bytes are discarded.
+    is_shut_down: bool,
 }
 
 impl RecordedStream {
     /// Wraps a connected stream.
     pub fn new(stream: TcpStream, connection: Arc<ConnectionState>) -> Self {
-        Self { stream, connection }
+        Self { stream, connection, is_shut_down: false }
     }
 }
 
@@ -36,7 +38,7 @@
     ) -> Poll<io::Result<()>> {
         let filled = buf.filled().len();
         ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
-        if buf.filled().len() > filled {
+        if buf.filled().len() > filled && !self.is_shut_down {
             self.connection.record_read();
         }
         Poll::Ready(Ok(()))
@@ -71,6 +73,9 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
+        ready!(Pin::new(&mut self.stream).poll_shutdown(cx))?;
+        self.is_shut_down = true;
+        self.connection.record_shutdown();
+        Poll::Ready(Ok(()))
     }
 }
--- a/serving/src/serving_metrics.rs
+++ b/serving/src/serving_metrics.rs
@@ -102,11 +102,11 @@
     ),
     (
         "open_connections",
-        "Open connections, by listener and state: idle, in an unfinished head or body, or busy with a request.",
+        "Open connections, by listener and state: idle, in an unfinished head or body, busy with a request, or lingering while what follows a response is discarded.",
     ),
     (
         "connections_closed_total",
-        "Connections that the node closed, by listener and reason: to make room for others (idle, head or body), since all others were busy (refused), or since a head took too long (header_timeout).",
+        "Connections that the node closed, by listener and reason: to make room for others (idle, head, body or lingering), since all others were busy (refused), or since a head took too long (header_timeout).",
     ),
 ];
 
--- a/serving/tests/test_connections.rs
+++ b/serving/tests/test_connections.rs
@@ -154,6 +154,7 @@
         ConnectionPhase::Head => state.record_read(),
         ConnectionPhase::Body => state.record_head(true),
         ConnectionPhase::Busy => state.record_head(false),
+        ConnectionPhase::Lingering => state.record_shutdown(),
     }
 }
 
--- a/serving/tests/test_pipelined_bytes.rs
+++ b/serving/tests/test_pipelined_bytes.rs
@@ -2,6 +2,8 @@
 
 use crate::fleet::Fleet;
 use crate::fleet::eventually;
+use guavaladder_platform_testutils::Call;
+use http::Method;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::io::AsyncReadExt;
@@ -12,15 +14,19 @@
 
 /// Size of the send buffer of the caller.
 const SEND_BUFFER: u32 = 16 << 10;
+/// Size of the send buffer of a caller that sends fast.
+const LARGE_SEND_BUFFER: u32 = 256 << 10;
+/// Maximum number of bytes that the buffers of both sides hold for such a caller.
+const MAX_BUFFERED: usize = 1 << 20;
 /// Maximum number of bytes that the caller can send while the node does not read.
 const MAX_UNREAD: usize = 256 << 10;
 /// Size of the largest body that is allowed.
 const MAX_BODY: usize = 4 << 20;
 
 /// Connects with a small send buffer, so that the bytes sent are mostly those received by the other side.
-async fn connect(to: SocketAddr) -> TcpStream {
+async fn connect(to: SocketAddr, send_buffer: u32) -> TcpStream {
     let socket = TcpSocket::new_v4().expect("a socket");
-    socket.set_send_buffer_size(SEND_BUFFER).expect("a send buffer");
+    socket.set_send_buffer_size(send_buffer).expect("a send buffer");
     socket.connect(to).await.expect("a connection")
 }
 
@@ -51,7 +57,7 @@
 async fn bytes_behind_a_running_request_stay_bounded() {
     let mut fleet = Fleet::new(0).await;
     fleet.add_first_node("orders", 2).await;
-    let mut stream = connect(fleet.callers(0)).await;
+    let mut stream = connect(fleet.callers(0), SEND_BUFFER).await;
     stream.write_all(&request("large", &vec![b'x'; MAX_BODY])).await.expect("bytes sent");
     let mut response = vec![];
     while response.len() < MAX_BODY {
@@ -67,3 +73,20 @@
     let sent = send_until_blocked(&mut stream).await;
     assert!(sent <= MAX_UNREAD, "{sent} bytes were sent behind a running request");
 }
+
+/// A caller whose body is refused must not make the node read on for as long as it sends.
+#[tokio::test]
+async fn discarded_bytes_after_a_refusal_stay_bounded() {
+    let mut fleet = Fleet::new(0).await;
+    fleet.add_first_node("orders", 2).await;
+    let mut stream = connect(fleet.callers(0), LARGE_SEND_BUFFER).await;
+    let head = "POST /book/x HTTP/1.1\r\nHost: a.example\r\nApi-Key: key-1\r\nX-Request-Id: r\r\n\
+                Content-Length: 1000000000000\r\n\r\n";
+    stream.write_all(head.as_bytes()).await.expect("bytes sent");
+    let (bytes, mut sent) = (vec![b'x'; 64 << 10], 0);
+    while let Ok(written) = stream.write(&bytes).await {
+        sent += written;
+    }
+    assert!(sent <= MAX_BODY + MAX_BUFFERED, "{sent} bytes were sent after a refusal");
+    assert_eq!(Call::new(Method::GET, "/look/x").status(fleet.callers(0)).await, 200);
+}
