--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod burn_report;
 pub mod burn_report_html;
 pub mod burn_report_text;
+pub mod byte_budget;
 pub mod call_queue;
 pub mod caller_api;
 pub mod caller_auth;
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -2,6 +2,7 @@
 
 mod test_attempt;
 mod test_burn_report;
+mod test_byte_budget;
 mod test_caller_api;
 mod test_catalogues;
 mod test_config_change;
