--- a/lib/src/byte_budget.rs
+++ b/lib/src/byte_budget.rs
@@ -4,6 +4,7 @@
 //! the bodies that have been received without progress for the longest time are ended, then requests for room are
 //! granted in order of arrival. A body that has been received completely is never ended.
 
+use bytes::Bytes;
 use std::collections::HashMap;
 use std::collections::VecDeque;
 use std::fmt;
@@ -164,6 +165,12 @@
     ended: oneshot::Receiver<NoRoom>,
 }
 
+/// Bytes with their reservation.
+struct HeldBytes<T> {
+    bytes: T,
+    _reservation: Reservation,
+}
+
 /// Removes a request for room from its queue when it is dropped.
 struct QueuedWaiter<'a> {
     budget: &'a ByteBudget,
@@ -479,6 +486,11 @@
         }
     }
 
+    /// Returns bytes that are reserved until their last clone is dropped.
+    pub fn hold(self, bytes: impl AsRef<[u8]> + Send + 'static) -> Bytes {
+        Bytes::from_owner(HeldBytes { bytes, _reservation: self })
+    }
+
     fn take(&mut self) -> Self {
         let len = std::mem::take(&mut self.len);
         self.budget.reservation(self.byte_use, len)
@@ -497,6 +509,12 @@
     }
 }
 
+impl<T: AsRef<[u8]>> AsRef<[u8]> for HeldBytes<T> {
+    fn as_ref(&self) -> &[u8] {
+        self.bytes.as_ref()
+    }
+}
+
 impl Receipt {
     /// Begins to receive a body, for which nothing is reserved yet.
     pub fn new(budget: &ByteBudget, byte_use: ByteUse) -> Self {
--- a/lib/src/limited_body.rs
+++ b/lib/src/limited_body.rs
@@ -8,7 +8,6 @@
 use crate::byte_budget::ByteUse;
 use crate::byte_budget::NoRoom;
 use crate::byte_budget::Receipt;
-use crate::byte_budget::Reservation;
 use crate::byte_budget::SMALL_BYTES;
 use bytes::Bytes;
 use bytes::BytesMut;
@@ -189,19 +188,6 @@
     fn complete(mut self) -> Bytes {
         self.bytes.shrink_to_fit();
         self.receipt.shrink_to(self.bytes.capacity());
-        let reservation = self.receipt.complete();
-        Bytes::from_owner(ReservedBytes { bytes: self.bytes, _reservation: reservation })
-    }
-}
-
-/// Bytes of a body with their reservation.
-struct ReservedBytes {
-    bytes: Vec<u8>,
-    _reservation: Reservation,
-}
-
-impl AsRef<[u8]> for ReservedBytes {
-    fn as_ref(&self) -> &[u8] {
-        &self.bytes
+        self.receipt.complete().hold(self.bytes)
     }
 }
--- a/serving/src/attempt.rs
+++ b/serving/src/attempt.rs
@@ -19,6 +19,7 @@
 use crate::request_task::RequestTask;
 use crate::serving_cx::ServingCx;
 use bytes::Bytes;
+use guavaladder_lib::byte_budget::NoRoom;
 use http::Request;
 use http::Response;
 use http::StatusCode;
@@ -105,6 +106,9 @@
         /// HTTP status code.
         status: u16,
     },
+    /// There was no room for the response before the request was due; the request may have run.
+    #[error("there is no room for the response: {0}")]
+    NoRoom(NoRoom),
     /// Another replica responded first; the request may have run here as well.
     #[error("another replica responded first")]
     Superseded,
@@ -123,6 +127,7 @@
             Self::Unreachable => "unreachable",
             Self::RefusedByNode { .. } => "refused_by_node",
             Self::FailedAtNode { .. } => "failed_at_node",
+            Self::NoRoom(_) => "no_room",
             Self::Superseded => "superseded",
         }
     }
--- a/serving/src/next_replica.rs
+++ b/serving/src/next_replica.rs
@@ -19,6 +19,7 @@
 use crate::request_task::RequestTrace;
 use crate::response_body::ResponseBody;
 use crate::serving_cx::ServingCx;
+use guavaladder_lib::byte_budget::NoRoom;
 use http::Response;
 use http::StatusCode;
 use std::sync::Arc;
@@ -183,7 +184,8 @@
             AttemptError::TimedOut(_)
             | AttemptError::Silent
             | AttemptError::Down
-            | AttemptError::Unreachable,
+            | AttemptError::Unreachable
+            | AttemptError::NoRoom(NoRoom::TimedOut),
         ) => StatusCode::GATEWAY_TIMEOUT,
         Some(AttemptError::FailedAtNode { status: 504 }) => StatusCode::GATEWAY_TIMEOUT,
         _ => StatusCode::BAD_GATEWAY,
--- a/serving/src/plain_forward.rs
+++ b/serving/src/plain_forward.rs
@@ -20,7 +20,10 @@
 use crate::request_task::RequestTrace;
 use crate::response_body::ResponseBody;
 use crate::serving_cx::ServingCx;
+use guavaladder_lib::byte_budget::ByteUse;
 use guavaladder_lib::limited_body;
+use guavaladder_lib::limited_body::BodyRoom;
+use guavaladder_lib::limited_body::ReadError;
 use http::Response;
 use http::StatusCode;
 use std::sync::Arc;
@@ -93,6 +96,7 @@
         match error {
             // The replica or the other node has no fault.
             AttemptError::NotSent(ConnectError::NoDescriptors)
+            | AttemptError::NoRoom(_)
             | AttemptError::RefusedByNode { .. }
             | AttemptError::FailedAtNode { .. } => {}
             // An instance that asked for time is avoided for as long, and no longer.
@@ -160,8 +164,16 @@
     let UpstreamResponse { response, head, mut connection, is_reusable } = upstream;
     let (parts, body) = response.into_parts();
     let received = |len| connection.record_data(len);
-    let body = limited_body::read_with(body, MAX_RESPONSE_BYTES, received).await;
-    let body = body.map_err(|e| AttemptError::Broken(e.to_string()))?;
+    let until = task.due();
+    let room = BodyRoom { budget: &cx.memory, byte_use: ByteUse::Responses, until };
+    let body = limited_body::read_within(body, MAX_RESPONSE_BYTES, room, received).await;
+    let body = body.map_err(|e| match e {
+        ReadError::NoRoom(reason) => {
+            cx.metrics.no_room(ByteUse::Responses, reason);
+            AttemptError::NoRoom(reason)
+        }
+        ReadError::Body(e) => AttemptError::Broken(e.to_string()),
+    })?;
     if is_reusable && connection.ready().await {
         cx.pool.put(replica, connection, head.keep_alive);
     }
--- a/serving/src/request_handler.rs
+++ b/serving/src/request_handler.rs
@@ -20,10 +20,15 @@
 use crate::serving_cx::ServingCx;
 use crate::stream_forward;
 use bytes::Bytes;
+use guavaladder_lib::byte_budget::ByteUse;
+use guavaladder_lib::byte_budget::NoRoom;
 use guavaladder_lib::generated::events::Event;
 use guavaladder_lib::limited_body;
 use guavaladder_lib::limited_body::BodyError;
+use guavaladder_lib::limited_body::BodyRoom;
+use guavaladder_lib::limited_body::ReadError;
 use http::HeaderMap;
+use http::HeaderValue;
 use http::Request;
 use http::Response;
 use http::StatusCode;
@@ -40,6 +45,12 @@
 /// `Retry-After` for requests that this node cannot place, for example without a configuration; it is
 /// short because another node may be able to serve the request at once.
 const OTHER_NODE_RETRY_AFTER: Duration = Duration::from_millis(50);
+/// `Retry-After` for requests whose bodies this node has no room for, about the time within which stalled bodies make
+/// room.
+const ROOM_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// Part of its time that a request waits for room for its body. A caller that is refused and tries again waits behind
+/// all others.
+const MAX_WAIT_FOR_ROOM: f64 = 2.0 / 3.0;
 /// Upper bound on the deadline of a request that does not specify one.
 const MAX_DEADLINE: Duration = Duration::from_secs(600);
 
@@ -129,6 +140,8 @@
     BodyIncomplete,
     #[error("the request body did not arrive before the deadline")]
     BodyTimedOut,
+    #[error("this node has no room for the request body: {0}")]
+    NoRoom(NoRoom),
 }
 
 impl Rejection {
@@ -147,6 +160,17 @@
             Self::BodyTooLarge => (StatusCode::PAYLOAD_TOO_LARGE, "bad_body"),
             Self::BodyIncomplete => (StatusCode::BAD_REQUEST, "bad_body"),
             Self::BodyTimedOut => (StatusCode::REQUEST_TIMEOUT, "bad_body"),
+            Self::NoRoom(NoRoom::Stalled { .. }) => (StatusCode::REQUEST_TIMEOUT, "stalled_body"),
+            Self::NoRoom(_) => (StatusCode::SERVICE_UNAVAILABLE, "no_room"),
+        }
+    }
+}
+
+impl Rejection {
+    fn retry_after(self) -> Duration {
+        match self {
+            Self::NoRoom(_) => ROOM_RETRY_AFTER,
+            _ => OTHER_NODE_RETRY_AFTER,
         }
     }
 }
@@ -174,12 +198,36 @@
             reason: reason.clone(),
             config: self.config,
         });
-        match status {
+        let mut response = match status {
             StatusCode::SERVICE_UNAVAILABLE => {
-                local_response::not_run(&reason, OTHER_NODE_RETRY_AFTER)
+                local_response::not_run(&reason, rejection.retry_after())
             }
             status => local_response::text(status, &reason),
+        };
+        if let Rejection::NoRoom(no_room) = rejection {
+            self.record_no_room(*no_room);
+            // The rest of the body is not read.
+            let close = HeaderValue::from_static("close");
+            response.headers_mut().insert(header::CONNECTION, close);
         }
+        response
+    }
+
+    fn record_no_room(&self, no_room: NoRoom) {
+        let (cx, budget) = (self.cx, &self.cx.memory);
+        cx.metrics.no_room(ByteUse::RequestBodies, no_room);
+        let stalled = match no_room {
+            NoRoom::Stalled { stalled } => stalled,
+            _ => Duration::ZERO,
+        };
+        cx.log.record(Event::BodyWithoutRoom {
+            request: self.request.clone(),
+            reason: no_room.name().to_string(),
+            held: budget.total() as u64,
+            waiting: budget.waiting() as u64,
+            limit: budget.limit() as u64,
+            stalled,
+        });
     }
 }
 
@@ -223,8 +271,13 @@
     };
     let time_limit = head.deadline.unwrap_or(MAX_DEADLINE).min(route.timeout);
     let deadline = received + time_limit;
-    let body =
-        read_body(body, table.config.limits.max_body_bytes, deadline, &incoming.cx.stop).await;
+    let room = BodyRoom {
+        budget: &incoming.cx.memory,
+        byte_use: ByteUse::RequestBodies,
+        until: received + time_limit.mul_f64(MAX_WAIT_FOR_ROOM),
+    };
+    let max_bytes = table.config.limits.max_body_bytes;
+    let body = read_body(body, max_bytes, room, deadline, &incoming.cx.stop).await;
     let body = body.map_err(|rejection| incoming.reject(&route.name, &rejection))?;
     let uri = path_and_query(&parts.uri);
     let urgency = customer.and_then(|customer| customer.priority).unwrap_or(route.priority);
@@ -259,18 +312,20 @@
 async fn read_body(
     body: Incoming,
     max_bytes: usize,
+    room: BodyRoom<'_>,
     deadline: Instant,
     stop: &NodeStop,
 ) -> Result<Bytes, Rejection> {
-    let body = limited_body::read(body, max_bytes);
+    let body = limited_body::read_within(body, max_bytes, room, |_| {});
     let body = tokio::select! {
         body = timeout_at(deadline, body) => body,
         () = stop.wait_until(|times| times.answers_due) => return Err(Rejection::Stopping),
     };
     match body {
         Ok(Ok(body)) => Ok(body),
-        Ok(Err(BodyError::TooLarge { .. })) => Err(Rejection::BodyTooLarge),
-        Ok(Err(BodyError::Failed(_))) => Err(Rejection::BodyIncomplete),
+        Ok(Err(ReadError::NoRoom(reason))) => Err(Rejection::NoRoom(reason)),
+        Ok(Err(ReadError::Body(BodyError::TooLarge { .. }))) => Err(Rejection::BodyTooLarge),
+        Ok(Err(ReadError::Body(BodyError::Failed(_)))) => Err(Rejection::BodyIncomplete),
         Err(_) => Err(Rejection::BodyTimedOut),
     }
 }
--- a/serving/src/request_task.rs
+++ b/serving/src/request_task.rs
@@ -13,7 +13,7 @@
 use crate::failed_attempts::FailedAttempt;
 use crate::fleet_config::ConfigVersion;
 use crate::fleet_config::RouteKind;
-use crate::key_hash::key_hash;
+use crate::key_hash::key_hash_of_parts;
 use crate::listeners::RunningRequestGuard;
 use crate::node_relay::RelayTicket;
 use crate::node_stop::CATCH_UP_TIME;
@@ -166,13 +166,10 @@
 
 /// Returns the hash that identifies a request across retries.
 pub fn fingerprint(method: &Method, uri: &Uri, customer: Option<&str>, body: &[u8]) -> u64 {
-    let mut text = Vec::with_capacity(body.len() + 128);
-    for part in [method.as_str(), &uri.to_string(), customer.unwrap_or_default()] {
-        text.extend_from_slice(part.as_bytes());
-        text.push(0);
-    }
-    text.extend_from_slice(body);
-    key_hash(&text)
+    let (uri, customer) = (uri.to_string(), customer.unwrap_or_default());
+    let head = [method.as_str(), &uri, customer].into_iter();
+    let head = head.flat_map(|part| [part.as_bytes(), &[0]]);
+    key_hash_of_parts(head.chain([body]))
 }
 
 /// Records the progress of a request and, exactly once, its outcome in the log and metrics.
@@ -302,7 +299,8 @@
             | AttemptError::NotRun { .. }
             | AttemptError::RefusedByNode { .. }
             | AttemptError::FailedAtNode { .. }
-            | AttemptError::Failure { .. } => {}
+            | AttemptError::Failure { .. }
+            | AttemptError::NoRoom(_) => {}
         }
     }
 
--- a/serving/src/serving_cx.rs
+++ b/serving/src/serving_cx.rs
@@ -33,6 +33,7 @@
 use crate::serving_settings::ServingSettings;
 use crate::store::Store;
 use crate::upstream_pool::UpstreamPool;
+use guavaladder_lib::byte_budget::ByteBudget;
 use guavaladder_lib::clock::Clock;
 use guavaladder_lib::event_log::EventLog;
 use guavaladder_lib::generated::serving_peer::NodePhase;
@@ -116,6 +117,8 @@
     pub descriptors: DescriptorBudget,
     /// Open connections of the listeners.
     pub connections: ConnectionTables,
+    /// Account of the bytes that this node holds for callers.
+    pub memory: ByteBudget,
     /// Number of running requests.
     pub running: RunningRequests,
     /// Instances that are cold.
@@ -132,6 +135,12 @@
     pub demand: ModelDemand,
 }
 
+/// Returns how many bytes of the memory of the process may be held for callers. The rest is for the program itself,
+/// for buffers of connections, and for bytes that the kernel has received.
+fn caller_bytes(memory: usize) -> usize {
+    memory / 3 * 2
+}
+
 /// Returns the heartbeat period in a fleet of `nodes` nodes.
 pub fn heartbeat_period_of(nodes: usize) -> Duration {
     let period = HEARTBEAT_PERIOD_PER_NODE * u32::try_from(nodes).unwrap_or(u32::MAX).min(1 << 16);
@@ -148,6 +157,8 @@
     ) -> Self {
         let log = RateLimitedLog::new(&settings.node, EventLog::new(clock.clone()));
         let metrics = ServingMetrics::new();
+        let memory = ByteBudget::new(caller_bytes(settings.memory));
+        metrics.watch_memory(&memory);
         let reach = InstanceReach::new();
         let bounds = RetryBounds {
             ratio: settings.retry_ratio,
@@ -185,6 +196,7 @@
             pool: UpstreamPool::new(network.clone(), metrics.clone(), reach, descriptors.clone()),
             descriptors,
             connections: ConnectionTables::new(),
+            memory,
             running: RunningRequests::new(),
             cold: ColdInstances::new(),
             stop: NodeStop::new(),
--- a/serving/src/serving_metrics.rs
+++ b/serving/src/serving_metrics.rs
@@ -3,6 +3,9 @@
 //! Label values come from fixed sets or from the configuration, and the number of series is bounded.
 
 use crate::dialect::ObjectKind;
+use guavaladder_lib::byte_budget::ByteBudget;
+use guavaladder_lib::byte_budget::ByteUse;
+use guavaladder_lib::byte_budget::NoRoom;
 use hdrhistogram::Histogram;
 use std::collections::BTreeMap;
 use std::fmt::Write;
@@ -20,7 +23,7 @@
 const QUANTILES: [f64; 4] = [0.5, 0.9, 0.95, 0.99];
 
 /// Names of all metrics with their help texts.
-pub const CATALOGUE: [(&str, &str); 33] = [
+pub const CATALOGUE: [(&str, &str); 37] = [
     ("requests_total", "Requests of callers, by route and outcome."),
     ("first_event_seconds", "Time to the first byte of an answer, by route, in seconds."),
     ("request_seconds", "Time to the end of an answer, by route, in seconds."),
@@ -108,6 +111,13 @@
         "connections_closed_total",
         "Connections that the node closed, by listener and reason: to make room for others (idle, head, body or lingering), since all others were busy (refused), or since a head took too long (header_timeout).",
     ),
+    ("held_bytes", "Bytes that are held for callers, by use; the use `waiting` is waited for."),
+    ("held_bytes_limit", "Limit on the bytes that are held for callers."),
+    (
+        "no_room_total",
+        "Request bodies, responses and stream events for which there was no room, by use and reason.",
+    ),
+    ("bodies_ended_total", "Unfinished bodies that were ended since others needed their room."),
 ];
 
 /// Handle to the metrics of a node.
@@ -121,6 +131,22 @@
     counters: BTreeMap<&'static str, BTreeMap<String, u64>>,
     histograms: BTreeMap<&'static str, BTreeMap<String, Histogram<u32>>>,
     gauges: BTreeMap<&'static str, BTreeMap<String, u64>>,
+    /// Account whose numbers are shown.
+    memory: Option<ByteBudget>,
+}
+
+impl Inner {
+    fn update_memory(&mut self) {
+        let Some(memory) = self.memory.clone() else { return };
+        let used = ByteUse::ALL.map(|byte_use| (byte_use.name(), memory.used(byte_use)));
+        let used = used.into_iter().chain([("waiting", memory.waiting())]);
+        let held = used.map(|(name, bytes)| (format_labels(&[("use", name)]), bytes as u64));
+        self.gauges.insert("held_bytes", held.collect());
+        let limit = BTreeMap::from([(String::new(), memory.limit() as u64)]);
+        self.gauges.insert("held_bytes_limit", limit);
+        let ended = BTreeMap::from([(String::new(), memory.ended_receipts())]);
+        self.counters.insert("bodies_ended_total", ended);
+    }
 }
 
 impl ServingMetrics {
@@ -271,6 +297,17 @@
         inner.gauges.insert("evacuated_requests", running);
     }
 
+    /// Shows the numbers of an account of bytes from now on.
+    pub fn watch_memory(&self, memory: &ByteBudget) {
+        self.lock().memory = Some(memory.clone());
+    }
+
+    /// Counts bytes for which there was no room.
+    pub fn no_room(&self, byte_use: ByteUse, reason: NoRoom) {
+        let labels = [("use", byte_use.name()), ("reason", reason.name())];
+        self.count("no_room_total", &labels, 1);
+    }
+
     /// Counts a request of a measured service that was refused.
     pub fn admission_refusal(&self, route: &str, reason: &str) {
         self.count("admission_refusals_total", &[("route", route), ("reason", reason)], 1);
@@ -320,7 +357,8 @@
 
     /// Returns all metrics in the Prometheus text format.
     pub fn render(&self) -> String {
-        let inner = self.lock();
+        let mut inner = self.lock();
+        inner.update_memory();
         let mut text = String::new();
         for (name, help) in CATALOGUE {
             let _ = writeln!(text, "# HELP guavaladder_{name} {help}");
--- a/serving/src/serving_settings.rs
+++ b/serving/src/serving_settings.rs
@@ -14,6 +14,8 @@
 /// JSON schema of the settings file.
 const SCHEMA: &str = include_str!("../../schema/serving_settings.json");
 
+const MIB: usize = 1 << 20;
+
 /// Validated settings of a daemon on the users' platform.
 #[derive(Debug, Clone, PartialEq)]
 pub struct ServingSettings {
@@ -46,6 +48,8 @@
     pub max_resolve_ttl: Duration,
     /// Maximum number of file descriptors that the process may use.
     pub max_descriptors: usize,
+    /// Memory that the process may use, in bytes.
+    pub memory: usize,
     /// Ratio of group sizes from which a service is scheduled by measurements; `None` if no service is.
     pub measured_from_size_ratio: Option<f64>,
     /// Whether replicas of such services are chosen by estimates of their load.
@@ -142,6 +146,7 @@
         retry_slack: bounds.retry_slack,
         max_resolve_ttl: Duration::from_secs_f64(bounds.max_answer_keep_s),
         max_descriptors: settings.max_descriptors as usize,
+        memory: settings.memory_mb as usize * MIB,
         measured_from_size_ratio: scheduling.and_then(|s| s.measured_from_size_ratio),
         uses_load_estimate: scheduling.is_some_and(|s| s.load_estimate),
         uses_demand_allocation: scheduling.is_some_and(|s| s.demand_allocation),
--- a/serving/src/stream_forward.rs
+++ b/serving/src/stream_forward.rs
@@ -158,6 +158,7 @@
         | AttemptError::Unreachable
         | AttemptError::RefusedByNode { .. }
         | AttemptError::FailedAtNode { .. }
+        | AttemptError::NoRoom(_)
         | AttemptError::Superseded => {}
         AttemptError::NotRun { at_fault: Some(at_fault), .. } => {
             replica_health::suspect(cx, replica, SuspicionCause::Blamed(at_fault.clone()));
--- a/serving/src/stream_relay.rs
+++ b/serving/src/stream_relay.rs
@@ -21,6 +21,7 @@
 use crate::upstream_stream::StreamItem;
 use crate::upstream_stream::UpstreamStream;
 use bytes::Bytes;
+use guavaladder_lib::byte_budget::ByteUse;
 use http::HeaderMap;
 use http::Response;
 use http::StatusCode;
@@ -39,6 +40,8 @@
 const MAX_EVENT_GAP: Duration = Duration::from_millis(1300);
 /// Error of a stream whose caller reads too slowly.
 const CALLER_NOT_READING: &str = "the caller did not read the events before the deadline";
+/// Error of a stream whose next event cannot be kept.
+const NO_ROOM: &str = "there was no room for the next event before the deadline";
 
 /// Starts the task that relays events to the caller and returns the response that it writes to.
 pub fn start(
@@ -199,8 +202,18 @@
         }
         self.trace.events += 1;
         self.cx.metrics.stream_events(&self.task.service, 1);
-        let until = self.task.due().max(Instant::now() + CATCH_UP_TIME);
-        let sent = timeout_at(until, self.tx.send(Ok(event.bytes))).await;
+        let due = self.task.due();
+        let room = self.cx.memory.reserve(ByteUse::Events, event.bytes.len(), due);
+        let room = tokio::select! {
+            room = room => room,
+            () = self.tx.closed() => return Ok(false),
+        };
+        let room = room.map_err(|reason| {
+            self.cx.metrics.no_room(ByteUse::Events, reason);
+            AttemptError::TimedOut(NO_ROOM)
+        })?;
+        let until = due.max(Instant::now() + CATCH_UP_TIME);
+        let sent = timeout_at(until, self.tx.send(Ok(room.hold(event.bytes)))).await;
         sent.map(|sent| sent.is_ok()).map_err(|_| AttemptError::TimedOut(CALLER_NOT_READING))
     }
 
--- a/serving/tests/fleet.rs
+++ b/serving/tests/fleet.rs
@@ -49,6 +49,8 @@
     pub evacuate_s: Option<f64>,
     /// Descriptors that the nodes started from now on may use; `None` for the default.
     pub max_descriptors: Option<u32>,
+    /// Memory of the nodes started from now on, in MiB.
+    pub memory_mb: Option<u32>,
 }
 
 impl Fleet {
@@ -83,6 +85,7 @@
             retry_slack: 100,
             evacuate_s: None,
             max_descriptors: None,
+            memory_mb: None,
         }
     }
 
@@ -147,6 +150,9 @@
         if let Some(max_descriptors) = self.max_descriptors {
             settings["max_descriptors"] = json!(max_descriptors);
         }
+        if let Some(memory_mb) = self.memory_mb {
+            settings["memory_mb"] = json!(memory_mb);
+        }
         let settings = serving_settings::parse(&settings.to_string()).expect("valid settings");
         let dialect = Arc::new(PlatformDialect::new());
         self.nodes.push(ServingNode::start(settings, dialect).await.expect("a node"));
--- a/serving/tests/runner.rs
+++ b/serving/tests/runner.rs
@@ -27,6 +27,7 @@
 mod test_group_allocation;
 mod test_group_faults;
 mod test_group_plan;
+mod test_held_bytes;
 mod test_instance_deferrals;
 mod test_instance_list_delta;
 mod test_instance_notices;
--- a/serving/tests/test_crashing_requests.rs
+++ b/serving/tests/test_crashing_requests.rs
@@ -7,6 +7,7 @@
 use guavaladder_platform_testutils::CRASH_MARKER;
 use guavaladder_platform_testutils::Call;
 use guavaladder_platform_testutils::InstanceMode;
+use guavaladder_serving::key_hash::key_hash;
 use guavaladder_serving::request_task::fingerprint;
 use http::Method;
 use rstest::rstest;
@@ -237,6 +238,14 @@
     eventually(|| crashes.crash_count(fingerprint) == 1).await;
 }
 
+/// Nodes of different versions share the crashes of a request by its fingerprint.
+#[test]
+fn fingerprint_is_the_hash_of_the_joined_parts() {
+    let uri = "/book/x?a=b".parse().expect("a path");
+    let joined = key_hash(b"POST\0/book/x?a=b\0baker\0a body");
+    assert_eq!(fingerprint(&Method::POST, &uri, Some("baker"), b"a body"), joined);
+}
+
 /// The head of a group that has lost a member accepts a request that it cannot begin, so the request has
 /// not crashed it.
 #[tokio::test]
--- a/serving/tests/test_serving_settings.rs
+++ b/serving/tests/test_serving_settings.rs
@@ -34,6 +34,16 @@
     assert_eq!(settings.evacuation, None);
     assert_eq!((settings.cold_over, settings.cold_slack), (1.0, 0.0));
     assert!(settings.data_centres.is_empty());
+    assert_eq!(settings.memory, 256 << 20);
+}
+
+#[test]
+fn parse_enforces_the_least_memory() {
+    let mut document = document();
+    document["memory_mb"] = json!(32);
+    assert_eq!(parse(&document.to_string()).unwrap().memory, 32 << 20);
+    document["memory_mb"] = json!(31);
+    assert_eq!(parse(&document.to_string()).unwrap_err().len(), 1);
 }
 
 #[test]
