log: write the last lines before the process exits

Lines are queued for a writer thread, `flush` did nothing, and the process ended without waiting for that thread.

`flush` now waits until the queued lines are written, at most 0.1 s, and the daemon flushes its log once its connections are closed.

`last_lines_before_exit_are_lost` fails with an empty `flush` and passes with this one; `blocked_output_does_not_block_flush` guards the bound.

--- a/daemon/src/serve.rs
+++ b/daemon/src/serve.rs
@@ -26,7 +26,10 @@
     let dropped = log.dropped();
     log.install()?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    runtime.block_on(serve(path, settings, dropped))
+    let served = runtime.block_on(serve(path, settings, dropped));
+    drop(runtime);
+    log::logger().flush();
+    served
 }
 
 async fn serve(path: PathBuf, settings: ServingSettings, dropped: DroppedLines) -> Result<()> {
--- a/lib/src/log_queue.rs
+++ b/lib/src/log_queue.rs
@@ -17,8 +17,10 @@
 use std::sync::mpsc;
 use std::sync::mpsc::Receiver;
 use std::sync::mpsc::SyncSender;
+use std::sync::mpsc::TrySendError;
 use std::thread;
 use std::time::Duration;
+use std::time::Instant;
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
@@ -29,6 +31,20 @@
 /// Number of message bytes kept in a truncated JSON line; escaping may double them.
 const MAX_TRUNCATED_MESSAGE_BYTES: usize = MAX_LINE_BYTES / 4;
 
+/// Maximum time for which a flush waits for the output.
+const FLUSH_TIMEOUT: Duration = Duration::from_millis(100);
+/// Interval at which a flush tries again while the queue is full.
+const FLUSH_RETRY_PERIOD: Duration = Duration::from_millis(1);
+
+/// What is queued for the writer thread.
+#[derive(Debug)]
+enum Entry {
+    /// A line to write.
+    Line(String),
+    /// Tells the sender that all lines before have been written.
+    Flush(SyncSender<()>),
+}
+
 /// Number of dropped log lines; clones share the counter.
 #[derive(Debug, Clone, Default)]
 pub struct DroppedLines(Arc<AtomicU64>);
@@ -43,7 +59,7 @@
 /// Logger that queues its lines for a writer thread.
 #[derive(Debug)]
 pub struct QueuedLogger {
-    tx: SyncSender<String>,
+    tx: SyncSender<Entry>,
     dropped: DroppedLines,
     level: LevelFilter,
     format: LogFormat,
@@ -94,12 +110,27 @@
         if !self.enabled(record.metadata()) {
             return;
         }
-        if self.tx.try_send(format_line(record, self.format)).is_err() {
+        if self.tx.try_send(Entry::Line(format_line(record, self.format))).is_err() {
             self.dropped.0.fetch_add(1, Ordering::Relaxed);
         }
     }
 
-    fn flush(&self) {}
+    /// Waits until the lines before have been written, or for as long as an output may take that does not
+    /// accept them.
+    fn flush(&self) {
+        let until = Instant::now() + FLUSH_TIMEOUT;
+        let (written, is_written) = mpsc::sync_channel(1);
+        let mut entry = Entry::Flush(written);
+        while let Err(e) = self.tx.try_send(entry) {
+            match e {
+                TrySendError::Full(unsent) if Instant::now() < until => entry = unsent,
+                _ => return,
+            }
+            thread::sleep(FLUSH_RETRY_PERIOD);
+        }
+        // Both errors mean that the lines can't be written in time.
+        let _ = is_written.recv_timeout(until.saturating_duration_since(Instant::now()));
+    }
 }
 
 /// Formats a record as one line; control characters within it are replaced by spaces.
@@ -180,17 +211,26 @@
 }
 
 /// Writes queued lines until a write fails; all later lines are dropped.
-fn write_lines(rx: &Receiver<String>, mut out: impl io::Write) {
-    while let Ok(line) = rx.recv() {
-        let mut batch = line;
-        while let Ok(next_line) = rx.try_recv() {
-            batch.push_str(&next_line);
+fn write_lines(rx: &Receiver<Entry>, mut out: impl io::Write) {
+    while let Ok(first) = rx.recv() {
+        let (mut batch, mut flushes) = (String::new(), vec![]);
+        let mut next = Ok(first);
+        while let Ok(entry) = next {
+            match entry {
+                Entry::Line(line) => batch.push_str(&line),
+                Entry::Flush(written) => flushes.push(written),
+            }
             if batch.len() > (MAX_LINE_BYTES << 4) {
                 break;
             }
+            next = rx.try_recv();
         }
         if out.write_all(batch.as_bytes()).and_then(|()| out.flush()).is_err() {
             return;
         }
+        for written in flushes {
+            // The flush may have timed out.
+            let _ = written.try_send(());
+        }
     }
 }
--- a/lib/tests/test_log_queue.rs
+++ b/lib/tests/test_log_queue.rs
@@ -136,6 +136,30 @@
     drop(gate_tx);
 }
 
+/// The process exits after it has flushed its log.
+#[test]
+fn last_lines_before_exit_are_lost() {
+    let out = SlowOutput { delay: Duration::from_millis(20), ..SlowOutput::default() };
+    let log = QueuedLogger::new(LevelFilter::Info, LogFormat::Text, out.clone()).unwrap();
+    for request in ["r1", "r2", "r3"] {
+        write(&log, &rejected_event(request));
+    }
+    log.flush();
+    assert_eq!(out.lines().len(), 3);
+}
+
+#[test]
+fn blocked_output_does_not_block_flush() {
+    let (gate_tx, gate_rx) = mpsc::channel();
+    let log =
+        QueuedLogger::new(LevelFilter::Info, LogFormat::Text, BlockedOutput(gate_rx)).unwrap();
+    log_burst(&log);
+    let start = Instant::now();
+    log.flush();
+    assert!(start.elapsed() < MAX_BURST_TIME, "the flush took {:?}", start.elapsed());
+    drop(gate_tx);
+}
+
 #[test]
 fn closed_output_does_not_block_logging() {
     let log = QueuedLogger::new(LevelFilter::Info, LogFormat::Text, ClosedOutput).unwrap();
