serving: close connections whose response is not read

A caller that did not read its response kept its connection, and with it the response, or the queue and the task of a stream, for good.

Cause: the deadline of a request bounds the replica, but nothing bounded the time for which written bytes wait for the caller; the error that aborts a stream waits in the queue behind them. The stream of a connection now records when its peer stops taking bytes. Each byte that is taken starts the time again, so a slow reader is not cut.

unread_answer_is_dropped_after_the_deadline_and_the_idle_timeout failed before (still open after 20 s, with a deadline of 2.5 s and an idle timeout of 0.5 s) and passes now. slowly_read_answer_is_complete (4 MiB, read beyond the deadline) passed before and passes now.

--- a/serving/src/connection_pressure.rs
+++ b/serving/src/connection_pressure.rs
@@ -61,6 +61,7 @@
             heads: count(ConnectionPhase::Head),
             bodies: count(ConnectionPhase::Body),
             busy: count(ConnectionPhase::Busy),
+            unread: count(ConnectionPhase::Unread),
             lingering: count(ConnectionPhase::Lingering),
             closed: std::mem::take(&mut self.closed),
             refused: std::mem::take(&mut self.refused),
--- a/serving/src/connection_state.rs
+++ b/serving/src/connection_state.rs
@@ -27,13 +27,16 @@
     Body,
     /// A request runs, or its response has not been written completely.
     Busy,
+    /// The peer takes no more bytes of a response whose request has passed its deadline.
+    Unread,
     /// The response has been written and the write side shut down; what the peer still sends is discarded.
     Lingering,
 }
 
 impl ConnectionPhase {
     /// All phases.
-    pub const ALL: [Self; 5] = [Self::Idle, Self::Head, Self::Body, Self::Busy, Self::Lingering];
+    pub const ALL: [Self; 6] =
+        [Self::Idle, Self::Head, Self::Body, Self::Busy, Self::Unread, Self::Lingering];
 
     /// Returns the label of the phase in metrics.
     pub fn label(self) -> &'static str {
@@ -42,6 +45,7 @@
             Self::Head => "head",
             Self::Body => "body",
             Self::Busy => "busy",
+            Self::Unread => "unread",
             Self::Lingering => "lingering",
         }
     }
@@ -64,16 +68,23 @@
     has_read_ahead: bool,
     /// Whether a part of the last response is still to be written.
     is_unflushed: bool,
+    /// Since when the peer takes no bytes; `None` if it takes them.
+    blocked_since: Option<Instant>,
+    /// Deadline of the last request.
+    deadline: Instant,
 }
 
 impl ConnectionState {
     /// Returns the state of a connection that has just been accepted.
     pub fn new() -> Self {
+        let now = Instant::now();
         let activity = Activity {
             phase: ConnectionPhase::Idle,
-            since: Instant::now(),
+            since: now,
             has_read_ahead: false,
             is_unflushed: false,
+            blocked_since: None,
+            deadline: now,
         };
         Self {
             activity: Mutex::new(activity),
@@ -82,18 +93,26 @@
         }
     }
 
-    /// Returns the phase and when it began. In a body, it is the time at which the last part was received.
-    pub fn phase(&self) -> (ConnectionPhase, Instant) {
+    /// Returns the phase at a time and when it began. In a body, it is when the last part was received.
+    pub fn phase(&self, now: Instant) -> (ConnectionPhase, Instant) {
         let activity = self.lock();
-        match activity.is_unflushed {
-            true => (ConnectionPhase::Busy, activity.since),
-            false => (activity.phase, activity.since),
+        if activity.phase != ConnectionPhase::Busy && !activity.is_unflushed {
+            return (activity.phase, activity.since);
         }
+        match activity.unread_since() {
+            Some(since) if since <= now => (ConnectionPhase::Unread, since),
+            _ => (ConnectionPhase::Busy, activity.since),
+        }
+    }
+
+    /// Returns since when or from when on the response counts as unread; `None` if the peer takes bytes.
+    pub fn unread_since(&self) -> Option<Instant> {
+        self.lock().unread_since()
     }
 
-    /// Returns whether the connection waits for its peer, and holds no response.
-    pub fn is_waiting(&self) -> bool {
-        self.phase().0 != ConnectionPhase::Busy
+    /// Returns whether the connection waits for its peer, and holds no response that the peer may still want.
+    pub fn is_waiting(&self, now: Instant) -> bool {
+        self.phase(now).0 != ConnectionPhase::Busy
     }
 
     /// Records that bytes were received.
@@ -103,7 +122,7 @@
             ConnectionPhase::Idle => activity.begin(ConnectionPhase::Head),
             ConnectionPhase::Head | ConnectionPhase::Lingering => {}
             ConnectionPhase::Body => activity.since = Instant::now(),
-            ConnectionPhase::Busy => activity.has_read_ahead = true,
+            ConnectionPhase::Busy | ConnectionPhase::Unread => activity.has_read_ahead = true,
         }
     }
 
@@ -122,6 +141,17 @@
         self.lock().phase = ConnectionPhase::Busy;
     }
 
+    /// Records the deadline of the request.
+    pub fn record_deadline(&self, deadline: Instant) {
+        self.lock().deadline = deadline;
+    }
+
+    /// Records that the peer takes no more bytes, or takes them again.
+    pub fn record_blocked(&self, is_blocked: bool) {
+        let mut activity = self.lock();
+        activity.blocked_since = is_blocked.then(Instant::now);
+    }
+
     /// Records that no further part of a response follows.
     fn record_response_end(&self) {
         let mut activity = self.lock();
@@ -175,6 +205,10 @@
 }
 
 impl Activity {
+    fn unread_since(&self) -> Option<Instant> {
+        self.blocked_since.map(|since| since.max(self.deadline))
+    }
+
     fn begin(&mut self, phase: ConnectionPhase) {
         self.phase = phase;
         self.since = Instant::now();
--- a/serving/src/connection_table.rs
+++ b/serving/src/connection_table.rs
@@ -107,7 +107,7 @@
     pub fn longest_waiting(&self, now: Instant) -> Option<(Arc<ConnectionState>, ConnectionPhase)> {
         let open = self.lock();
         let rank = |state: &Arc<ConnectionState>| {
-            let (phase, since) = state.phase();
+            let (phase, since) = state.phase(now);
             Some((rank(phase, since, now)?, since, phase))
         };
         let ranked = open.connections.values().filter_map(|state| Some((rank(state)?, state)));
@@ -118,8 +118,9 @@
     /// Returns the number of connections in each phase.
     pub fn counts(&self) -> BTreeMap<ConnectionPhase, u64> {
         let mut counts: BTreeMap<_, _> = ConnectionPhase::ALL.map(|phase| (phase, 0)).into();
+        let now = Instant::now();
         for state in self.lock().connections.values() {
-            *counts.entry(state.phase().0).or_default() += 1;
+            *counts.entry(state.phase(now).0).or_default() += 1;
         }
         counts
     }
@@ -140,11 +141,13 @@
     let is_stalled = now.saturating_duration_since(since) >= STALLED_AFTER;
     match (phase, is_stalled) {
         (ConnectionPhase::Head, true) => Some(0),
-        (ConnectionPhase::Body | ConnectionPhase::Lingering, true) => Some(1),
+        (ConnectionPhase::Body | ConnectionPhase::Lingering | ConnectionPhase::Unread, true) => {
+            Some(1)
+        }
         (ConnectionPhase::Idle, _) => Some(2),
         (ConnectionPhase::Head, false) => Some(3),
         (ConnectionPhase::Body | ConnectionPhase::Lingering, false) => Some(4),
-        (ConnectionPhase::Busy, _) => None,
+        (ConnectionPhase::Unread, false) | (ConnectionPhase::Busy, _) => None,
     }
 }
 
--- a/serving/src/listeners.rs
+++ b/serving/src/listeners.rs
@@ -263,14 +263,20 @@
             }
             () = state.close_requested() => {
                 // A request may have been received since the connection was chosen.
-                if state.is_waiting() {
+                if state.is_waiting(Instant::now()) {
                     return;
                 }
                 state.answer_close();
             }
             () = poll_fn(|task_cx| timer.poll(task_cx, deadline(&state, &limits))) => {
-                if state.phase().0 == ConnectionPhase::Head {
-                    cx.metrics.connection_closed(role.label(), "header_timeout");
+                match state.phase(Instant::now()).0 {
+                    ConnectionPhase::Head => {
+                        cx.metrics.connection_closed(role.label(), "header_timeout");
+                    }
+                    ConnectionPhase::Unread => {
+                        cx.metrics.connection_closed(role.label(), "unread_timeout");
+                    }
+                    _ => {}
                 }
                 return;
             }
@@ -280,12 +286,15 @@
 
 /// Returns when a connection is closed unless its peer sends more.
 fn deadline(state: &ConnectionState, limits: &CallerLimits) -> Option<Instant> {
-    match state.phase() {
+    match state.phase(Instant::now()) {
         (ConnectionPhase::Idle, since) => Some(since + limits.idle_timeout + IDLE_TIMEOUT_MARGIN),
         (ConnectionPhase::Head, since) => {
             Some(since + limits.header_timeout + HEADER_TIMEOUT_MARGIN)
         }
-        (ConnectionPhase::Body | ConnectionPhase::Busy | ConnectionPhase::Lingering, _) => None,
+        (ConnectionPhase::Busy | ConnectionPhase::Unread, _) => {
+            state.unread_since().map(|since| since + limits.idle_timeout + IDLE_TIMEOUT_MARGIN)
+        }
+        (ConnectionPhase::Body | ConnectionPhase::Lingering, _) => None,
     }
 }
 
--- a/serving/src/recorded_stream.rs
+++ b/serving/src/recorded_stream.rs
@@ -19,6 +19,8 @@
 pub struct RecordedStream {
     stream: TcpStream,
     connection: Arc<ConnectionState>,
+    /// Whether the peer takes no more bytes.
+    is_blocked: bool,
     /// Whether the write side has been shut down, after which received bytes are discarded.
     is_shut_down: bool,
 }
@@ -26,7 +28,16 @@
 impl RecordedStream {
     /// Wraps a connected stream.
     pub fn new(stream: TcpStream, connection: Arc<ConnectionState>) -> Self {
-        Self { stream, connection, is_shut_down: false }
+        Self { stream, connection, is_blocked: false, is_shut_down: false }
+    }
+
+    /// Records whether the peer takes bytes, if that has changed.
+    fn record_write(&mut self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+        if self.is_blocked != written.is_pending() {
+            self.is_blocked = written.is_pending();
+            self.connection.record_blocked(self.is_blocked);
+        }
+        written
     }
 }
 
@@ -51,7 +62,8 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
+        let written = Pin::new(&mut self.stream).poll_write(cx, buf);
+        self.record_write(written)
     }
 
     fn poll_write_vectored(
@@ -59,7 +71,8 @@
         cx: &mut Context<'_>,
         bufs: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+        let written = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        self.record_write(written)
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/serving/src/request_handler.rs
+++ b/serving/src/request_handler.rs
@@ -105,6 +105,9 @@
     let _running = cx.running.begin_request();
     let request = read_request(&incoming, &table, parts, head, body, received).await;
     connection.record_request();
+    if let Ok(task) = &request {
+        connection.record_deadline(task.deadline);
+    }
     match request {
         Ok(task) if cx.stop.is_refusing(Instant::now()) => {
             incoming.reject(&task.route, &Rejection::Stopping)
--- a/serving/src/serving_metrics.rs
+++ b/serving/src/serving_metrics.rs
@@ -105,11 +105,11 @@
     ),
     (
         "open_connections",
-        "Open connections, by listener and state: idle, in an unfinished head or body, busy with a request, or lingering while what follows a response is discarded.",
+        "Open connections, by listener and state: idle, in an unfinished head or body, busy with a request, unread after the deadline of the request, or lingering while what follows a response is discarded.",
     ),
     (
         "connections_closed_total",
-        "Connections that the node closed, by listener and reason: to make room for others (idle, head, body or lingering), since all others were busy (refused), or since a head took too long (header_timeout).",
+        "Connections that the node closed, by listener and reason: to make room for others (idle, head, body, unread or lingering), since all others were busy (refused), or since a head took too long (header_timeout) or a response was not read (unread_timeout).",
     ),
     ("held_bytes", "Bytes that are held for callers, by use; the use `waiting` is waited for."),
     ("held_bytes_limit", "Limit on the bytes that are held for callers."),
--- a/serving/tests/runner.rs
+++ b/serving/tests/runner.rs
@@ -62,4 +62,5 @@
 mod test_stray_answers;
 mod test_unframed_answers;
 mod test_unframed_streams;
+mod test_unread_answers;
 mod util;
--- a/serving/tests/test_connections.rs
+++ b/serving/tests/test_connections.rs
@@ -154,6 +154,10 @@
         ConnectionPhase::Head => state.record_read(),
         ConnectionPhase::Body => state.record_head(true),
         ConnectionPhase::Busy => state.record_head(false),
+        ConnectionPhase::Unread => {
+            state.record_head(false);
+            state.record_blocked(true);
+        }
         ConnectionPhase::Lingering => state.record_shutdown(),
     }
 }
@@ -205,11 +209,11 @@
     let state = Arc::new(ConnectionState::new());
     state.record_head(false);
     drop(RecordedBody::new(ResponseBody::complete("x"), state.clone()));
-    assert!(!state.is_waiting());
+    assert!(!state.is_waiting(Instant::now()));
     state.record_head(true);
-    assert!(!state.is_waiting());
+    assert!(!state.is_waiting(Instant::now()));
     state.record_flush();
-    assert_eq!(state.phase().0, ConnectionPhase::Body);
+    assert_eq!(state.phase(Instant::now()).0, ConnectionPhase::Body);
 }
 
 /// Bytes received while a request runs belong to the next head.
@@ -220,5 +224,21 @@
     state.record_read();
     drop(RecordedBody::new(ResponseBody::complete("x"), state.clone()));
     state.record_flush();
-    assert_eq!(state.phase().0, ConnectionPhase::Head);
+    assert_eq!(state.phase(Instant::now()).0, ConnectionPhase::Head);
+}
+
+/// A response that is not read gives its place only after the deadline of its request.
+#[tokio::test(start_paused = true)]
+async fn unread_response_keeps_its_place_until_the_deadline() {
+    let table = ConnectionTable::new("callers", 8);
+    let place = table.add();
+    place.state.record_head(false);
+    place.state.record_deadline(Instant::now() + Duration::from_secs(2));
+    place.state.record_blocked(true);
+    advance(Duration::from_secs(1)).await;
+    assert!(table.longest_waiting(Instant::now()).is_none());
+    advance(Duration::from_secs(2)).await;
+    assert!(table.longest_waiting(Instant::now()).is_some());
+    place.state.record_blocked(false);
+    assert!(table.longest_waiting(Instant::now()).is_none());
 }
