--- a/bench/src/daemon_process.rs
+++ b/bench/src/daemon_process.rs
@@ -31,6 +31,11 @@
 /// Offset between the first ports of two runs with consecutive process ids.
 const PORTS_PER_RUN: u32 = 64;
 
+/// Memory of each daemon in MiB, equal to the default of the settings.
+const MEMORY_MB: u32 = 8192;
+/// Maximum number of connections of callers, equal to the default of the settings.
+const MAX_CONNECTIONS: u32 = 20_000;
+
 /// Operator token of all benchmarks.
 pub const OPERATOR_TOKEN: &str = "bench-operator";
 
@@ -128,6 +133,8 @@
             statsd: None,
             shutdown: plan.shutdown,
             gossip: Duration::from_millis(200),
+            memory_mb: MEMORY_MB,
+            max_connections: MAX_CONNECTIONS,
             test_hooks: true,
         };
         let settings_file = directory.path().join(format!("{}.json", plan.node));
--- a/daemon/src/node.rs
+++ b/daemon/src/node.rs
@@ -35,8 +35,6 @@
 use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
 
-/// Maximum number of concurrent connections of callers.
-const MAX_CALLER_CONNECTIONS: usize = 20_000;
 /// Maximum number of concurrent connections of operators.
 const MAX_OPERATOR_CONNECTIONS: usize = 256;
 /// Timeout for the operators' listener to close its connections.
@@ -111,7 +109,7 @@
         if let Some(faults) = faults {
             api = api.with_faults(faults);
         }
-        let callers = callers.serve(caller_routes, MAX_CALLER_CONNECTIONS);
+        let callers = callers.serve(caller_routes, settings.max_connections as usize);
         let operators = operators.serve(api.router(), MAX_OPERATOR_CONNECTIONS);
 
         let version = env!("CARGO_PKG_VERSION").to_string();
