--- a/daemon/src/node.rs
+++ b/daemon/src/node.rs
@@ -35,6 +35,10 @@
 use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
 
+/// Part of the memory for connections of callers.
+const CONNECTION_SHARE: usize = 4;
+/// Memory that a connection takes beside the bodies of its requests, in bytes.
+const CONNECTION_BYTES: usize = 64 << 10;
 /// Maximum number of concurrent connections of operators.
 const MAX_OPERATOR_CONNECTIONS: usize = 256;
 /// Timeout for the operators' listener to close its connections.
@@ -109,8 +113,11 @@
         if let Some(faults) = faults {
             api = api.with_faults(faults);
         }
-        let callers = callers.serve(caller_routes, settings.max_connections as usize);
-        let operators = operators.serve(api.router(), MAX_OPERATOR_CONNECTIONS);
+        let callers = callers.with_metrics(cx.metrics.clone());
+        let callers = callers.serve(caller_routes, max_caller_connections(&settings));
+        let operators = operators
+            .with_metrics(cx.metrics.clone())
+            .serve(api.router(), MAX_OPERATOR_CONNECTIONS);
 
         let version = env!("CARGO_PKG_VERSION").to_string();
         cx.record(Event::Started { node: cx.node().to_string(), version });
@@ -144,6 +151,12 @@
     }
 }
 
+/// Returns the maximum number of concurrent connections of callers.
+fn max_caller_connections(settings: &DaemonSettings) -> usize {
+    let memory = (settings.memory_mb as usize) << 20;
+    (settings.max_connections as usize).min(memory / CONNECTION_SHARE / CONNECTION_BYTES)
+}
+
 /// Binds the socket for the other nodes, with fault injection if `test_hooks` is set.
 async fn peer_socket(
     settings: &DaemonSettings,
--- /dev/null
+++ b/lib/src/connection_slots.rs
@@ -0,0 +1,243 @@
+//! Connections of a listener. Once as many are open as are allowed, those that wait for their client are
+//! closed for new ones, longest first: clients that stay cannot shut out others.
+
+use crate::metric_names;
+use crate::metrics::Metrics;
+use salvo::Depot;
+use salvo::FlowCtrl;
+use salvo::Handler;
+use salvo::Request;
+use salvo::Response;
+use salvo::conn::ConnCtrl;
+use salvo::fuse::ArcConnObserver;
+use salvo::fuse::ConnObserver;
+use salvo::fuse::FuseAction;
+use salvo::fuse::FuseConfig;
+use salvo::fuse::FuseInfo;
+use salvo::fuse::FusePolicy;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+
+/// The connections of a listener; clones share them.
+#[derive(Clone)]
+pub struct ConnectionSlots(Arc<Shared>);
+
+struct Shared {
+    max_connections: usize,
+    timeouts: FuseConfig,
+    metrics: Metrics,
+    state: Mutex<State>,
+}
+
+#[derive(Default)]
+struct State {
+    connections: HashMap<SocketAddr, Arc<Connection>>,
+    last_change: u64,
+}
+
+struct Connection {
+    control: ConnCtrl,
+    wait: Mutex<Wait>,
+}
+
+/// What a connection waits for, and the number of the change since which it does.
+#[derive(Debug, Clone, Copy)]
+struct Wait {
+    phase: Phase,
+    since: u64,
+    is_closing: bool,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Phase {
+    /// The head of a request is not complete.
+    Head,
+    /// The body of a request is not complete, and the request is not executed before it is.
+    Body,
+    /// A request is being executed.
+    Running,
+    /// The head of the last response was sent; its body may still be sent.
+    Answered,
+}
+
+/// Handler before all others that records which connections have requests.
+struct RequestTracker(ConnectionSlots);
+
+/// Records the bytes that arrive on a connection, and its end.
+struct SlotObserver {
+    slots: ConnectionSlots,
+    address: SocketAddr,
+    connection: Arc<Connection>,
+}
+
+/// Extension of a request: its connection.
+#[derive(Clone)]
+struct RequestSlot {
+    slots: ConnectionSlots,
+    connection: Arc<Connection>,
+}
+
+/// Marks the connection of a request as waiting for its body until this is dropped.
+pub struct BodyWait(RequestSlot);
+
+impl ConnectionSlots {
+    /// Returns the connections of a listener that accepts at most `max_connections`.
+    pub fn new(max_connections: usize, timeouts: FuseConfig, metrics: Metrics) -> Self {
+        let state = Mutex::default();
+        Self(Arc::new(Shared { max_connections, timeouts, metrics, state }))
+    }
+
+    /// Returns the handler that has to run before all others.
+    pub fn tracker(&self) -> impl Handler + use<> {
+        RequestTracker(self.clone())
+    }
+
+    /// Closes connections that wait for their clients until there is room for another one; false if there is
+    /// none.
+    fn make_room(&self) -> bool {
+        let state = self.lock();
+        let waits = state.connections.values().map(|connection| (connection.wait(), connection));
+        let open: Vec<(Wait, &Arc<Connection>)> =
+            waits.filter(|(wait, _)| !wait.is_closing).collect();
+        if open.len() < self.0.max_connections {
+            return true;
+        }
+        let longest = |is_candidate: fn(Phase) -> bool| {
+            let waiting = open.iter().filter(|(wait, _)| is_candidate(wait.phase));
+            waiting.min_by_key(|(wait, _)| wait.since).map(|(_, connection)| connection)
+        };
+        if let Some(connection) = longest(|phase| matches!(phase, Phase::Head | Phase::Body)) {
+            connection.lock().is_closing = true;
+            connection.control.abort();
+            return true;
+        }
+        let Some(connection) = longest(|phase| phase == Phase::Answered) else { return false };
+        connection.lock().is_closing = true;
+        // Ends an idle connection at once, and one whose response is being sent after that.
+        connection.control.graceful_shutdown();
+        state.connections.len() <= 2 * self.0.max_connections
+    }
+
+    fn insert(&self, address: SocketAddr, control: ConnCtrl) -> Arc<Connection> {
+        let mut state = self.lock();
+        let wait = Wait { phase: Phase::Head, since: state.next_change(), is_closing: false };
+        let connection = Arc::new(Connection { control, wait: Mutex::new(wait) });
+        state.connections.insert(address, connection.clone());
+        connection
+    }
+
+    fn find(&self, address: SocketAddr) -> Option<Arc<Connection>> {
+        self.lock().connections.get(&address).cloned()
+    }
+
+    fn set_phase(&self, connection: &Connection, phase: Phase) {
+        let since = self.lock().next_change();
+        let mut wait = connection.lock();
+        (wait.phase, wait.since) = (phase, since);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.0.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl State {
+    fn next_change(&mut self) -> u64 {
+        self.last_change += 1;
+        self.last_change
+    }
+}
+
+impl Connection {
+    fn wait(&self) -> Wait {
+        *self.lock()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Wait> {
+        self.wait.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+#[salvo::async_trait]
+impl FusePolicy for ConnectionSlots {
+    async fn decide(&self, _info: &FuseInfo) -> FuseAction {
+        let open = self.lock().connections.len();
+        match self.make_room() {
+            true if open < self.0.max_connections => FuseAction::Accept(self.0.timeouts),
+            true => {
+                self.0.metrics.count(metric_names::CONNECTIONS_CLOSED, 1);
+                FuseAction::Accept(self.0.timeouts)
+            }
+            false => {
+                self.0.metrics.count(metric_names::CONNECTIONS_REFUSED, 1);
+                FuseAction::Reject
+            }
+        }
+    }
+
+    fn observe(&self, info: &FuseInfo, control: &ConnCtrl) -> Option<ArcConnObserver> {
+        let address = info.remote_addr.clone().into_std()?;
+        let connection = self.insert(address, control.clone());
+        Some(Arc::new(SlotObserver { slots: self.clone(), address, connection }))
+    }
+}
+
+impl ConnObserver for SlotObserver {
+    fn on_read(&self, _bytes: usize) {
+        if self.connection.wait().phase == Phase::Answered {
+            self.slots.set_phase(&self.connection, Phase::Head);
+        }
+    }
+}
+
+impl Drop for SlotObserver {
+    fn drop(&mut self) {
+        let mut state = self.slots.lock();
+        let found = state.connections.get(&self.address);
+        // The client may already have connected again from the same port.
+        if found.is_some_and(|found| Arc::ptr_eq(found, &self.connection)) {
+            state.connections.remove(&self.address);
+        }
+    }
+}
+
+#[salvo::async_trait]
+impl Handler for RequestTracker {
+    async fn handle(
+        &self,
+        req: &mut Request,
+        depot: &mut Depot,
+        res: &mut Response,
+        ctrl: &mut FlowCtrl,
+    ) {
+        let address = req.remote_addr().clone().into_std();
+        let Some(connection) = address.and_then(|address| self.0.find(address)) else {
+            ctrl.call_next(req, depot, res).await;
+            return;
+        };
+        self.0.set_phase(&connection, Phase::Running);
+        let slot = RequestSlot { slots: self.0.clone(), connection: connection.clone() };
+        req.extensions_mut().insert(slot);
+        ctrl.call_next(req, depot, res).await;
+        self.0.set_phase(&connection, Phase::Answered);
+    }
+}
+
+impl BodyWait {
+    /// Marks the connection of a request; `None` if it is not known.
+    pub fn new(req: &Request) -> Option<Self> {
+        let slot = req.extensions().get::<RequestSlot>()?.clone();
+        slot.slots.set_phase(&slot.connection, Phase::Body);
+        Some(Self(slot))
+    }
+}
+
+impl Drop for BodyWait {
+    fn drop(&mut self) {
+        self.0.slots.set_phase(&self.0.connection, Phase::Running);
+    }
+}
--- a/lib/src/http_server.rs
+++ b/lib/src/http_server.rs
@@ -1,7 +1,9 @@
 //! HTTP listeners of a daemon, with limits on connections, header size and time.
 
+use crate::connection_slots::ConnectionSlots;
 use crate::lingering_stream::LingerLimit;
 use crate::lingering_stream::LingeringStream;
+use crate::metrics::Metrics;
 use salvo::Router;
 use salvo::Server;
 use salvo::Service;
@@ -33,6 +35,8 @@
 const BODY_READ_TIMEOUT: Duration = Duration::from_secs(10);
 /// Maximum number of connections that wait to be accepted.
 const LISTEN_BACKLOG: u32 = 4096;
+/// Receive buffer of a connection in bytes, so that the bytes which the node does not read are bounded.
+const RECEIVE_BUFFER: u32 = 32 << 10;
 /// Longest time for which a client may leave written response data unread.
 const WRITE_STALL_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -88,6 +92,7 @@
 #[derive(Debug)]
 pub struct HttpListener {
     acceptor: LingeringAcceptor,
+    metrics: Metrics,
 }
 
 /// Accepts connections as `LingeringStream`s, whose callers receive a response also if the server has not
@@ -133,7 +138,13 @@
         let acceptor = TcpAcceptor::try_from(listener).map_err(|e| to_listen_error(&e))?;
         let connections = Arc::new(Semaphore::new(MAX_LINGERING));
         let limit = LingerLimit { connections, max_bytes: MAX_DISCARDED_BYTES };
-        Ok(Self { acceptor: LingeringAcceptor { acceptor, limit } })
+        let acceptor = LingeringAcceptor { acceptor, limit };
+        Ok(Self { acceptor, metrics: Metrics::new() })
+    }
+
+    /// Counts the connections that are closed or refused in these metrics.
+    pub fn with_metrics(self, metrics: Metrics) -> Self {
+        Self { metrics, ..self }
     }
 
     /// Returns the bound address.
@@ -148,8 +159,9 @@
             .with_http1_header_timeout(HEAD_TIMEOUT)
             .with_request_body_timeout(BODY_READ_TIMEOUT)
             .with_write_stall_timeout(WRITE_STALL_TIMEOUT);
-        let mut server =
-            Server::new(self.acceptor).fuse_config(fuse).max_connections(max_connections);
+        let slots = ConnectionSlots::new(max_connections, fuse, self.metrics);
+        let router = Router::new().hoop(slots.tracker()).push(router);
+        let mut server = Server::new(self.acceptor).fuse_policy(slots);
         server.http1_mut().max_buf_size(MAX_HEAD_BYTES).max_headers(MAX_HEADERS);
         let handle = server.handle();
         let task = tokio::spawn(server.try_serve(Service::new(router)));
@@ -168,6 +180,7 @@
     let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
     socket.set_reuseaddr(true)?;
     socket.set_nodelay(true)?;
+    socket.set_recv_buffer_size(RECEIVE_BUFFER)?;
     socket.bind(address)?;
     socket.listen(LISTEN_BACKLOG)
 }
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod config_check;
 pub mod config_diff;
 pub mod config_view;
+pub mod connection_slots;
 pub mod control_budget;
 pub mod crash_history;
 pub mod cx;
--- a/lib/src/metric_names.rs
+++ b/lib/src/metric_names.rs
@@ -67,6 +67,15 @@
 /// Operations sent to the shard's preferred writer.
 pub const LEDGER_FORWARDS: &str = "ledger.forwards";
 
+/// Connections closed for new ones, since they waited for their clients.
+pub const CONNECTIONS_CLOSED: &str = "connections.closed";
+/// Connections refused because of the limit on open ones.
+pub const CONNECTIONS_REFUSED: &str = "connections.refused";
+/// Bytes held for request bodies.
+pub const BODY_BYTES: &str = "bodies.bytes";
+/// Request bodies refused or ended for others because there was no room for them.
+pub const BODIES_REFUSED: &str = "bodies.refused";
+
 /// Orders sent to instances.
 pub const GROUP_ORDERS: &str = "groups.orders";
 
@@ -92,6 +101,13 @@
     ),
     (CONTROL_MEMORY_BYTES, "Resident memory of the process in bytes."),
     (MEMBERS_LIVE, "Nodes that this node considers live."),
+    (CONNECTIONS_CLOSED, "Connections closed for new ones, since they waited for their clients."),
+    (CONNECTIONS_REFUSED, "Connections refused because of the limit on open ones."),
+    (BODY_BYTES, "Bytes held for request bodies."),
+    (
+        BODIES_REFUSED,
+        "Request bodies refused or ended for others because there was no room for them.",
+    ),
     (GROUP_ORDERS, "Orders sent to instances."),
     (REQUESTS, "Requests received."),
     (REQUESTS_WHOLE, "Requests with a complete response."),
