--- a/daemon/tests/daemon_stand.rs
+++ b/daemon/tests/daemon_stand.rs
@@ -40,6 +40,8 @@
 /// Token of a caller.
 pub const TOKEN: &str = "caller-token";
 const OPERATOR_TOKEN: &str = "operator-token";
+/// Time that a call of the service `slow` takes.
+const SLOW_TIME: Duration = Duration::from_secs(30);
 /// Time for which ordinary requests are tried until one is served.
 const SERVED_TIMEOUT: Duration = Duration::from_secs(20);
 /// Longest wait for one response.
@@ -78,7 +80,7 @@
     }
 }
 
-/// A daemon with the plain service `filing`.
+/// A daemon with the plain services `filing` and `slow`.
 pub struct DaemonStand {
     daemon: LoggedDaemon,
     callers: SocketAddr,
@@ -98,13 +100,12 @@
     pub async fn with_connections(test: &str, max_connections: usize) -> Self {
         let lock = load_run::lock().await;
         let mut fleet = FakeFleet::start().await.unwrap();
-        let plan = PlainPlan {
-            service: "filing".to_string(),
-            data_centre: "dc-1".to_string(),
-            instances: 1,
-            options: EngineOptions::default(),
-        };
-        fleet.add_plain(&plan).await.unwrap();
+        let slow = EngineOptions { plain_time: SLOW_TIME, ..EngineOptions::default() };
+        for (service, options) in [("filing", EngineOptions::default()), ("slow", slow)] {
+            let (service, data_centre) = (service.to_string(), "dc-1".to_string());
+            let plan = PlainPlan { service, data_centre, instances: 1, options };
+            fleet.add_plain(&plan).await.unwrap();
+        }
         fleet.store.seed(CONFIG_KEY, &configuration().to_string());
         let dir = TestDir::new(&format!("memory-{test}"));
         let mut settings = dir.settings();
@@ -184,16 +185,22 @@
 
 /// Returns a call of the service `filing` without a body.
 pub fn call() -> RawRequest {
-    RawRequest::new("POST", "/v1/call/filing/a")
+    call_of("filing")
+}
+
+/// Returns a call of a service without a body.
+pub fn call_of(service: &str) -> RawRequest {
+    RawRequest::new("POST", &format!("/v1/call/{service}/a"))
         .with_header("Authorization", &format!("Bearer {TOKEN}"))
 }
 
 fn configuration() -> Value {
+    let plain = json!({"kind": "plain", "replicas": 1, "idempotent": true});
     json!({
         "version": 1, "change_id": "c", "author": "test", "reason": "test", "accepted_unix_ms": 0,
         "config": {
             "defaults": {"max_prompt_bytes": MAX_BODY},
-            "services": {"filing": {"kind": "plain", "replicas": 1, "idempotent": true}},
+            "services": {"filing": plain, "slow": plain},
             "customers": {"a": {"weight": 10, "burst": 1000, "tokens": [hash_token(TOKEN)]}},
         },
     })
--- a/daemon/tests/test_own_limits.rs
+++ b/daemon/tests/test_own_limits.rs
@@ -8,6 +8,7 @@
 use crate::daemon_stand::OTHER_DESCRIPTORS;
 use crate::daemon_stand::TOKEN;
 use crate::daemon_stand::call;
+use crate::daemon_stand::call_of;
 use crate::daemon_stand::send;
 use crate::stalling_client::RawRequest;
 use crate::stalling_client::StallingClient;
@@ -101,6 +102,15 @@
     outcome.check(MEMORY_MB, MAX_DESCRIPTORS);
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn bodies_for_slow_service_exceed_memory() {
+    let mut stand = DaemonStand::new("slow-service").await;
+    let request = call_of("slow").with_header("Content-Length", &MAX_BODY.to_string());
+    let client = StallingClient::new(request.with_body(&vec![b'a'; MAX_BODY]));
+    let outcome = stand.run(&client, Listener::Callers, CLIENTS).await;
+    outcome.check(MEMORY_MB, MAX_DESCRIPTORS);
+}
+
 #[rstest]
 #[case::whole(None)]
 #[case::large_chunks(Some(64 << 10))]
--- a/lib/src/caller_api.rs
+++ b/lib/src/caller_api.rs
@@ -1,6 +1,9 @@
 //! HTTP API for callers: generations, calls of plain services, entries and health checks.
 
 use crate::at_most_once;
+use crate::byte_budget::ByteBudget;
+use crate::byte_budget::ByteUse;
+use crate::byte_budget::NoRoom;
 use crate::caller_auth;
 use crate::caller_calls::Call;
 use crate::caller_calls::LedgerOperation;
@@ -8,6 +11,8 @@
 use crate::caller_error;
 use crate::caller_error::write_json;
 use crate::caller_sse;
+use crate::connection_slots::BodyWait;
+use crate::cx::Cx;
 use crate::entries;
 use crate::generated::config::ServiceKind;
 use crate::generated::requests::ErrorCode;
@@ -20,6 +25,8 @@
 use crate::ledger_peer;
 use crate::limited_body;
 use crate::limited_body::BodyError;
+use crate::limited_body::BodyRoom;
+use crate::limited_body::ReadError;
 use crate::metric_names;
 use crate::prefix_hash::prefix_hash;
 use crate::request::Request;
@@ -46,6 +53,8 @@
 
 /// Longest time to receive a request body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+/// Delay after which a request that was rejected for lack of room may be sent again.
+const ROOM_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Largest request body while the node has no configuration.
 const DEFAULT_MAX_BODY_BYTES: u64 = 1 << 20;
 
@@ -166,11 +175,11 @@
         res: &mut Response,
     ) -> Result<(), RequestError> {
         let customer = caller_auth::authenticate(self.path.cx(), req.headers())?;
-        let body = read_body(&self.path, req).await?;
-        let body: GenerateBody = parse(&body)?;
+        let received = read_body(&self.path, req).await?;
+        let body: GenerateBody = parse(&received)?;
         let is_first_send = body.first_send;
         let has_key = body.idempotency_key.is_some();
-        let result = self.generate(customer, body, res).await;
+        let result = self.generate(customer, body, received, res).await;
         match has_key {
             true => result.map_err(|e| e.for_keyed_request(is_first_send)),
             false => result,
@@ -181,12 +190,13 @@
         &self,
         customer: CustomerId,
         body: GenerateBody,
+        received: Bytes,
         res: &mut Response,
     ) -> Result<(), RequestError> {
         let is_stream = body.stream;
         self.path.check_kind(&body.service, ServiceKind::Engine)?;
         at_most_once::check_key(&self.path, &body.service, body.idempotency_key.as_deref())?;
-        let (req, emitted) = build_request(&self.path, customer, body)?;
+        let (req, emitted) = build_request(&self.path, customer, body, received)?;
         let limits = self.path.limits(&req.customer, &req.service_id)?;
         if let Some(key) = req.key.clone() {
             return self.generate_with_key(req, limits, key, is_stream, res).await;
@@ -262,17 +272,33 @@
 ) -> Result<Bytes, RequestError> {
     let record = path.cx().config.get();
     let max = record.map_or(DEFAULT_MAX_BODY_BYTES, |r| r.config.defaults.max_prompt_bytes);
-    let body = limited_body::read(req.take_body(), max as usize);
-    match tokio::time::timeout(BODY_TIMEOUT, body).await {
+    read_body_within(path.cx(), &path.cx().body_bytes, req, max as usize).await
+}
+
+/// Reads a request body within an account of bytes. Nothing is executed before the body is complete.
+pub async fn read_body_within(
+    cx: &Cx,
+    budget: &ByteBudget,
+    req: &mut salvo::Request,
+    max: usize,
+) -> Result<Bytes, RequestError> {
+    let until = Instant::now() + BODY_TIMEOUT;
+    let room = BodyRoom { budget, byte_use: ByteUse::RequestBodies, until };
+    let _wait = BodyWait::new(req);
+    let body = limited_body::read_within(req.take_body(), max, room, |_| {});
+    let body = tokio::time::timeout_at(until, body).await;
+    cx.metrics.gauge(metric_names::BODY_BYTES, cx.body_bytes.total() as u64);
+    match body {
         Ok(Ok(body)) => Ok(body),
-        Ok(Err(BodyError::TooLarge { .. })) => {
+        Ok(Err(ReadError::Body(BodyError::TooLarge { .. }))) => {
             let message = format!("the body is larger than {max} bytes");
             Err(RequestError::not_run(ErrorCode::TooLarge, message))
         }
-        Ok(Err(BodyError::Failed(_))) => Err(RequestError::not_run(
+        Ok(Err(ReadError::Body(BodyError::Failed(_)))) => Err(RequestError::not_run(
             ErrorCode::Malformed,
             "the body could not be read completely",
         )),
+        Ok(Err(ReadError::NoRoom(reason))) => Err(no_room(cx, reason)),
         Err(_) => {
             let message = format!("the body was not received within {BODY_TIMEOUT:?}");
             Err(RequestError::not_run(ErrorCode::TooSlow, message))
@@ -280,6 +306,20 @@
     }
 }
 
+/// Counts a body for which there is no room and returns the error of its request.
+fn no_room(cx: &Cx, reason: NoRoom) -> RequestError {
+    cx.metrics.count(metric_names::BODIES_REFUSED, 1);
+    let message = format!("there is no room for the body: {reason}");
+    match reason {
+        NoRoom::TooLarge { .. } => RequestError::not_run(ErrorCode::TooLarge, message),
+        NoRoom::Stalled { .. } => RequestError::not_run(ErrorCode::TooSlow, message),
+        NoRoom::QueueFull { .. } | NoRoom::TimedOut | NoRoom::Deadlocked => {
+            let error = RequestError::not_run(ErrorCode::Overloaded, message);
+            error.with_retry_after(ROOM_RETRY_AFTER)
+        }
+    }
+}
+
 fn parse(body: &[u8]) -> Result<GenerateBody, RequestError> {
     serde_json::from_slice(body)
         .map_err(|e| RequestError::not_run(ErrorCode::Malformed, format!("invalid body: {e}")))
@@ -290,6 +330,7 @@
     path: &RequestPath,
     customer: CustomerId,
     body: GenerateBody,
+    received: Bytes,
 ) -> Result<(Request, Vec<String>), RequestError> {
     let limits = path.limits(&customer, &body.service)?;
     if body.max_tokens == 0 || body.max_tokens > MAX_TOKENS {
@@ -324,6 +365,7 @@
         adapter: body.adapter,
         service_id: body.service,
         prompt: body.prompt,
+        received,
     };
     Ok((request, emitted))
 }
--- a/lib/src/caller_calls.rs
+++ b/lib/src/caller_calls.rs
@@ -3,6 +3,7 @@
 
 use crate::at_most_once;
 use crate::caller_api::read_body;
+use crate::caller_api::read_body_within;
 use crate::caller_auth;
 use crate::caller_error;
 use crate::caller_error::write_json;
@@ -12,14 +13,12 @@
 use crate::generated::requests::ErrorCode;
 use crate::ids::CustomerId;
 use crate::ledger_peer;
-use crate::limited_body;
 use crate::metric_names;
 use crate::plain_call;
 use crate::request::Request;
 use crate::request::RequestError;
 use crate::request::fingerprint;
 use crate::request_path::RequestPath;
-use bytes::Bytes;
 use salvo::handler;
 use salvo::http::Response;
 use salvo::http::StatusCode;
@@ -89,8 +88,8 @@
         self.path.check_kind(&service, ServiceKind::Plain)?;
         at_most_once::check_key(&self.path, &service, key.as_deref())?;
         let limits = self.path.limits(&customer, &service)?;
-        let body = read_body(&self.path, req).await?;
-        let body = String::from_utf8(body.to_vec())
+        let received = read_body(&self.path, req).await?;
+        let body = String::from_utf8(received.to_vec())
             .map_err(|_| RequestError::not_run(ErrorCode::Malformed, "the body is not UTF-8"))?;
         let request = Request {
             id: caller_auth::new_request_id(&customer),
@@ -106,6 +105,7 @@
             key,
             is_first_send,
             deadline: Instant::now() + limits.deadline,
+            received,
         };
         plain_call::call(&self.path, Arc::new(request), limits).await
     }
@@ -157,8 +157,11 @@
     async fn reply(&self, req: &mut salvo::Request) -> Option<Vec<u8>> {
         let ledger = self.path.ledger();
         let key = ledger.key()?;
-        let body = limited_body::read(req.take_body(), ledger_peer::MAX_MESSAGE_BYTES);
-        let message: Bytes = body.await.ok()?;
+        // The sender is known only by the tag of the complete message.
+        let cx = self.path.cx();
+        let budget = &cx.unknown_body_bytes;
+        let message =
+            read_body_within(cx, budget, req, ledger_peer::MAX_MESSAGE_BYTES).await.ok()?;
         let call = ledger_peer::receive(self.path.cx(), key, &message)?;
         let answer = ledger.execute_locally(call.shard, call.op).await;
         Some(ledger_peer::reply(key, &answer))
--- a/lib/src/cx.rs
+++ b/lib/src/cx.rs
@@ -1,5 +1,6 @@
 //! The context shared by all components of a node.
 
+use crate::byte_budget::ByteBudget;
 use crate::clock::Clock;
 use crate::config_view::ConfigView;
 use crate::event_log::EventLog;
@@ -15,6 +16,13 @@
 use crate::timer::Timers;
 use std::sync::Arc;
 
+const MEBIBYTE: usize = 1 << 20;
+/// Divisor of the memory that gives the bytes for request bodies. A body also exists as a part of the request
+/// that is executed, and of the one that is sent to a replica.
+const BODY_SHARE: usize = 8;
+/// Divisor of the memory that gives the bytes for request bodies of unknown senders.
+const UNKNOWN_BODY_SHARE: usize = 32;
+
 /// Shared context of a node: settings, clock, timers, events, metrics and the views of the platform's
 /// objects and of the other nodes.
 ///
@@ -45,6 +53,10 @@
     pub facts: Facts,
     /// Service level measurements of the requests that this node received.
     pub service_levels: ServiceLevels,
+    /// Account of the request bodies of callers and operators.
+    pub body_bytes: ByteBudget,
+    /// Account of the request bodies whose senders are not known before the bodies have been read.
+    pub unknown_body_bytes: ByteBudget,
 }
 
 impl Cx {
@@ -53,6 +65,7 @@
     /// Must be called within a tokio runtime.
     pub fn new(settings: DaemonSettings, clock: Clock, metrics: Metrics) -> Self {
         let view = ObjectView::new();
+        let memory = settings.memory_mb as usize * MEBIBYTE;
         Self {
             settings: Arc::new(settings),
             incarnation: clock.unix().as_millis() as Incarnation,
@@ -65,6 +78,8 @@
             members: MemberView::new(),
             facts: Facts::new(),
             service_levels: ServiceLevels::new(clock.clone()),
+            body_bytes: ByteBudget::new(memory / BODY_SHARE),
+            unknown_body_bytes: ByteBudget::new(memory / UNKNOWN_BODY_SHARE),
             clock,
         }
     }
--- a/lib/src/request.rs
+++ b/lib/src/request.rs
@@ -8,6 +8,7 @@
 use crate::ids::RequestId;
 use crate::ids::ServiceId;
 use crate::prefix_hash::PREFIX_BYTES;
+use bytes::Bytes;
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -137,6 +138,8 @@
     pub fingerprint: u64,
     /// Hash of the prompt's prefix, for cache-aware routing.
     pub prefix: u64,
+    /// Body as it was received, which holds its reservation in an account of bytes.
+    pub received: Bytes,
 }
 
 impl Request {
--- a/lib/testutils/src/request_rig.rs
+++ b/lib/testutils/src/request_rig.rs
@@ -3,6 +3,7 @@
 use crate::engine_options::EngineOptions;
 use crate::fake_instances::FakeInstances;
 use crate::fake_store::FakeStore;
+use bytes::Bytes;
 use guavaladder_lib::clock::Clock;
 use guavaladder_lib::cx::Cx;
 use guavaladder_lib::engine::Engine;
@@ -320,6 +321,7 @@
         deadline: Instant::now() + Duration::from_secs(60),
         fingerprint: fingerprint(DRAFTING, None, "", prompt),
         prefix: prefix_hash(prompt),
+        received: Bytes::new(),
     }
 }
 
