--- a/serving/src/fleet_config.rs
+++ b/serving/src/fleet_config.rs
@@ -20,7 +20,9 @@
     pub services: HashMap<String, Service>,
     /// Limits on what callers may send.
     pub limits: CallerLimits,
-    /// Customers by API key; empty if no route requires a key.
+    /// Whether requests need an API key, except on public routes.
+    pub needs_keys: bool,
+    /// Customers by API key.
     pub customers: HashMap<String, Customer>,
 }
 
--- a/serving/src/route_match.rs
+++ b/serving/src/route_match.rs
@@ -59,7 +59,7 @@
         key: Option<&str>,
     ) -> Result<Option<&Customer>, MatchError> {
         let customer = key.and_then(|key| self.config.customers.get(key));
-        let needs_key = !route.is_public && !self.config.customers.is_empty();
+        let needs_key = !route.is_public && self.config.needs_keys;
         match customer {
             None if needs_key => Err(MatchError::NoCustomer),
             customer => Ok(customer),
--- a/serving/tests/runner.rs
+++ b/serving/tests/runner.rs
@@ -52,6 +52,7 @@
 mod test_replica_set;
 mod test_retry_budget;
 mod test_returned_replicas;
+mod test_revoked_keys;
 mod test_route_match;
 mod test_serving_path;
 mod test_serving_settings;
--- a/serving/tests/util.rs
+++ b/serving/tests/util.rs
@@ -95,6 +95,7 @@
             (SERVICE.to_string(), drafting),
             ("orders".to_string(), Service::default()),
         ]),
+        needs_keys: true,
         customers: HashMap::from([("key-1".to_string(), customer)]),
         ..FleetConfig::default()
     }
