--- a/serving/src/instance_list_sync.rs
+++ b/serving/src/instance_list_sync.rs
@@ -34,6 +34,12 @@
 const WATCH_PERIOD: Duration = Duration::from_millis(300);
 /// Interval at which a node that is not a watcher checks whether it has to list or watch.
 const WATCH_CHECK_PERIOD: Duration = Duration::from_millis(150);
+/// Time for which another watcher may be ahead of a watch before the watch counts as lost; doubled for each watch
+/// that is lost in a row, since the store may only be slow. It exceeds `WATCH_PERIOD`, within which a watcher may not
+/// have asked yet.
+const LOST_WATCH_TIMEOUT: Duration = Duration::from_millis(600);
+/// Interval at which a watcher checks whether another one is ahead.
+const LOST_WATCH_CHECK_PERIOD: Duration = Duration::from_millis(300);
 /// Maximum of the random delay before a node that is not a watcher reads the list after live instances have
 /// written their entries again.
 const MAX_SETTLE_DELAY: Duration = Duration::from_millis(500);
@@ -261,13 +267,20 @@
 
     /// Watches the list in the store and forwards its changes.
     async fn watch(&mut self, mut revision: Revision) -> FollowEnd {
+        let mut lost_timeout = LOST_WATCH_TIMEOUT;
         loop {
             let started = Instant::now();
             let wait = self.cx.watch_wait(WATCH_WAIT);
             let watched = tokio::select! {
                 watched = self.cx.store.watch(ObjectKind::Instances, revision, wait) => watched,
                 () = relist_due(&self.cx, revision.era) => return FollowEnd::Relist,
+                () = self.watch_lost(started, lost_timeout) => {
+                    self.cx.metrics.list_watch_lost();
+                    lost_timeout = (2 * lost_timeout).min(WATCH_WAIT);
+                    continue;
+                }
             };
+            lost_timeout = LOST_WATCH_TIMEOUT;
             match watched {
                 Ok((changes, watched_to)) => {
                     let changes = changes.iter().filter_map(|c| self.change(c)).collect();
@@ -296,6 +309,19 @@
         }
     }
 
+    /// Waits until a watch that began at `started` counts as lost: another watcher has told of changes that this
+    /// one has not returned.
+    async fn watch_lost(&self, started: Instant, timeout: Duration) {
+        sleep_until(started + timeout).await;
+        loop {
+            let gap_since = self.cx.fleet.sync_state().gap_since;
+            if gap_since.is_some_and(|since| since.elapsed() >= timeout) {
+                return;
+            }
+            sleep(LOST_WATCH_CHECK_PERIOD).await;
+        }
+    }
+
     /// Forwards changes to the other nodes, unless all of them watch the list themselves.
     fn forward(&self, delta: &InstanceListDelta) {
         let live = self.cx.nodes.addresses().len();
--- a/serving/src/serving_metrics.rs
+++ b/serving/src/serving_metrics.rs
@@ -23,7 +23,7 @@
 const QUANTILES: [f64; 4] = [0.5, 0.9, 0.95, 0.99];
 
 /// Names of all metrics with their help texts.
-pub const CATALOGUE: [(&str, &str); 37] = [
+pub const CATALOGUE: [(&str, &str); 38] = [
     ("requests_total", "Requests of callers, by route and outcome."),
     ("first_event_seconds", "Time to the first byte of an answer, by route, in seconds."),
     ("request_seconds", "Time to the end of an answer, by route, in seconds."),
@@ -42,6 +42,10 @@
     ("connections_opened_total", "New connections to replicas, by service."),
     ("store_calls_total", "Calls to the platform's store, by call and kind of object."),
     ("store_failures_total", "Calls to the platform's store that failed, by call."),
+    (
+        "list_watches_lost_total",
+        "Watches of the instance list that were given up, since another node was ahead of them.",
+    ),
     ("store_returns_total", "Returns of the store from an older copy that this node noticed."),
     ("orders_total", "Orders to instances, by order and outcome."),
     ("reports_total", "Questions to instances for their state, by cause."),
@@ -236,6 +240,11 @@
         self.count("store_returns_total", &[], 1);
     }
 
+    /// Counts a watch of the instance list that counts as lost.
+    pub fn list_watch_lost(&self) {
+        self.count("list_watches_lost_total", &[], 1);
+    }
+
     /// Counts a call to the store that failed.
     pub fn store_failure(&self, call: &str) {
         self.count("store_failures_total", &[("call", call)], 1);
--- a/serving/tests/test_leaving_replicas.rs
+++ b/serving/tests/test_leaving_replicas.rs
@@ -3,12 +3,15 @@
 
 use crate::fleet::Fleet;
 use crate::fleet::eventually;
+use crate::fleet::spec;
 use crate::util::config;
 use crate::util::instance;
 use crate::util::log;
 use guavaladder_platform_testutils::Call;
 use guavaladder_platform_testutils::FakePlatform;
 use guavaladder_platform_testutils::LinkMode;
+use guavaladder_platform_testutils::StoreMode;
+use guavaladder_platform_testutils::spawn_instance;
 use guavaladder_serving::fleet_view::EntryChange;
 use guavaladder_serving::fleet_view::FleetView;
 use guavaladder_serving::rate_limits::run_hash;
@@ -94,6 +97,27 @@
     assert_eq!(arrivals_since(&platform, &leaving, returned), 0);
 }
 
+/// The store was silent for a moment to one node only, and never answers the watch that began then. Other nodes know
+/// of what leaves afterwards; requests may reach it for two seconds.
+#[tokio::test]
+async fn replica_that_leaves_after_a_lost_watch_gets_requests() {
+    let mut fleet = Fleet::new(0).await;
+    fleet.add_first_node("orders", 2).await;
+    let store = fleet.add_node_with_own_store_address().await;
+    fleet.wait_for_replicas(1, "orders", 2).await;
+    fleet.store.set_mode_at(store, StoreMode::Unresponsive);
+    // The watch in progress returns with this change, and the next one is lost.
+    spawn_instance(&fleet.fake_platform, spec("p-02", "orders", None)).await;
+    fleet.wait_for_replicas(1, "orders", 3).await;
+    sleep(Duration::from_secs(1)).await;
+    fleet.store.set_mode_at(store, StoreMode::Up);
+    sleep(Duration::from_millis(100)).await;
+    fleet.fake_platform.drain("p-02");
+    sleep(Duration::from_secs(2)).await;
+    let view = &fleet.nodes[1].cx.fleet;
+    assert_eq!(plain_replicas(view), ["p-00", "p-01"]);
+}
+
 /// Starts a fleet of which only some nodes watch the list of instances, with one plain replica, and returns a
 /// node that does not watch and one that does.
 async fn start_large_fleet() -> (Fleet, usize, usize) {
