stream: a late process reads what has arrived before it sends a stream again

Streams whose replicas went on were sent to a second replica after the node itself had not run for over 1.3 s: each one is an arrival beyond the first of its request and draws on the retry budget (BUDGET).

The time since the last event was that at which the node had read it, and the timer of a late process becomes ready together with the socket that holds the next events; which of the two was looked at first was chosen at random.

A process that notices the end of the maximum gap more than 10 ms late now reads for 50 ms first, as at the end of a request.

`stream_is_sent_again_since_process_is_late` stops the process for 1.5 s in the middle of 24 streams.

--- a/daemon/tests/test_serving_stop_streams.rs
+++ b/daemon/tests/test_serving_stop_streams.rs
@@ -127,3 +127,24 @@
         assert_eq!(request.outcome, Outcome::Complete(504), "{request:?}");
     }
 }
+
+/// Events arrive while the process does not run, for longer than the maximum time between two events.
+#[tokio::test]
+async fn stream_is_sent_again_since_process_is_late() {
+    let fleet = start("late-streams", Duration::from_millis(100)).await;
+    let mut requests = JoinSet::new();
+    for _ in 0..24 {
+        send(&mut requests, &fleet, "POST", "/draft/a");
+    }
+    let sent = Instant::now();
+    sleep_until(sent + Duration::from_millis(400)).await;
+    fleet.daemons[0].process.signal("STOP");
+    sleep_until(sent + Duration::from_millis(1900)).await;
+    fleet.daemons[0].process.signal("CONT");
+    let requests = requests.join_all().await;
+    let arrivals = fleet.fake_platform.arrivals();
+    for request in requests {
+        let count = arrivals.iter().filter(|a| a.request == request.id).count();
+        assert_eq!((&request.outcome, count), (&Outcome::Complete(200), 1), "{request:?}");
+    }
+}
--- a/serving/src/stream_relay.rs
+++ b/serving/src/stream_relay.rs
@@ -9,6 +9,7 @@
 use crate::failed_attempts;
 use crate::node_relay;
 use crate::node_stop::CATCH_UP_TIME;
+use crate::node_stop::sleep_until_caught_up;
 use crate::replica_health::MIN_SILENCE;
 use crate::request_task::RequestTask;
 use crate::request_task::RequestTrace;
@@ -179,7 +180,7 @@
         tokio::select! {
             next = stream.next_until_due(&self.cx, &self.task) => Some(next),
             e = silent => Some(Err(e)),
-            () = sleep_until(until) => Some(Err(AttemptError::Silent)),
+            () = sleep_until_caught_up(until, CATCH_UP_TIME) => Some(Err(AttemptError::Silent)),
             () = self.tx.closed() => None,
         }
     }
