tests: a process that goes on late is not killed before it answers

`requests_at_replicas_are_not_answered_since_process_is_late` lets the process go on 30 ms after its exit was due, and the test killed it 3 s after SIGTERM like the platform: 0.06 s for the machine to be late itself. When the test lets the process go on in fact depends on the machine, so the test now waits until the process exits. The answers that it asks for are the same.

--- a/daemon/tests/stop_fleet.rs
+++ b/daemon/tests/stop_fleet.rs
@@ -173,6 +173,15 @@
         tasks
     }
 
+    /// Waits until a daemon has exited by itself.
+    pub async fn wait_until_gone(&mut self, daemon: usize) {
+        let start = Instant::now();
+        while self.daemons[daemon].process.is_running() {
+            assert!(start.elapsed() < WAIT_TIMEOUT, "the process did not exit");
+            sleep(Duration::from_millis(5)).await;
+        }
+    }
+
     /// Kills a daemon at the end of the shutdown time, as the platform does; returns whether it had to be.
     pub async fn wait_for_exit(&mut self, daemon: usize, stopped: Instant) -> bool {
         let process = &mut self.daemons[daemon].process;
