--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -10,6 +10,7 @@
 mod test_config_fuzz;
 mod test_crash_causes;
 mod test_crash_history;
+mod test_cut_answers;
 mod test_deferred_replicas;
 mod test_fake_instances;
 mod test_fake_store;
--- a/serving/tests/runner.rs
+++ b/serving/tests/runner.rs
@@ -14,6 +14,7 @@
 mod test_crashing_prompt_parts;
 mod test_crashing_requests;
 mod test_customer_use;
+mod test_cut_answers;
 mod test_descriptor_budget;
 mod test_directory;
 mod test_early_answers;
