serving: discard what follows a response on all connections

At a stop, all connections of callers are closed at once, and each is read until its caller has closed it, so that no response is cut by a reset. The limit of a quarter of the connections would have taken this from the others. Found by reading; no run showed a response that was cut.

The limit on the bytes of each connection stays, and the number of connections is bounded by the listener, where one that discards gives its place to a new one. discarded_bytes_after_a_refusal_stay_bounded passes.

--- a/lib/src/http_server.rs
+++ b/lib/src/http_server.rs
@@ -1,7 +1,6 @@
 //! HTTP listeners of a daemon, with limits on connections, header size and time.
 
 use crate::connection_slots::ConnectionSlots;
-use crate::lingering_stream::LingerLimit;
 use crate::lingering_stream::LingeringStream;
 use crate::metrics::Metrics;
 use salvo::Router;
@@ -17,11 +16,9 @@
 use salvo::server::ServerHandle;
 use std::io;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::net::TcpSocket;
-use tokio::sync::Semaphore;
 use tokio::task::JoinHandle;
 use tokio::time::sleep;
 
@@ -44,8 +41,6 @@
 /// that has already arrived is answered.
 const CLOSE_DELAY: Duration = Duration::from_millis(50);
 
-/// Maximum number of connections of a listener whose bytes are discarded at once.
-const MAX_LINGERING: usize = 1024;
 /// Maximum number of bytes that are discarded on one connection.
 const MAX_DISCARDED_BYTES: usize = 8 << 20;
 
@@ -98,27 +93,23 @@
 /// Accepts connections as `LingeringStream`s, whose callers receive a response also if the server has not
 /// read all that they sent.
 #[derive(Debug)]
-struct LingeringAcceptor {
-    acceptor: TcpAcceptor,
-    limit: LingerLimit,
-}
+struct LingeringAcceptor(TcpAcceptor);
 
 impl Acceptor for LingeringAcceptor {
     type Coupler = TcpCoupler<Self::Stream>;
     type Stream = LingeringStream<<TcpAcceptor as Acceptor>::Stream>;
 
     fn holdings(&self) -> &[Holding] {
-        self.acceptor.holdings()
+        self.0.holdings()
     }
 
     async fn accept(
         &mut self,
         fuse_policy: Option<ArcFusePolicy>,
     ) -> io::Result<Accepted<Self::Coupler, Self::Stream>> {
-        let accepted = self.acceptor.accept(fuse_policy).await?;
-        let limit = self.limit.clone();
-        let with_limit = |stream| LingeringStream::new(stream, limit);
-        Ok(accepted.map_into(|_| TcpCoupler::new(), with_limit))
+        let accepted = self.0.accept(fuse_policy).await?;
+        let lingering = |stream| LingeringStream::new(stream, MAX_DISCARDED_BYTES);
+        Ok(accepted.map_into(|_| TcpCoupler::new(), lingering))
     }
 }
 
@@ -136,10 +127,7 @@
         let to_listen_error = |e: &io::Error| ListenError::from_io(setting, address, e);
         let listener = listen(address).map_err(|e| to_listen_error(&e))?;
         let acceptor = TcpAcceptor::try_from(listener).map_err(|e| to_listen_error(&e))?;
-        let connections = Arc::new(Semaphore::new(MAX_LINGERING));
-        let limit = LingerLimit { connections, max_bytes: MAX_DISCARDED_BYTES };
-        let acceptor = LingeringAcceptor { acceptor, limit };
-        Ok(Self { acceptor, metrics: Metrics::new() })
+        Ok(Self { acceptor: LingeringAcceptor(acceptor), metrics: Metrics::new() })
     }
 
     /// Counts the connections that are closed or refused in these metrics.
@@ -149,7 +137,7 @@
 
     /// Returns the bound address.
     pub fn local_addr(&self) -> Option<SocketAddr> {
-        self.acceptor.acceptor.local_addr().ok()
+        self.acceptor.0.local_addr().ok()
     }
 
     /// Starts to serve a router with at most `max_connections` concurrent connections.
--- a/lib/src/lingering_stream.rs
+++ b/lib/src/lingering_stream.rs
@@ -5,7 +5,6 @@
 use std::io;
 use std::io::IoSlice;
 use std::pin::Pin;
-use std::sync::Arc;
 use std::task::Context;
 use std::task::Poll;
 use std::task::ready;
@@ -13,8 +12,6 @@
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
-use tokio::sync::OwnedSemaphorePermit;
-use tokio::sync::Semaphore;
 use tokio::time::Sleep;
 use tokio::time::sleep;
 
@@ -23,43 +20,26 @@
 /// Size of the buffer for discarded bytes.
 const DISCARD_BUFFER: usize = 4096;
 
-/// Limits on discarding bytes.
-#[derive(Debug, Clone)]
-pub struct LingerLimit {
-    /// Number of further connections that may discard bytes.
-    pub connections: Arc<Semaphore>,
-    /// Maximum number of bytes that a connection discards.
-    pub max_bytes: usize,
-}
-
 #[derive(Debug)]
 struct Linger {
     end: Pin<Box<Sleep>>,
     bytes_left: usize,
-    _permit: OwnedSemaphorePermit,
 }
 
 /// A stream whose shutdown reads and discards what the peer still sends.
 #[derive(Debug)]
 pub struct LingeringStream<S> {
     stream: S,
-    limit: LingerLimit,
-    is_shut_down: bool,
-    /// Set while received bytes are discarded after the write side has been shut down.
+    /// Maximum number of bytes that are discarded.
+    max_discarded: usize,
+    /// Set once the write side has been shut down.
     linger: Option<Linger>,
 }
 
 impl<S> LingeringStream<S> {
-    /// Wraps a connected stream.
-    pub fn new(stream: S, limit: LingerLimit) -> Self {
-        Self { stream, limit, is_shut_down: false, linger: None }
-    }
-
-    /// Begins to discard bytes; `None` if too many connections do.
-    fn begin_linger(&self) -> Option<Linger> {
-        let permit = self.limit.connections.clone().try_acquire_owned().ok()?;
-        let end = Box::pin(sleep(LINGER_TIMEOUT));
-        Some(Linger { end, bytes_left: self.limit.max_bytes, _permit: permit })
+    /// Wraps a connected stream, of which at most `max_discarded` bytes are discarded.
+    pub fn new(stream: S, max_discarded: usize) -> Self {
+        Self { stream, max_discarded, linger: None }
     }
 }
 
@@ -122,10 +102,10 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        if !self.is_shut_down {
+        if self.linger.is_none() {
             ready!(Pin::new(&mut self.stream).poll_shutdown(cx))?;
-            self.is_shut_down = true;
-            self.linger = self.begin_linger();
+            let end = Box::pin(sleep(LINGER_TIMEOUT));
+            self.linger = Some(Linger { end, bytes_left: self.max_discarded });
         }
         let Self { stream, linger, .. } = &mut *self;
         match linger {
--- a/serving/src/connection_table.rs
+++ b/serving/src/connection_table.rs
@@ -13,15 +13,11 @@
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::time::Duration;
-use tokio::sync::Semaphore;
 use tokio::time::Instant;
 
 /// Time without progress after which an unfinished head or body gives its place before an idle connection does.
 const STALLED_AFTER: Duration = Duration::from_millis(250);
 
-/// Divisor of the number of connections whose bytes are discarded at once. Beyond it, connections close without.
-const LINGERING_PART: usize = 4;
-
 /// Shared table of the open connections of a listener.
 #[derive(Debug, Clone)]
 pub struct ConnectionTable {
@@ -29,7 +25,6 @@
     max_connections: usize,
     /// Budget that the connections share with those to replicas; `None` if they have a share of their own.
     shared: Option<DescriptorBudget>,
-    lingering: Arc<Semaphore>,
     open: Arc<Mutex<OpenConnections>>,
 }
 
@@ -44,8 +39,6 @@
 pub struct ConnectionPlace {
     /// State of the connection.
     pub state: Arc<ConnectionState>,
-    /// Bounds the connections of the listener whose bytes are discarded.
-    pub lingering: Arc<Semaphore>,
     id: u64,
     table: ConnectionTable,
 }
@@ -63,8 +56,7 @@
 impl ConnectionTable {
     /// Returns the table of a listener with at most `max_connections` connections.
     pub fn new(listener: &'static str, max_connections: usize) -> Self {
-        let lingering = Arc::new(Semaphore::new(max_connections.div_ceil(LINGERING_PART)));
-        Self { listener, max_connections, shared: None, lingering, open: Arc::default() }
+        Self { listener, max_connections, shared: None, open: Arc::default() }
     }
 
     /// Returns the table of a listener whose connections share a budget with those to replicas.
@@ -100,7 +92,7 @@
         open.connections.insert(id, state.clone());
         self.record_len(&open);
         drop(open);
-        ConnectionPlace { state, lingering: self.lingering.clone(), id, table: self.clone() }
+        ConnectionPlace { state, id, table: self.clone() }
     }
 
     /// Returns the connection that gives its place first, with its phase; `None` if all are busy.
--- a/serving/src/listeners.rs
+++ b/serving/src/listeners.rs
@@ -15,7 +15,6 @@
 use crate::request_handler;
 use crate::response_body::ResponseBody;
 use crate::serving_cx::ServingCx;
-use guavaladder_lib::lingering_stream::LingerLimit;
 use guavaladder_lib::lingering_stream::LingeringStream;
 use http::HeaderValue;
 use http::Request;
@@ -235,10 +234,8 @@
         .timer(TokioTimer::new())
         .header_read_timeout(None)
         .max_buf_size((limits.max_header_bytes + 1024).max(8192));
-    let linger_limit =
-        LingerLimit { connections: place.lingering.clone(), max_bytes: limits.max_body_bytes };
     let stream = RecordedStream::new(stream, state.clone());
-    let stream = LingeringStream::new(stream, linger_limit);
+    let stream = LingeringStream::new(stream, limits.max_body_bytes);
     let connection = builder.serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
     let closing = async {
