http_client: bytes beside data without end end a response

Callers saw: a call of a plain service, and an order to an engine, that kept the node reading for 60 s, when the upstream sent interim heads or chunks of one byte without end.

The platform's client has a limit, our own had none.

The allowance belongs to the connection and reaches the reader as an extension of the response.

--- a/lib/src/engine_http.rs
+++ b/lib/src/engine_http.rs
@@ -146,7 +146,7 @@
             return Err(to_status_error(status, retry_after, &body));
         }
         let guard = DiscardIdleOnDrop::new(self.client.clone(), address.to_string());
-        Ok(record_stream::new(response.into_body(), guard))
+        Ok(record_stream::new(response, guard))
     }
 
     async fn cancel(&self, address: &str, attempt: AttemptId) -> Result<(), UpstreamError> {
--- a/lib/src/http_client.rs
+++ b/lib/src/http_client.rs
@@ -4,11 +4,15 @@
 use crate::ids::Address;
 use crate::limited_body;
 use crate::limited_body::BodyError;
+use crate::metered_stream::MeteredStream;
+use crate::metered_stream::ReadAllowance;
 use bytes::Bytes;
+use futures_util::future::BoxFuture;
 use http::HeaderMap;
 use http::Request;
 use http::Response;
 use http::StatusCode;
+use http::Uri;
 use http::header::HeaderName;
 use http::header::RETRY_AFTER;
 use http_body_util::Full;
@@ -16,6 +20,7 @@
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
+use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
 use std::collections::HashMap;
 use std::fmt::Write;
@@ -23,8 +28,12 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::task::Context;
+use std::task::Poll;
 use std::time::Duration;
+use tokio::net::TcpStream;
 use tokio::time::Instant;
+use tower_service::Service;
 
 /// Timeout for establishing a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -138,9 +147,36 @@
     pub max_body: usize,
 }
 
+/// Opens connections that limit what a server sends beside the data of its responses.
+#[derive(Debug, Clone)]
+struct MeteredConnector(HttpConnector);
+
+impl Service<Uri> for MeteredConnector {
+    type Response = TokioIo<MeteredStream<TcpStream>>;
+    type Error = <HttpConnector as Service<Uri>>::Error;
+    type Future = BoxFuture<'static, Result<Self::Response, Self::Error>>;
+
+    fn poll_ready(&mut self, cx: &mut Context<'_>) -> Poll<Result<(), Self::Error>> {
+        self.0.poll_ready(cx)
+    }
+
+    fn call(&mut self, to: Uri) -> Self::Future {
+        let connecting = self.0.call(to);
+        Box::pin(async move {
+            let stream = connecting.await?.into_inner();
+            Ok(TokioIo::new(MeteredStream::new(stream, ReadAllowance::new())))
+        })
+    }
+}
+
+/// Returns how many bytes the server may still send on the connection of a response.
+pub(crate) fn read_allowance(response: &Response<Incoming>) -> ReadAllowance {
+    response.extensions().get::<ReadAllowance>().cloned().unwrap_or_default()
+}
+
 #[derive(Debug)]
 struct Pool {
-    client: Client<HttpConnector, Full<Bytes>>,
+    client: Client<MeteredConnector, Full<Bytes>>,
     last_used: Instant,
 }
 
@@ -179,7 +215,7 @@
         let exchange = async {
             let response = self.call_streaming(call).await?;
             let (status, retry_after) = (response.status(), retry_after(response.headers()));
-            let body = read_body(response.into_body(), limits.max_body).await?;
+            let body = read_body(response, limits.max_body).await?;
             Ok(HttpResponse { status, retry_after, body })
         };
         let reply = match tokio::time::timeout(limits.timeout, exchange).await {
@@ -206,7 +242,7 @@
         let req = to_request(call)?;
         let response = client.request(req).await.map_err(classify);
         guard.disarm();
-        response
+        response.inspect(|response| read_allowance(response).reset())
     }
 
     /// Drops the idle connections to an address, so that the next request opens a new one.
@@ -214,7 +250,7 @@
         self.lock().remove(address);
     }
 
-    fn client(&self, address: &str) -> Client<HttpConnector, Full<Bytes>> {
+    fn client(&self, address: &str) -> Client<MeteredConnector, Full<Bytes>> {
         let now = Instant::now();
         let mut pools = self.lock();
         if let Some(pool) = pools.get_mut(address) {
@@ -282,7 +318,7 @@
     encoded
 }
 
-fn new_client(max_idle: usize) -> Client<HttpConnector, Full<Bytes>> {
+fn new_client(max_idle: usize) -> Client<MeteredConnector, Full<Bytes>> {
     let mut connector = HttpConnector::new();
     connector.set_nodelay(true);
     connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
@@ -291,7 +327,7 @@
         .http1_max_buf_size(MAX_HEAD_BYTES)
         .pool_idle_timeout(IDLE_TIMEOUT)
         .pool_max_idle_per_host(max_idle)
-        .build(connector)
+        .build(MeteredConnector(connector))
 }
 
 fn to_request(call: HttpRequest) -> Result<Request<Full<Bytes>>, HttpError> {
@@ -332,8 +368,11 @@
     reason
 }
 
-async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, HttpError> {
-    limited_body::read(body, limit).await.map_err(|e| match e {
+async fn read_body(response: Response<Incoming>, limit: usize) -> Result<Bytes, HttpError> {
+    let allowance = read_allowance(&response);
+    let record_data = |len| allowance.record_data(len);
+    let body = limited_body::read_with(response.into_body(), limit, record_data).await;
+    body.map_err(|e| match e {
         BodyError::TooLarge { limit } => HttpError::TooLarge { limit },
         BodyError::Failed(e) => HttpError::IncompleteResponse { reason: describe_chain(&e) },
     })
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -76,6 +76,7 @@
 pub mod member_history;
 pub mod member_table;
 pub mod member_view;
+pub mod metered_stream;
 pub mod metric_names;
 pub mod metrics;
 pub mod object_digest;
--- a/serving/src/metered_stream.rs
+++ b/lib/src/metered_stream.rs
@@ -4,6 +4,8 @@
 //! of a body ends them. The peer may send as many bytes as its response has data, and a fixed number
 //! beyond that.
 
+use hyper_util::client::legacy::connect::Connected;
+use hyper_util::client::legacy::connect::Connection;
 use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
@@ -70,6 +72,13 @@
     }
 }
 
+/// Gives each response on a pooled connection the allowance as an extension.
+impl<S> Connection for MeteredStream<S> {
+    fn connected(&self) -> Connected {
+        Connected::new().extra(self.allowance.clone())
+    }
+}
+
 impl<S: AsyncRead + Unpin> AsyncRead for MeteredStream<S> {
     fn poll_read(
         mut self: Pin<&mut Self>,
--- a/lib/src/record_stream.rs
+++ b/lib/src/record_stream.rs
@@ -3,12 +3,15 @@
 use crate::engine::RecordStream;
 use crate::engine::UpstreamError;
 use crate::generated::engine::StreamRecord;
+use crate::http_client;
 use crate::http_client::DiscardIdleOnDrop;
 use crate::limited_body;
+use crate::metered_stream::ReadAllowance;
 use bytes::Buf;
 use bytes::Bytes;
 use bytes::BytesMut;
 use futures_util::StreamExt;
+use http::Response;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use std::time::Duration;
@@ -31,6 +34,7 @@
 /// reader may have given up on an unresponsive connection.
 struct Decoder {
     body: Option<Incoming>,
+    allowance: ReadAllowance,
     buf: BytesMut,
     /// Number of bytes at the start of `buf` that were searched and hold no newline.
     scanned: usize,
@@ -39,9 +43,11 @@
 }
 
 /// Returns the stream of the records of a response body.
-pub(crate) fn new(body: Incoming, guard: DiscardIdleOnDrop) -> RecordStream {
+pub(crate) fn new(response: Response<Incoming>, guard: DiscardIdleOnDrop) -> RecordStream {
     let buf = BytesMut::new();
-    let decoder = Decoder { body: Some(body), buf, scanned: 0, is_ended: false, guard };
+    let allowance = http_client::read_allowance(&response);
+    let body = Some(response.into_body());
+    let decoder = Decoder { body, allowance, buf, scanned: 0, is_ended: false, guard };
     let records = futures_util::stream::unfold(decoder, |mut decoder| async move {
         decoder.next_record().await.map(|record| (record, decoder))
     });
@@ -78,6 +84,7 @@
             match self.body.as_mut()?.frame().await {
                 Some(Ok(frame)) => {
                     if let Ok(data) = frame.into_data() {
+                        self.allowance.record_data(data.len());
                         self.buf.extend_from_slice(&data);
                     }
                 }
--- a/lib/tests/test_http_adapters.rs
+++ b/lib/tests/test_http_adapters.rs
@@ -271,3 +271,23 @@
     tokio::time::sleep(Duration::from_millis(200)).await;
     assert_eq!(sent.load(Ordering::Relaxed), before, "the connection is still being read");
 }
+
+/// Bytes that carry no data pass every limit on the size of a body, and the limit of a call is 60 s.
+#[rstest]
+#[case::interim_heads("", "HTTP/1.1 100 Continue\r\n\r\n")]
+#[case::tiny_chunks("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n", "1\r\nx\r\n")]
+#[tokio::test]
+async fn bytes_without_end_beside_data_end_a_call(#[case] prefix: &str, #[case] unit: &str) {
+    let (address, _) = serve_without_end(prefix.to_string(), unit).await;
+    let req = PlainRequest {
+        request: "r".to_string(),
+        path: "p".to_string(),
+        body: String::new(),
+        idempotency_key: None,
+        epoch: 0,
+    };
+    let service = HttpPlainService::new();
+    let call = tokio::time::timeout(Duration::from_secs(10), service.call(&address, &req));
+    let outcome = call.await.expect("an error before the limit of the call");
+    assert_eq!(kind(&outcome), Kind::Interrupted, "{outcome:?}");
+}
--- a/serving/src/connection.rs
+++ b/serving/src/connection.rs
@@ -1,11 +1,11 @@
 //! HTTP/1.1 client connections, each driven by its own task.
 
 use crate::descriptor_budget::UpstreamDescriptor;
-use crate::metered_stream::MeteredStream;
-use crate::metered_stream::ReadAllowance;
 use crate::network::Network;
 use bytes::Bytes;
 use guavaladder_lib::limited_body;
+use guavaladder_lib::metered_stream::MeteredStream;
+use guavaladder_lib::metered_stream::ReadAllowance;
 use http::Request;
 use http::Response;
 use http_body_util::Full;
--- a/serving/src/lib.rs
+++ b/serving/src/lib.rs
@@ -59,7 +59,6 @@
 pub mod load_estimate;
 pub mod load_table;
 pub mod local_response;
-pub mod metered_stream;
 pub mod model_demand;
 pub mod network;
 pub mod next_replica;
