--- a/lib/src/connection_slots.rs
+++ b/lib/src/connection_slots.rs
@@ -3,6 +3,7 @@
 
 use crate::metric_names;
 use crate::metrics::Metrics;
+use crate::response_state::ResponseState;
 use salvo::Depot;
 use salvo::FlowCtrl;
 use salvo::Handler;
@@ -42,6 +43,7 @@
 struct Connection {
     control: ConnCtrl,
     wait: Mutex<Wait>,
+    response: ResponseState,
 }
 
 /// What a connection waits for, and the number of the change since which it does.
@@ -106,16 +108,19 @@
         if open.len() < self.0.max_connections {
             return true;
         }
-        let longest = |is_candidate: fn(Phase) -> bool| {
-            let waiting = open.iter().filter(|(wait, _)| is_candidate(wait.phase));
+        let longest = |is_candidate: fn(Phase, &ResponseState) -> bool| {
+            let waiting = open.iter().filter(|(wait, c)| is_candidate(wait.phase, &c.response));
             waiting.min_by_key(|(wait, _)| wait.since).map(|(_, connection)| connection)
         };
-        if let Some(connection) = longest(|phase| matches!(phase, Phase::Head | Phase::Body)) {
+        let waits_for_request = |phase, response: &ResponseState| {
+            matches!(phase, Phase::Head | Phase::Body) && response.is_written()
+        };
+        if let Some(connection) = longest(waits_for_request) {
             connection.lock().is_closing = true;
             connection.control.abort();
             return true;
         }
-        let Some(connection) = longest(|phase| phase == Phase::Answered) else { return false };
+        let Some(connection) = longest(|phase, _| phase != Phase::Running) else { return false };
         connection.lock().is_closing = true;
         // Ends an idle connection at once, and one whose response is being sent after that.
         connection.control.graceful_shutdown();
@@ -125,11 +130,20 @@
     fn insert(&self, address: SocketAddr, control: ConnCtrl) -> Arc<Connection> {
         let mut state = self.lock();
         let wait = Wait { phase: Phase::Head, since: state.next_change(), is_closing: false };
-        let connection = Arc::new(Connection { control, wait: Mutex::new(wait) });
+        let connection = Arc::new(Connection {
+            control,
+            wait: Mutex::new(wait),
+            response: ResponseState::new(),
+        });
         state.connections.insert(address, connection.clone());
         connection
     }
 
+    /// Returns the state of the last response on the connection from an address.
+    pub fn response_state(&self, address: SocketAddr) -> Option<ResponseState> {
+        self.find(address).map(|connection| connection.response.clone())
+    }
+
     fn find(&self, address: SocketAddr) -> Option<Arc<Connection>> {
         self.lock().connections.get(&address).cloned()
     }
@@ -223,6 +237,8 @@
         let slot = RequestSlot { slots: self.0.clone(), connection: connection.clone() };
         req.extensions_mut().insert(slot);
         ctrl.call_next(req, depot, res).await;
+        let body = res.take_body();
+        res.replace_body(connection.response.record_body(body));
         self.0.set_phase(&connection, Phase::Answered);
     }
 }
--- a/lib/src/http_server.rs
+++ b/lib/src/http_server.rs
@@ -3,6 +3,7 @@
 use crate::connection_slots::ConnectionSlots;
 use crate::lingering_stream::LingeringStream;
 use crate::metrics::Metrics;
+use crate::response_state::FlushRecorder;
 use salvo::Router;
 use salvo::Server;
 use salvo::Service;
@@ -86,30 +87,37 @@
 /// An HTTP listener that is bound but does not accept connections yet.
 #[derive(Debug)]
 pub struct HttpListener {
-    acceptor: LingeringAcceptor,
+    acceptor: TcpAcceptor,
     metrics: Metrics,
 }
 
 /// Accepts connections as `LingeringStream`s, whose callers receive a response also if the server has not
 /// read all that they sent.
-#[derive(Debug)]
-struct LingeringAcceptor(TcpAcceptor);
+struct LingeringAcceptor {
+    acceptor: TcpAcceptor,
+    slots: ConnectionSlots,
+}
 
 impl Acceptor for LingeringAcceptor {
     type Coupler = TcpCoupler<Self::Stream>;
-    type Stream = LingeringStream<<TcpAcceptor as Acceptor>::Stream>;
+    type Stream = LingeringStream<FlushRecorder<<TcpAcceptor as Acceptor>::Stream>>;
 
     fn holdings(&self) -> &[Holding] {
-        self.0.holdings()
+        self.acceptor.holdings()
     }
 
     async fn accept(
         &mut self,
         fuse_policy: Option<ArcFusePolicy>,
     ) -> io::Result<Accepted<Self::Coupler, Self::Stream>> {
-        let accepted = self.0.accept(fuse_policy).await?;
-        let lingering = |stream| LingeringStream::new(stream, MAX_DISCARDED_BYTES);
-        Ok(accepted.map_into(|_| TcpCoupler::new(), lingering))
+        let accepted = self.acceptor.accept(fuse_policy).await?;
+        let address = accepted.remote_addr.clone().into_std();
+        let state = address.and_then(|address| self.slots.response_state(address));
+        let to_stream = |stream| {
+            let stream = FlushRecorder::new(stream, state.unwrap_or_default());
+            LingeringStream::new(stream, MAX_DISCARDED_BYTES)
+        };
+        Ok(accepted.map_into(|_| TcpCoupler::new(), to_stream))
     }
 }
 
@@ -127,7 +135,7 @@
         let to_listen_error = |e: &io::Error| ListenError::from_io(setting, address, e);
         let listener = listen(address).map_err(|e| to_listen_error(&e))?;
         let acceptor = TcpAcceptor::try_from(listener).map_err(|e| to_listen_error(&e))?;
-        Ok(Self { acceptor: LingeringAcceptor(acceptor), metrics: Metrics::new() })
+        Ok(Self { acceptor, metrics: Metrics::new() })
     }
 
     /// Counts the connections that are closed or refused in these metrics.
@@ -137,7 +145,7 @@
 
     /// Returns the bound address.
     pub fn local_addr(&self) -> Option<SocketAddr> {
-        self.acceptor.0.local_addr().ok()
+        self.acceptor.local_addr().ok()
     }
 
     /// Starts to serve a router with at most `max_connections` concurrent connections.
@@ -149,7 +157,8 @@
             .with_write_stall_timeout(WRITE_STALL_TIMEOUT);
         let slots = ConnectionSlots::new(max_connections, fuse, self.metrics);
         let router = Router::new().hoop(slots.tracker()).push(router);
-        let mut server = Server::new(self.acceptor).fuse_policy(slots);
+        let acceptor = LingeringAcceptor { acceptor: self.acceptor, slots: slots.clone() };
+        let mut server = Server::new(acceptor).fuse_policy(slots);
         server.http1_mut().max_buf_size(MAX_HEAD_BYTES).max_headers(MAX_HEADERS);
         let handle = server.handle();
         let task = tokio::spawn(server.try_serve(Service::new(router)));
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -116,6 +116,7 @@
 pub mod request_limits;
 pub mod request_outcome;
 pub mod request_path;
+pub mod response_state;
 pub mod retry_budget;
 pub mod route_table;
 pub mod router;
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -8,6 +8,7 @@
 mod test_config_change;
 mod test_config_check;
 mod test_config_fuzz;
+mod test_connection_slots;
 mod test_crash_causes;
 mod test_crash_history;
 mod test_cut_answers;
