--- a/daemon/tests/test_serving_stop_streams.rs
+++ b/daemon/tests/test_serving_stop_streams.rs
@@ -148,3 +148,24 @@
         assert_eq!((&request.outcome, count), (&Outcome::Complete(200), 1), "{request:?}");
     }
 }
+
+/// The process goes on shortly before the time at which it exits, when answers have been due for long.
+#[tokio::test]
+async fn requests_at_replicas_are_not_answered_since_process_goes_on_just_before_exit() {
+    let mut fleet = start("stop-late-before-exit", Duration::from_millis(20)).await;
+    let (mut requests, stopped) = (JoinSet::new(), Instant::now());
+    fleet.daemons[0].process.signal("TERM");
+    sleep_until(stopped + Duration::from_millis(300)).await;
+    for _ in 0..4 {
+        send(&mut requests, &fleet, "POST", "/book/work-7000");
+        send(&mut requests, &fleet, "GET", "/look/work-7000");
+    }
+    sleep_until(stopped + ANSWERS_DUE - Duration::from_millis(150)).await;
+    fleet.daemons[0].process.signal("STOP");
+    sleep_until(stopped + EXIT - Duration::from_millis(25)).await;
+    fleet.daemons[0].process.signal("CONT");
+    assert!(!fleet.wait_for_exit(0, stopped).await, "the process had to be killed");
+    for request in requests.join_all().await {
+        assert_eq!(request.outcome, Outcome::Complete(504), "{request:?}");
+    }
+}
--- a/serving/src/node_stop.rs
+++ b/serving/src/node_stop.rs
@@ -46,6 +46,20 @@
             exit: end - EXIT_RESERVE.min(shutdown / 16),
         }
     }
+
+    /// Waits until the process exits: at `exit`, or `catch_up` after a late process has noticed that a time of
+    /// the shutdown has passed, since its requests end only then.
+    pub async fn wait_for_exit(&self, catch_up: Duration) {
+        let mut exit = self.exit;
+        for due in [self.answers_due, self.streams_end, self.exit] {
+            sleep_until(due).await;
+            let now = Instant::now();
+            if is_late(due, now) {
+                exit = exit.max(now + catch_up);
+            }
+        }
+        sleep_until(exit).await;
+    }
 }
 
 /// Whether and when this node stops; clones share the state.
--- a/serving/src/serving_node.rs
+++ b/serving/src/serving_node.rs
@@ -15,7 +15,6 @@
 use crate::node_registry;
 use crate::node_stop::CATCH_UP_TIME;
 use crate::node_stop::StopTimes;
-use crate::node_stop::sleep_until_caught_up;
 use crate::peer_exchange::PeerExchange;
 use crate::replica_health;
 use crate::serving_cx::ServingCx;
@@ -149,7 +148,7 @@
         let cx = &self.cx;
         let running = cx.running.get() as u64;
         let times = StopTimes::new(started, cx.settings.shutdown);
-        let exit = sleep_until_caught_up(times.exit, EXIT_CATCH_UP_TIME);
+        let exit = tokio::spawn(async move { times.wait_for_exit(EXIT_CATCH_UP_TIME).await });
         cx.stop.begin(times);
         cx.phase.send_replace(NodePhase::Leaving);
         cx.log.record(Event::ServingStopping { node: cx.node().to_string(), running });
@@ -178,7 +177,7 @@
         tokio::select! {
             biased;
             () = finished => {}
-            () = exit => {}
+            _ = exit => {}
         }
         for (listener, name) in [(callers, "callers"), (relay, "other nodes")] {
             if !listener.is_finished() {
