--- a/lib/src/request_path.rs
+++ b/lib/src/request_path.rs
@@ -83,8 +83,10 @@
     moved: AtomicU64,
     is_stopping: AtomicBool,
     is_draining: AtomicBool,
-    /// Cancelled when the requests that still run must end.
+    /// Cancelled when the requests that still run must end as soon as they have nothing to relay.
     moving: CancellationToken,
+    /// Cancelled when they must end even if what has arrived is not relayed.
+    ending: CancellationToken,
     refresh_needed: Notify,
 }
 
@@ -129,6 +131,7 @@
             is_stopping: AtomicBool::new(false),
             is_draining: AtomicBool::new(false),
             moving: CancellationToken::new(),
+            ending: CancellationToken::new(),
             refresh_needed: Notify::new(),
             cx,
         };
@@ -185,7 +188,10 @@
         let moved_before = self.moved();
         self.wait_until_idle(bound).await;
         self.inner.moving.cancel();
-        self.wait_until_idle(MOVE_TIMEOUT.min(move_bound)).await;
+        let move_bound = MOVE_TIMEOUT.min(move_bound);
+        self.wait_until_idle(move_bound / 2).await;
+        self.inner.ending.cancel();
+        self.wait_until_idle(move_bound / 2).await;
         let moved = self.moved() - moved_before;
         self.cx().record(Event::StreamsMoved {
             node: self.cx().node().to_string(),
@@ -268,6 +274,7 @@
     pub async fn run_until_moving<T>(&self, step: impl Future<Output = T>) -> Option<T> {
         tokio::select! {
             biased;
+            () = self.inner.ending.cancelled() => None,
             outcome = step => Some(outcome),
             () = self.inner.moving.cancelled() => None,
         }
--- a/lib/tests/test_generation.rs
+++ b/lib/tests/test_generation.rs
@@ -179,6 +179,25 @@
     assert!(long.await.unwrap() > 50);
 }
 
+/// The caller reads more slowly than the replica generates, so that tokens are always ready.
+#[tokio::test(start_paused = true)]
+async fn stream_of_slow_reader_is_not_handed_back() {
+    let options = EngineOptions::new().with_token_times(Duration::ZERO, Duration::ZERO);
+    let rig = RequestRig::new(1, 1, 1, options).await;
+    let path = rig.nodes[0].path.clone();
+    let limits = path.limits("c0", "drafting").unwrap();
+    let req = Arc::new(drafting("r1", "c0", "length:100000", 100_000));
+    let mut stream = path.generate(req, limits, vec![]).await.unwrap();
+    let reader = tokio::spawn(async move {
+        while !matches!(stream.next().await.unwrap(), GenerationEvent::Moved) {
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+    });
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    assert_eq!(path.drain(Duration::ZERO, Duration::from_secs(2)).await, 1);
+    reader.await.unwrap();
+}
+
 #[tokio::test(start_paused = true)]
 async fn next_resumes_within_target_when_replicas_are_full() {
     let rig = RequestRig::new(1, 2, 1, EngineOptions::new().with_capacity(2)).await;
