--- a/daemon/tests/serving_stand.rs
+++ b/daemon/tests/serving_stand.rs
@@ -60,6 +60,16 @@
 impl ServingStand {
     /// Starts the daemon and waits until it serves.
     pub async fn new(test: &str, load: ReplicaLoad) -> Self {
+        Self::with_limits(test, load, MEMORY_MB, MAX_DESCRIPTORS).await
+    }
+
+    /// Starts a daemon with the given memory in MiB and number of descriptors, and waits until it serves.
+    pub async fn with_limits(
+        test: &str,
+        load: ReplicaLoad,
+        memory_mb: usize,
+        max_descriptors: usize,
+    ) -> Self {
         let lock = load_run::lock().await;
         let store = FakeStore::start().await;
         store.put("config", "main", configuration());
@@ -77,8 +87,8 @@
             .await;
         let dir = TestDir::new(&format!("memory-{test}"));
         let mut settings = dir.serving_settings(&fake_platform.store.address.to_string());
-        settings["memory_mb"] = json!(MEMORY_MB);
-        settings["max_descriptors"] = json!(MAX_DESCRIPTORS);
+        settings["memory_mb"] = json!(memory_mb);
+        settings["max_descriptors"] = json!(max_descriptors);
         settings["metrics_port"] = json!(free_address().parse::<SocketAddr>().unwrap().port());
         let file = dir.write("settings.json", &settings.to_string());
         let log = std::fs::File::create(dir.write("log", "")).unwrap();
@@ -157,6 +167,19 @@
         }
     }
 
+    /// Tries requests with a body of 64 KiB until one has been served.
+    pub async fn is_body_served(&self) -> bool {
+        let start = Instant::now();
+        while start.elapsed() < SERVED_TIMEOUT {
+            let call = Call::new(Method::POST, "/book/a").with_body(&"a".repeat(64 << 10));
+            if call.status(self.callers).await == 200 {
+                return true;
+            }
+            sleep(RETRY_INTERVAL).await;
+        }
+        false
+    }
+
     async fn is_status(&self, to: SocketAddr, method: Method, path: &str, status: u16) -> bool {
         let start = Instant::now();
         while start.elapsed() < SERVED_TIMEOUT {
--- a/daemon/tests/test_caller_limits.rs
+++ b/daemon/tests/test_caller_limits.rs
@@ -7,6 +7,7 @@
 use crate::serving_stand::ServingStand;
 use crate::stalling_client::RawRequest;
 use crate::stalling_client::StallingClient;
+use crate::stalling_client::StallingClients;
 use guavaladder_platform_testutils::ReplicaLoad;
 use rstest::rstest;
 use std::net::SocketAddr;
@@ -192,6 +193,40 @@
     stand.run(&client, Listener::Callers, CLIENTS).await.check(MEMORY_MB, MAX_DESCRIPTORS);
 }
 
+/// Beside the bodies that are kept, the bytes of each connection that wait for room are in its receive buffer.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn bodies_that_wait_for_room_exceed_memory_with_many_descriptors() {
+    let (memory_mb, max_descriptors, clients) = (260, 4200, 2000);
+    let load = ReplicaLoad::NeverAnswers;
+    let mut stand =
+        ServingStand::with_limits("many-waiting", load, memory_mb, max_descriptors).await;
+    let client = StallingClient::new(with_length("/parcel/a", 256 << 10, (256 << 10) - 1));
+    stand.run(&client, Listener::Callers, clients).await.check(memory_mb, max_descriptors);
+}
+
+/// Requests behind a running one stay in the receive buffers.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn pipelined_bodies_exceed_memory_with_many_descriptors() {
+    let (memory_mb, max_descriptors, clients) = (260, 4200, 2000);
+    let load = ReplicaLoad::NeverAnswers;
+    let mut stand =
+        ServingStand::with_limits("many-pipelined", load, memory_mb, max_descriptors).await;
+    let client = client("pipelined_bodies");
+    stand.run(&client, Listener::Callers, clients).await.check(memory_mb, max_descriptors);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn answers_that_nobody_reads_shut_out_bodies() {
+    let load = ReplicaLoad::LongAnswer(LONG_ANSWER);
+    let stand = ServingStand::new("answers-and-bodies", load).await;
+    assert!(stand.is_body_served().await, "no body was served without other clients");
+    let client = StallingClient::new(request("GET", "/parcel/a")).deaf();
+    let clients = StallingClients::start(&client, stand.callers, CLIENTS);
+    clients.wait_until_sent().await;
+    sleep(Duration::from_secs(3)).await;
+    assert!(stand.is_body_served().await, "no body of 64 KiB was served");
+}
+
 /// Sends a request in parts and returns the status line and the length of the answer.
 async fn send(to: SocketAddr, request: &[u8], part: usize, interval: Duration) -> (String, usize) {
     let mut stream = TcpStream::connect(to).await.unwrap();
