--- a/lib/src/connection_slots.rs
+++ b/lib/src/connection_slots.rs
@@ -22,6 +22,11 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Time without progress after which an unfinished head or body gives its place before an idle connection does.
+const STALLED_AFTER: Duration = Duration::from_millis(250);
 
 /// The connections of a listener; clones share them.
 #[derive(Clone)]
@@ -51,6 +56,8 @@
 struct Wait {
     phase: Phase,
     since: u64,
+    /// Time of that change.
+    at: Instant,
     is_closing: bool,
 }
 
@@ -108,33 +115,39 @@
         if open.len() < self.0.max_connections {
             return true;
         }
-        let longest = |is_candidate: fn(Phase, &ResponseState) -> bool| {
-            let waiting = open.iter().filter(|(wait, c)| is_candidate(wait.phase, &c.response));
+        let longest = |is_candidate: &dyn Fn(&Wait, &ResponseState) -> bool| {
+            let waiting = open.iter().filter(|(wait, c)| is_candidate(wait, &c.response));
             waiting.min_by_key(|(wait, _)| wait.since).map(|(_, connection)| connection)
         };
-        let waits_for_request = |phase, response: &ResponseState| {
-            matches!(phase, Phase::Head | Phase::Body) && response.is_written()
+        let now = Instant::now();
+        let waits_for_request =
+            |wait: &Wait, response: &ResponseState| wait.is_unfinished() && response.is_written();
+        let is_stalled = |wait: &Wait, response: &ResponseState| {
+            waits_for_request(wait, response) && wait.is_stalled(now)
+        };
+        if let Some(connection) = longest(&is_stalled) {
+            connection.abort();
+            return true;
+        }
+        let is_answered = |wait: &Wait, response: &ResponseState| {
+            wait.phase != Phase::Running && !waits_for_request(wait, response)
         };
-        if let Some(connection) = longest(waits_for_request) {
+        if let Some(connection) = longest(&is_answered)
+            && state.connections.len() <= 2 * self.0.max_connections
+        {
             connection.lock().is_closing = true;
-            connection.control.abort();
+            // Ends an idle connection at once, and one whose response is being sent after that.
+            connection.control.graceful_shutdown();
             return true;
         }
-        let Some(connection) = longest(|phase, _| phase != Phase::Running) else { return false };
-        connection.lock().is_closing = true;
-        // Ends an idle connection at once, and one whose response is being sent after that.
-        connection.control.graceful_shutdown();
-        state.connections.len() <= 2 * self.0.max_connections
+        longest(&waits_for_request).inspect(|connection| connection.abort()).is_some()
     }
 
     fn insert(&self, address: SocketAddr, control: ConnCtrl) -> Arc<Connection> {
         let mut state = self.lock();
-        let wait = Wait { phase: Phase::Head, since: state.next_change(), is_closing: false };
-        let connection = Arc::new(Connection {
-            control,
-            wait: Mutex::new(wait),
-            response: ResponseState::new(),
-        });
+        let wait = Wait::new(Phase::Head, state.next_change());
+        let response = ResponseState::new();
+        let connection = Arc::new(Connection { control, wait: Mutex::new(wait), response });
         state.connections.insert(address, connection.clone());
         connection
     }
@@ -151,7 +164,7 @@
     fn set_phase(&self, connection: &Connection, phase: Phase) {
         let since = self.lock().next_change();
         let mut wait = connection.lock();
-        (wait.phase, wait.since) = (phase, since);
+        *wait = Wait { is_closing: wait.is_closing, ..Wait::new(phase, since) };
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
@@ -166,7 +179,26 @@
     }
 }
 
+impl Wait {
+    fn new(phase: Phase, since: u64) -> Self {
+        Self { phase, since, at: Instant::now(), is_closing: false }
+    }
+
+    fn is_unfinished(&self) -> bool {
+        matches!(self.phase, Phase::Head | Phase::Body)
+    }
+
+    fn is_stalled(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.at) >= STALLED_AFTER
+    }
+}
+
 impl Connection {
+    fn abort(&self) {
+        self.lock().is_closing = true;
+        self.control.abort();
+    }
+
     fn wait(&self) -> Wait {
         *self.lock()
     }
@@ -202,8 +234,10 @@
 
 impl ConnObserver for SlotObserver {
     fn on_read(&self, _bytes: usize) {
-        if self.connection.wait().phase == Phase::Answered {
-            self.slots.set_phase(&self.connection, Phase::Head);
+        match self.connection.wait().phase {
+            Phase::Answered => self.slots.set_phase(&self.connection, Phase::Head),
+            Phase::Body => self.slots.set_phase(&self.connection, Phase::Body),
+            Phase::Head | Phase::Running => {}
         }
     }
 }
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -20,6 +20,7 @@
 mod test_groups;
 mod test_groups_fuzz;
 mod test_http_adapters;
+mod test_idle_connections;
 mod test_ledger;
 mod test_limited_body;
 mod test_log_account;
