--- a/lib/src/byte_budget.rs
+++ b/lib/src/byte_budget.rs
@@ -19,6 +19,11 @@
 
 /// Time without progress after which a body that is being received can be ended for others.
 const MIN_STALL: Duration = Duration::from_millis(500);
+/// Delay of a check of stalled bodies from which it is deferred once: the process did not run meanwhile, and what
+/// has arrived is read first.
+const MAX_CHECK_DELAY: Duration = Duration::from_millis(100);
+/// Time for which it is deferred, also the shortest time between two checks.
+const CHECK_DELAY: Duration = Duration::from_millis(30);
 /// Number of received bytes that count as progress.
 const PROGRESS_BYTES: usize = 16 << 10;
 /// Largest reservation that does not wait behind larger ones, in bytes.
@@ -124,6 +129,9 @@
     ended_receipts: u64,
     receipts: HashMap<Id, OpenReceipt>,
     last_id: Id,
+    /// When stalled bodies are to be checked next; `None` before the first check.
+    next_check: Option<Instant>,
+    is_check_deferred: bool,
     /// Requests for room by lane.
     waiters: [VecDeque<Waiter>; Lane::ALL.len()],
 }
@@ -296,13 +304,19 @@
     /// Ends receipts until there will be room for all that wait; returns when to check again.
     fn end_receipts(&self, now: Instant) -> Instant {
         let mut state = self.lock();
+        if state.defers_check(now) {
+            return now + CHECK_DELAY;
+        }
         while state.missing(self.0.limit) > 0 {
             if !state.end_stalled(now) && !state.end_deadlocked(self.0.limit) {
                 break;
             }
         }
         let next_stall = state.stallable().map(|receipt| receipt.progress_at + MIN_STALL).min();
-        next_stall.unwrap_or(now + MIN_STALL).clamp(now + MIN_STALL / 16, now + MIN_STALL)
+        let next_check = next_stall.unwrap_or(now + MIN_STALL);
+        let next_check = next_check.clamp(now + CHECK_DELAY, now + MIN_STALL);
+        state.next_check = Some(next_check);
+        next_check
     }
 
     fn release(&self, byte_use: ByteUse, len: usize) {
@@ -412,6 +426,16 @@
         self.receipts.values().filter(|receipt| receipt.is_stallable())
     }
 
+    /// Returns whether a check is so late that it has to be deferred. Only one of two in a row is.
+    fn defers_check(&mut self, now: Instant) -> bool {
+        let is_late = self.next_check.is_some_and(|at| now > at + MAX_CHECK_DELAY);
+        self.is_check_deferred = is_late && !self.is_check_deferred;
+        if self.is_check_deferred {
+            self.next_check = Some(now + CHECK_DELAY);
+        }
+        self.is_check_deferred
+    }
+
     /// Ends the receipt that has made no progress for the longest time, if that is long enough.
     fn end_stalled(&mut self, now: Instant) -> bool {
         let stallable = self.receipts.values_mut().filter(|receipt| receipt.is_stallable());
--- a/lib/tests/test_byte_budget.rs
+++ b/lib/tests/test_byte_budget.rs
@@ -124,6 +124,35 @@
     assert_eq!(budget.total(), 0);
 }
 
+/// Time in which the process did not run is no time without progress: what has arrived meanwhile is read first.
+#[tokio::test(start_paused = true)]
+async fn pause_of_process_ends_no_body_that_has_arrived_meanwhile() {
+    let budget = ByteBudget::new(LIMIT);
+    let mut bodies = vec![];
+    for _ in 0..3 {
+        let (tx, body) = body(Some(4 * MIB));
+        let reading = read(&budget, body, 4 * MIB);
+        tx.send(part(2 * MIB)).expect("a reader");
+        settle().await;
+        bodies.push((tx, reading));
+    }
+    let waiting = {
+        let budget = budget.clone();
+        tokio::spawn(async move { reserve(&budget, 4 * MIB).await })
+    };
+    settle().await;
+    // The timers expire while nothing runs; those that wait run before the readers of the bodies.
+    tokio::time::advance(Duration::from_secs(3)).await;
+    let ended = budget.ended_receipts();
+    for (tx, reading) in bodies {
+        tx.send(part(2 * MIB)).expect("a reader");
+        drop(tx);
+        assert_eq!(reading.await.expect("no panic").expect("a body").len(), 4 * MIB);
+    }
+    assert_eq!(ended, 0);
+    waiting.await.expect("no panic").expect("room");
+}
+
 #[tokio::test(start_paused = true)]
 async fn slow_body_is_kept_while_there_is_room() {
     let budget = ByteBudget::new(LIMIT);
