--- a/lib/src/byte_budget.rs
+++ b/lib/src/byte_budget.rs
@@ -207,6 +207,12 @@
     }
 }
 
+/// Returns the part of the limit that responses and events can use, other than small ones: callers that do not read
+/// theirs do not keep out the bodies of others.
+fn unsent_limit(limit: usize) -> usize {
+    limit / 4 * 3
+}
+
 impl ByteBudget {
     /// Returns an account of which nothing is used. `limit` is in bytes.
     pub fn new(limit: usize) -> Self {
@@ -263,7 +269,10 @@
         len: usize,
         until: Instant,
     ) -> Result<Reservation, NoRoom> {
-        let limit = lane.limit(self.0.limit);
+        let limit = match lane {
+            Lane::Responses => unsent_limit(self.0.limit),
+            lane => lane.limit(self.0.limit),
+        };
         if len > limit {
             return Err(NoRoom::TooLarge { need: len, limit });
         }
@@ -272,7 +281,7 @@
             if state.take_first(lane, byte_use, len, self.0.limit) {
                 return Ok(self.reservation(byte_use, len));
             }
-            let waiting = state.waiting(lane);
+            let waiting = state.waiting_for(ByteUse::RequestBodies);
             if byte_use == ByteUse::RequestBodies && waiting + len > limit * MAX_QUEUE_RATIO {
                 return Err(NoRoom::QueueFull { waiting, limit });
             }
@@ -381,6 +390,11 @@
         self.waiters[..=last as usize].iter().flatten().map(|waiter| waiter.len).sum()
     }
 
+    fn waiting_for(&self, byte_use: ByteUse) -> usize {
+        let waiters = self.waiters.iter().flatten().filter(|waiter| waiter.byte_use == byte_use);
+        waiters.map(|waiter| waiter.len).sum()
+    }
+
     fn next_id(&mut self) -> Id {
         self.last_id += 1;
         self.last_id
@@ -390,13 +404,14 @@
     fn take_first(&mut self, lane: Lane, byte_use: ByteUse, len: usize, limit: usize) -> bool {
         let waits_behind = match lane {
             Lane::Small => false,
-            lane => self.waiters[..=lane as usize].iter().any(|queue| !queue.is_empty()),
+            lane => self.queues(limit).any(|queue| queue <= lane as usize),
         };
         !waits_behind && self.take(lane, byte_use, len, limit)
     }
 
     fn take(&mut self, lane: Lane, byte_use: ByteUse, len: usize, limit: usize) -> bool {
-        let has_room = self.total() + len <= lane.limit(limit);
+        let is_full = lane == Lane::Responses && self.unsent() + len > unsent_limit(limit);
+        let has_room = !is_full && self.total() + len <= lane.limit(limit);
         if has_room {
             self.used[byte_use as usize] += len;
         }
@@ -405,7 +420,8 @@
 
     /// Takes bytes for the first that waits; `None` if there is no room for it.
     fn pop_granted(&mut self, limit: usize) -> Option<Waiter> {
-        let lane = Lane::ALL.into_iter().find(|lane| !self.waiters[*lane as usize].is_empty())?;
+        let first = self.queues(limit).next()?;
+        let lane = Lane::ALL[first];
         let (byte_use, len) = self.waiters[lane as usize].front().map(|w| (w.byte_use, w.len))?;
         let is_granted = self.take(lane, byte_use, len, limit);
         is_granted.then(|| self.waiters[lane as usize].pop_front()).flatten()
@@ -413,14 +429,32 @@
 
     /// Returns the bytes that have to be released for all that wait, beyond those of ended receipts.
     fn missing(&self, limit: usize) -> usize {
-        let lanes = Lane::ALL.into_iter().filter(|lane| !self.waiters[*lane as usize].is_empty());
+        let lanes = self.queues(limit).map(|queue| Lane::ALL[queue]);
         let missing = lanes.map(|lane| {
-            let wanted = self.total() + self.waiting(lane);
+            let before = self.queues(limit).filter(|queue| *queue <= lane as usize);
+            let waiting = before.flat_map(|queue| &self.waiters[queue]).map(|waiter| waiter.len);
+            let wanted = self.total() + waiting.sum::<usize>();
             wanted.saturating_sub(lane.limit(limit) + self.ending)
         });
         missing.max().unwrap_or(0)
     }
 
+    /// Returns the bytes that wait for callers to read them.
+    fn unsent(&self) -> usize {
+        self.used[ByteUse::Responses as usize] + self.used[ByteUse::Events as usize]
+    }
+
+    /// Returns the lanes with requests for room, without that of responses while callers do not read theirs: bodies
+    /// do not wait behind it then.
+    fn queues(&self, limit: usize) -> impl Iterator<Item = usize> {
+        (0..self.waiters.len()).filter(move |queue| {
+            self.waiters[*queue].front().is_some_and(|waiter| {
+                let is_response = *queue == Lane::Responses as usize;
+                !is_response || self.unsent() + waiter.len <= unsent_limit(limit)
+            })
+        })
+    }
+
     /// Returns the receipts that can be ended once they make no progress.
     fn stallable(&self) -> impl Iterator<Item = &OpenReceipt> {
         self.receipts.values().filter(|receipt| receipt.is_stallable())
@@ -454,8 +488,9 @@
     /// Ends the last one of the receipts that wait for room while they hold so much that the first that waits gets
     /// no room even if all others release theirs.
     fn end_deadlocked(&mut self, limit: usize) -> bool {
-        let first = Lane::ALL.into_iter().find_map(|lane| {
-            self.waiters[lane as usize].front().map(|waiter| (lane.limit(limit), waiter.len))
+        let first = self.queues(limit).find_map(|queue| {
+            let waiter = self.waiters[queue].front()?;
+            Some((Lane::ALL[queue].limit(limit), waiter.len))
         });
         let waiting = self.receipts.values().filter(|receipt| receipt.is_waiting());
         let held: usize = waiting.map(|receipt| receipt.held).sum();
