--- a/serving/src/descriptor_budget.rs
+++ b/serving/src/descriptor_budget.rs
@@ -47,10 +47,14 @@
         shares
     }
 
+    /// Returns the number of connections that all listeners accept.
+    pub fn listeners(&self) -> usize {
+        self.callers + self.relay + self.directory + self.readiness + self.metrics
+    }
+
     /// Returns the sum of all shares.
     pub fn total(&self) -> usize {
-        let listeners = self.callers + self.relay + self.directory + self.readiness + self.metrics;
-        self.own + listeners + self.control + self.upstream
+        self.own + self.listeners() + self.control + self.upstream
     }
 }
 
--- a/serving/src/listeners.rs
+++ b/serving/src/listeners.rs
@@ -46,9 +46,13 @@
 
 /// Maximum number of connections that wait to be accepted.
 const ACCEPT_BACKLOG: i32 = 1024;
-/// Size of the receive buffer of an accepted connection, which the kernel doubles. Without it, the buffer grows to
+/// Largest receive buffer of an accepted connection, which the kernel doubles. Without a limit, the buffer grows to
 /// megabytes, which the process holds while it does not read.
-const RECEIVE_BUFFER: usize = 64 << 10;
+const MAX_RECEIVE_BUFFER: usize = 64 << 10;
+/// Smallest receive buffer of an accepted connection.
+const MIN_RECEIVE_BUFFER: usize = 4 << 10;
+/// Divisor of the memory that the receive buffers of all connections take, before the kernel doubles them.
+const RECEIVE_BUFFERS_PART: usize = 12;
 /// Delay after a failed `accept`, for example when no file descriptors are left.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 /// Time for which a connection is still served once it is to be closed, so that a request that has already
@@ -143,14 +147,21 @@
     }
 }
 
-/// Binds a TCP listener to an address.
-pub fn bind(address: SocketAddr) -> Result<TcpListener, BindError> {
+/// Returns the size of the receive buffer of a connection, in bytes, for a process with `memory` bytes and
+/// `connections` connections at most.
+pub fn receive_buffer(memory: usize, connections: usize) -> usize {
+    let share = memory / RECEIVE_BUFFERS_PART / connections.max(1);
+    share.clamp(MIN_RECEIVE_BUFFER, MAX_RECEIVE_BUFFER)
+}
+
+/// Binds a TCP listener to an address, whose connections have receive buffers of this size.
+pub fn bind(address: SocketAddr, receive_buffer: usize) -> Result<TcpListener, BindError> {
     let try_bind = || -> io::Result<TcpListener> {
         let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
         socket.set_reuse_address(true)?;
         socket.set_nonblocking(true)?;
         // Accepted connections inherit the size.
-        if let Err(e) = socket.set_recv_buffer_size(RECEIVE_BUFFER) {
+        if let Err(e) = socket.set_recv_buffer_size(receive_buffer) {
             log::debug!("failed to set the size of receive buffers: {e}");
         }
         socket.bind(&address.into())?;
