--- a/serving/src/serving_cx.rs
+++ b/serving/src/serving_cx.rs
@@ -135,10 +135,13 @@
     pub demand: ModelDemand,
 }
 
-/// Returns how many bytes of the memory of the process may be held for callers. The rest is for the program itself,
-/// for buffers of connections, and for bytes that the kernel has received.
+/// Memory that the program itself takes, in bytes.
+const PROGRAM_BYTES: usize = 16 << 20;
+
+/// Returns how many bytes of the memory of the process may be held for callers: two thirds of what the program leaves. The
+/// rest is for buffers of connections, and for bytes that the kernel has received.
 fn caller_bytes(memory: usize) -> usize {
-    memory / 3 * 2
+    memory.saturating_sub(PROGRAM_BYTES) / 3 * 2
 }
 
 /// Returns the heartbeat period in a fleet of `nodes` nodes.
