--- a/serving/src/serving_cx.rs
+++ b/serving/src/serving_cx.rs
@@ -136,12 +136,13 @@
 }
 
 /// Memory that the program itself takes, in bytes.
-const PROGRAM_BYTES: usize = 16 << 20;
+const PROGRAM_BYTES: usize = 24 << 20;
 
-/// Returns how many bytes of the memory of the process may be held for callers: two thirds of what the program leaves. The
+/// Returns how many bytes of the memory of the process may be held for callers: two thirds of what the program leaves, and
+/// at least a third. The
 /// rest is for buffers of connections, and for bytes that the kernel has received.
 fn caller_bytes(memory: usize) -> usize {
-    memory.saturating_sub(PROGRAM_BYTES) / 3 * 2
+    (memory.saturating_sub(PROGRAM_BYTES) / 3 * 2).max(memory / 3)
 }
 
 /// Returns the heartbeat period in a fleet of `nodes` nodes.
