--- a/serving/src/failed_attempts.rs
+++ b/serving/src/failed_attempts.rs
@@ -105,10 +105,14 @@
         self.lock().ended.contains_key(&hash)
     }
 
-    /// Removes the attempts that failed since a moment, or all: the links of this node were broken.
-    pub fn forget_since(&self, since: Option<Instant>) {
+    /// Removes the attempts that failed since a moment, or all: the links of this node were broken. Returns
+    /// their number.
+    pub fn forget_since(&self, since: Option<Instant>) -> usize {
         let is_before = |kept: &KeptAttempt| since.is_some_and(|since| kept.failed_at < since);
-        self.lock().attempts.retain(is_before);
+        let mut inner = self.lock();
+        let before = inner.attempts.len();
+        inner.attempts.retain(is_before);
+        before - inner.attempts.len()
     }
 
     /// Removes and returns the attempts at replicas that ended; drops those that are too old.
--- a/serving/src/instance_reach.rs
+++ b/serving/src/instance_reach.rs
@@ -5,6 +5,7 @@
 //! reachable. So such evidence counts against an instance only if this node establishes connections to others at
 //! the same time.
 
+use crate::connection::ConnectError;
 use crate::connection::Connection;
 use crate::instance::Instance;
 use crate::serving_cx::ServingCx;
@@ -48,6 +49,37 @@
     Unknown,
 }
 
+/// Result of probing several instances.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum ProbeResult {
+    /// One of them accepted a connection.
+    Connected,
+    /// None of them did, and this many refused it.
+    Unreachable { refused: usize },
+    /// This process was delayed, so that its timeouts show nothing.
+    Delayed,
+}
+
+impl ProbeResult {
+    fn links(self) -> Links {
+        match self {
+            Self::Connected => Links::Working,
+            Self::Unreachable { .. } => Links::Broken,
+            Self::Delayed => Links::Unknown,
+        }
+    }
+
+    /// Returns the value of the metrics label for this result.
+    fn name(self) -> &'static str {
+        match self {
+            Self::Connected => "working",
+            Self::Unreachable { refused: 0 } => "broken",
+            Self::Unreachable { .. } => "refused",
+            Self::Delayed => "delayed",
+        }
+    }
+}
+
 /// Shared knowledge about the links to the instances.
 #[derive(Debug, Clone)]
 pub struct InstanceReach {
@@ -164,17 +196,20 @@
     let addresses = others(cx, suspects);
     let links = match addresses.len() {
         0 => Links::Working,
-        _ => probe(cx, &addresses).await,
+        probed => {
+            let result = probe(cx, &addresses).await;
+            if let ProbeResult::Unreachable { refused } = result {
+                record_cut(cx, probed, refused);
+            }
+            result.links()
+        }
     };
     cx.reach.lock().checked = Some((started, links));
-    if links == Links::Broken {
-        record_cut(cx, addresses.len());
-    }
     links
 }
 
 /// Records that this node reaches no instance, and probes some of them until it does.
-fn record_cut(cx: &ServingCx, probed: usize) {
+fn record_cut(cx: &ServingCx, probed: usize, refused: usize) {
     if cx.reach.is_cut.send_replace(true) {
         return;
     }
@@ -186,13 +221,16 @@
     };
     let (now, connected_at) = (Instant::now(), cx.reach.connected_at());
     let silent_for = connected_at.map_or(Duration::ZERO, |at| now - at);
-    if probed >= CERTAIN_PROBES {
-        cx.failed_attempts.forget_since(connected_at);
-    }
+    let forgotten = match probed >= CERTAIN_PROBES {
+        true => cx.failed_attempts.forget_since(connected_at),
+        false => 0,
+    };
     cx.log.record(Event::InstancesUnreachable {
         node: cx.node().to_string(),
         probed: probed as u64,
+        refused: refused as u64,
         silent_for,
+        forgotten: forgotten as u64,
     });
     let cx = cx.clone();
     tokio::spawn(async move {
@@ -234,7 +272,13 @@
 }
 
 /// Connects to instances until one accepts.
-async fn probe(cx: &ServingCx, addresses: &[SocketAddr]) -> Links {
+async fn probe(cx: &ServingCx, addresses: &[SocketAddr]) -> ProbeResult {
+    let result = connect_to_any(cx, addresses).await;
+    cx.metrics.link_check(result.name());
+    result
+}
+
+async fn connect_to_any(cx: &ServingCx, addresses: &[SocketAddr]) -> ProbeResult {
     let started = Instant::now();
     let mut connections = JoinSet::new();
     for address in addresses {
@@ -242,17 +286,19 @@
         connections
             .spawn(async move { Connection::open(&cx.network, address, PROBE_TIMEOUT).await });
     }
+    let mut refused = 0;
     while let Some(opened) = connections.join_next().await {
-        if matches!(opened, Ok(Ok(_))) {
-            cx.reach.record_connected();
-            cx.metrics.link_check("working");
-            return Links::Working;
+        match opened {
+            Ok(Ok(_)) => {
+                cx.reach.record_connected();
+                return ProbeResult::Connected;
+            }
+            Ok(Err(ConnectError::Refused)) => refused += 1,
+            Ok(Err(_)) | Err(_) => {}
         }
     }
-    if started.elapsed() > PROBE_TIMEOUT + MAX_SCHEDULING_DELAY {
-        cx.metrics.link_check("delayed");
-        return Links::Unknown;
+    match started.elapsed() > PROBE_TIMEOUT + MAX_SCHEDULING_DELAY {
+        true => ProbeResult::Delayed,
+        false => ProbeResult::Unreachable { refused },
     }
-    cx.metrics.link_check("broken");
-    Links::Broken
 }
--- a/serving/src/serving_metrics.rs
+++ b/serving/src/serving_metrics.rs
@@ -60,7 +60,7 @@
     ),
     (
         "link_checks_total",
-        "Checks whether this node reaches instances, after a connection to one failed, by outcome.",
+        "Checks whether this node reaches instances, after a connection to one failed, by outcome: one accepted (working), none answered (broken), some refused and none accepted (refused), or this process was late (delayed).",
     ),
     (
         "requests_relayed_total",
