--- a/serving/src/failed_attempts.rs
+++ b/serving/src/failed_attempts.rs
@@ -86,7 +86,8 @@
 struct KeptAttempt {
     attempt: FailedAttempt,
     failed_at: Instant,
-    /// Start times of the members that were registered and not draining when the attempt failed.
+    /// Start times of the members that were registered when the attempt failed, and have not announced that
+    /// they leave.
     members: Vec<(InstanceId, u64)>,
     /// Whether the check of the replica that the failure started is still running.
     is_being_checked: bool,
@@ -115,6 +116,14 @@
         before - inner.attempts.len()
     }
 
+    /// Forgets the members that announced that they leave after attempts at them had failed: they have not
+    /// ended with these attempts.
+    fn forget_leaving(&self, is_leaving: impl Fn(&InstanceId, u64) -> bool) {
+        for kept in &mut self.lock().attempts {
+            kept.members.retain(|(id, born)| !is_leaving(id, *born));
+        }
+    }
+
     /// Removes and returns the attempts at replicas that ended; drops those that are too old.
     fn take_ended(
         &self,
@@ -230,6 +239,10 @@
 pub fn review(cx: &ServingCx) {
     let now = Instant::now();
     let instances = cx.fleet.instances();
+    cx.failed_attempts.forget_leaving(|id, born| {
+        let run = instances.get(id).filter(|instance| instance.engine.born_ms == born);
+        run.is_some_and(|instance| instance.is_draining)
+    });
     let has_ended = |kept: &KeptAttempt| {
         kept.members.iter().any(|(id, born)| {
             instances.get(id).is_none_or(|instance| instance.engine.born_ms != *born)
--- a/serving/tests/runner.rs
+++ b/serving/tests/runner.rs
@@ -25,6 +25,7 @@
 mod test_fleet_retry_budget;
 mod test_fleet_start;
 mod test_fleet_view;
+mod test_fleet_wide_crashes;
 mod test_group_allocation;
 mod test_group_faults;
 mod test_group_plan;
