--- a/serving/src/failed_attempts.rs
+++ b/serving/src/failed_attempts.rs
@@ -257,8 +257,8 @@
 }
 
 fn keep(cx: &ServingCx, attempt: FailedAttempt, is_being_checked: bool, is_unframed: bool) {
-    // An attempt that ends while this node reaches no instance says nothing about its replica.
-    if cx.reach.is_certainly_cut() {
+    // An attempt that ends while the links of this node are broken says nothing about its replica.
+    if cx.reach.has_broken_links() {
         return;
     }
     let now = Instant::now();
--- a/serving/src/instance_reach.rs
+++ b/serving/src/instance_reach.rs
@@ -4,6 +4,11 @@
 //! are broken, for example by a partition from all instances that leaves callers, the store and the other nodes
 //! reachable. So such evidence counts against an instance only if this node establishes connections to others at
 //! the same time.
+//!
+//! If it establishes none, all instances may have ended, for example since a request crashes each of them that is
+//! back. Their machines refuse connections then, while links that lose packets are silent. But links may refuse
+//! connections too, so whether an instance has ended is left to the list of instances, which does not depend on
+//! the links of this node: see `failed_attempts`.
 
 use crate::connection::ConnectError;
 use crate::connection::Connection;
@@ -32,8 +37,8 @@
 /// Number of instances that are probed at once, and its maximum where there are many data centres.
 const PROBES: usize = 4;
 const MAX_PROBES: usize = 10;
-/// Number of other instances from which it is certain that the links are broken if none can be reached. A single
-/// one may have ended too.
+/// Number of other instances from which it is certain that the links are broken if none of them answers. The machine
+/// of a single one may have failed too.
 const CERTAIN_PROBES: usize = 2;
 /// Interval between the probes of a node that reaches no instance.
 const PROBE_PERIOD: Duration = Duration::from_millis(100);
@@ -97,8 +102,8 @@
     checked: Option<(Instant, Links)>,
     /// Number of times that this node began to reach no instance.
     cuts: u64,
-    /// Whether that of the last one is certain.
-    is_certain: bool,
+    /// Whether the links were broken at the last one, rather than all instances down.
+    has_broken_links: bool,
 }
 
 impl Default for InstanceReach {
@@ -146,10 +151,10 @@
         self.lock().connected_at
     }
 
-    /// Returns whether it is certain that this node reaches no instance, so that attempts which fail say nothing
-    /// about their replicas.
-    pub fn is_certainly_cut(&self) -> bool {
-        self.is_cut() && self.lock().is_certain
+    /// Returns whether this node reaches no instance since its links are broken, so that attempts which fail say
+    /// nothing about their replicas.
+    pub fn has_broken_links(&self) -> bool {
+        self.is_cut() && self.lock().has_broken_links
     }
 
     /// Returns whether this node still reaches no instance since the cut with a number.
@@ -213,15 +218,18 @@
     if cx.reach.is_cut.send_replace(true) {
         return;
     }
+    // Where an instance refuses the connection, its machine answers: all instances may have ended together, and the
+    // list of instances tells.
+    let has_broken_links = probed >= CERTAIN_PROBES && refused == 0;
     let number = {
         let mut state = cx.reach.lock();
         state.cuts += 1;
-        state.is_certain = probed >= CERTAIN_PROBES;
+        state.has_broken_links = has_broken_links;
         state.cuts
     };
     let (now, connected_at) = (Instant::now(), cx.reach.connected_at());
     let silent_for = connected_at.map_or(Duration::ZERO, |at| now - at);
-    let forgotten = match probed >= CERTAIN_PROBES {
+    let forgotten = match has_broken_links {
         true => cx.failed_attempts.forget_since(connected_at),
         false => 0,
     };
