--- a/serving/src/failed_attempts.rs
+++ b/serving/src/failed_attempts.rs
@@ -5,8 +5,8 @@
 //! unreachable from this node. Nor does the error tell: a group that lost a member ends the attempt when
 //! it is marked as down, and a caller may leave before anything is noticed. So each attempt without a
 //! complete response is kept for a while, and is recorded as running at a crash once an instance of its
-//! replica turns out to have ended: its address refuses connections or belongs to another run, or its
-//! entry is gone or shows another run.
+//! replica turns out to have ended: its address refuses connections or belongs to another run, its entry
+//! is gone or shows another run, or a later run is registered at its address.
 //!
 //! A response without a length ends with its connection, as does one that a crash cuts off between two
 //! events. Its attempt is kept likewise, and counts as a completed run if its replica goes on.
@@ -86,15 +86,23 @@
 struct KeptAttempt {
     attempt: FailedAttempt,
     failed_at: Instant,
-    /// Start times of the members that were registered when the attempt failed, and have not announced that
-    /// they leave.
-    members: Vec<(InstanceId, u64)>,
+    /// Members that were registered when the attempt failed, and have not announced that they leave.
+    members: Vec<MemberRun>,
     /// Whether the check of the replica that the failure started is still running.
     is_being_checked: bool,
     /// Whether the response ended with its connection and may be complete.
     is_unframed: bool,
 }
 
+/// Run of a member of a replica.
+#[derive(Debug)]
+struct MemberRun {
+    id: InstanceId,
+    address: SocketAddr,
+    /// Start of its process, in milliseconds since the Unix epoch.
+    born_ms: u64,
+}
+
 impl FailedAttempts {
     /// Creates an empty list.
     pub fn new() -> Self {
@@ -118,9 +126,9 @@
 
     /// Forgets the members that announced that they leave after attempts at them had failed: they have not
     /// ended with these attempts.
-    fn forget_leaving(&self, is_leaving: impl Fn(&InstanceId, u64) -> bool) {
+    fn forget_leaving(&self, is_leaving: impl Fn(&MemberRun) -> bool) {
         for kept in &mut self.lock().attempts {
-            kept.members.retain(|(id, born)| !is_leaving(id, *born));
+            kept.members.retain(|run| !is_leaving(run));
         }
     }
 
@@ -235,18 +243,25 @@
     }
 }
 
-/// Records the attempts at replicas of which an instance is no longer registered, and drops old attempts.
+/// Records the attempts at replicas of which an instance is no longer registered, or whose address a later run has
+/// taken over, and drops old attempts.
 pub fn review(cx: &ServingCx) {
     let now = Instant::now();
     let instances = cx.fleet.instances();
-    cx.failed_attempts.forget_leaving(|id, born| {
-        let run = instances.get(id).filter(|instance| instance.engine.born_ms == born);
-        run.is_some_and(|instance| instance.is_draining)
-    });
+    let mut latest: HashMap<SocketAddr, u64> = HashMap::new();
+    for instance in instances.values() {
+        let born_ms = latest.entry(instance.address).or_default();
+        *born_ms = instance.engine.born_ms.max(*born_ms);
+    }
+    let entry_of = |run: &MemberRun| {
+        instances.get(&run.id).filter(|instance| instance.engine.born_ms == run.born_ms)
+    };
+    cx.failed_attempts
+        .forget_leaving(|run| entry_of(run).is_some_and(|instance| instance.is_draining));
+    let is_followed =
+        |run: &MemberRun| latest.get(&run.address).is_some_and(|born_ms| *born_ms > run.born_ms);
     let has_ended = |kept: &KeptAttempt| {
-        kept.members.iter().any(|(id, born)| {
-            instances.get(id).is_none_or(|instance| instance.engine.born_ms != *born)
-        })
+        kept.members.iter().any(|run| entry_of(run).is_none() || is_followed(run))
     };
     for attempt in cx.failed_attempts.take_ended(now, has_ended) {
         record(cx, attempt, now);
@@ -264,7 +279,8 @@
     let now = Instant::now();
     let registered = |(id, _): &(InstanceId, SocketAddr)| {
         let instance = cx.fleet.instance(id).filter(|instance| !instance.is_draining)?;
-        Some((id.clone(), instance.engine.born_ms))
+        let (address, born_ms) = (instance.address, instance.engine.born_ms);
+        Some(MemberRun { id: id.clone(), address, born_ms })
     };
     let members = attempt.replica.members.iter().filter_map(registered).collect();
     let mut inner = cx.failed_attempts.lock();
--- a/serving/tests/test_fleet_wide_crashes.rs
+++ b/serving/tests/test_fleet_wide_crashes.rs
@@ -13,6 +13,8 @@
 use guavaladder_serving::serving_cx::ServingCx;
 use http::Method;
 use rstest::rstest;
+use serde_json::Value;
+use serde_json::json;
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::time::sleep;
@@ -159,6 +161,42 @@
     assert_eq!(fleet.fake_platform.crash_runs().len(), CRASHES);
 }
 
+/// Entry of an instance at a given address.
+fn entry_at(address: &str, born_ms: u64) -> Value {
+    json!({
+        "service": "orders", "address": address, "zone": "east", "version": "v1", "slots": 8,
+        "state": "ready", "coldLeftMs": 0, "sequence": 0, "born": born_ms,
+    })
+}
+
+/// Replicas are back before their earlier entries are removed, at the same addresses and under other ids.
+#[tokio::test]
+async fn crash_is_not_counted_before_the_entry_is_removed() {
+    let kind = Kind::Idempotent;
+    let mut fleet = start_platform().await;
+    let ids = start_instances(&fleet, kind, 1).await;
+    fleet.add_first_node(kind.service(), REPLICAS).await;
+    let platform = &fleet.fake_platform;
+    ids[1..].iter().for_each(|id| platform.kill(id));
+    while platform.is_up(&ids[0]) {
+        kind.call(CRASH_MARKER).status(fleet.callers(0)).await;
+    }
+    let cx = fleet.nodes[0].cx.clone();
+    eventually(|| cx.reach.is_cut()).await;
+    sleep(START).await;
+    assert_eq!(kind.crash_count(&cx, CRASH_MARKER), 0);
+    // An instance of before at the address proves nothing.
+    let address = platform.address(&ids[0]).expect("an address").to_string();
+    let born_ms = cx.fleet.instance(&ids[0]).expect("an entry").engine.born_ms;
+    fleet.store.put("servers", "x-earlier", entry_at(&address, born_ms - 1));
+    eventually(|| cx.fleet.instance("x-earlier").is_some()).await;
+    sleep(START).await;
+    assert_eq!(kind.crash_count(&cx, CRASH_MARKER), 0);
+    fleet.store.put("servers", "x-later", entry_at(&address, born_ms + 1));
+    eventually(|| kind.crash_count(&cx, CRASH_MARKER) == 1).await;
+    assert!(cx.fleet.instance(&ids[0]).is_some(), "its entry is still listed");
+}
+
 /// The instances of another service are listed but silent to the node, while all replicas of the first one refuse.
 #[tokio::test]
 async fn crash_of_the_last_replica_is_forgotten_beside_silent_instances() {
