--- a/serving/tests/test_leaving_replicas.rs
+++ b/serving/tests/test_leaving_replicas.rs
@@ -11,6 +11,7 @@
 use guavaladder_platform_testutils::FakePlatform;
 use guavaladder_platform_testutils::LinkMode;
 use guavaladder_platform_testutils::StoreMode;
+use guavaladder_platform_testutils::config as platform_config;
 use guavaladder_platform_testutils::spawn_instance;
 use guavaladder_serving::fleet_view::EntryChange;
 use guavaladder_serving::fleet_view::FleetView;
@@ -118,6 +119,44 @@
     assert_eq!(plain_replicas(view), ["p-00", "p-01"]);
 }
 
+/// Starts two nodes, lets the watches of the second one get lost, and stops the first one, which holds the lease.
+async fn stop_holder_after_lost_watches() -> Fleet {
+    let mut fleet = Fleet::new(0).await;
+    fleet.add_first_node("orders", 2).await;
+    let store = fleet.add_node_with_own_store_address().await;
+    fleet.wait_for_replicas(1, "orders", 2).await;
+    fleet.store.set_mode_at(store, StoreMode::Unresponsive);
+    // The watches in progress return with these changes, and the next ones are lost.
+    spawn_instance(&fleet.fake_platform, spec("p-02", "orders", None)).await;
+    fleet.store.put("config", "main", platform_config(6));
+    fleet.wait_for_replicas(1, "orders", 3).await;
+    sleep(Duration::from_secs(1)).await;
+    fleet.store.set_mode_at(store, StoreMode::Up);
+    sleep(Duration::from_millis(100)).await;
+    assert!(fleet.nodes[0].cx.lease.term().is_some());
+    fleet.nodes.remove(0).stop().await;
+    fleet
+}
+
+/// The node that would have told the others of what leaves has stopped; requests may reach it for two seconds.
+#[tokio::test]
+async fn replica_that_leaves_after_a_lost_watch_gets_requests_once_the_holder_has_stopped() {
+    let fleet = stop_holder_after_lost_watches().await;
+    fleet.fake_platform.drain("p-02");
+    sleep(Duration::from_secs(2)).await;
+    assert_eq!(plain_replicas(&fleet.nodes[0].cx.fleet), ["p-00", "p-01"]);
+}
+
+/// The node that would have told the others of a newer configuration has stopped; that has to be in force within
+/// three seconds.
+#[tokio::test]
+async fn configuration_after_a_lost_watch_is_not_used_once_the_holder_has_stopped() {
+    let fleet = stop_holder_after_lost_watches().await;
+    fleet.store.put("config", "main", platform_config(7));
+    sleep(Duration::from_secs(3)).await;
+    assert_eq!(fleet.nodes[0].cx.config.version(), Some(7));
+}
+
 /// Starts a fleet of which only some nodes watch the list of instances, with one plain replica, and returns a
 /// node that does not watch and one that does.
 async fn start_large_fleet() -> (Fleet, usize, usize) {
