--- a/review/testutils-2/fleet.rs
+++ b/review/testutils-2/fleet.rs
@@ -69,6 +69,8 @@
 pub struct Run {
     pub at: Duration,
     pub replica: String,
+    /// Whether replicas fail under it.
+    pub is_poison: bool,
 }
 
 /// A plain replica, which registers itself in the store.
@@ -83,29 +85,52 @@
     state: Arc<Mutex<&'static str>>,
     has_ended: Arc<AtomicBool>,
     store: Store,
+    fleet: FleetHandles,
+    number: u8,
+}
+
+/// Path of a request under which replicas fail.
+pub const POISON: &str = "/despacho/poison";
+/// Time after which a crashed replica is back.
+const RESTART: Duration = Duration::from_secs(3);
+/// Time after a crash at which the entry is removed: three heartbeats.
+const ENTRY_LEFT: Duration = Duration::from_millis(3600);
+
+/// What replicas need of their deployment.
+#[derive(Clone)]
+pub struct FleetHandles {
+    record: Arc<Record>,
+    runs: Arc<Mutex<Vec<Run>>>,
+    crashes: Arc<Mutex<Vec<Duration>>>,
+    is_poisonous: Arc<AtomicBool>,
 }
 
 impl Replica {
-    fn start(fleet: &Fleet, number: u8, zone: &'static str) -> io::Result<Self> {
-        let address = fleet.address(100 + number, REPLICA_PORT);
+    fn start(
+        address: SocketAddr,
+        store: Store,
+        fleet: FleetHandles,
+        number: u8,
+    ) -> io::Result<Self> {
         let listener = TcpListener::bind(address)?;
         let born_ms = SystemTime::now().duration_since(UNIX_EPOCH).expect("the time").as_millis();
         let replica = Self {
-            id: format!("i-{number:08x}"),
+            id: format!("i-{number:02x}{:06x}", born_ms % (1 << 24)),
             address,
-            zone,
+            zone: ZONES[usize::from(number) % ZONES.len()],
             work: Duration::from_millis(60),
             born_ms,
             state: Arc::new(Mutex::new("ready")),
             has_ended: Arc::default(),
-            store: fleet.store.clone(),
+            store,
+            fleet,
+            number,
         };
         let (shared, ended) = (replica.clone(), replica.has_ended.clone());
-        let (record, runs) = (fleet.record.clone(), fleet.runs.clone());
         http::serve(
             listener,
             move || ended.load(Ordering::Relaxed),
-            move |request, stream| shared.handle(&request, stream, &record, &runs),
+            move |request, stream| shared.handle(&request, stream),
         );
         let shared = replica.clone();
         thread::spawn(move || {
@@ -151,13 +176,26 @@
         self.unregister();
     }
 
-    fn handle(
-        &self,
-        request: &Message,
-        stream: &mut TcpStream,
-        record: &Record,
-        runs: &Mutex<Vec<Run>>,
-    ) -> io::Result<()> {
+    /// Crashes: nothing listens at its address until another run of it starts there, and its entry expires.
+    fn crash(&self) {
+        self.has_ended.store(true, Ordering::Relaxed);
+        *self.state.lock().expect("the state") = "gone";
+        self.fleet.record.write(&format!("replica {} crashes", self.id));
+        self.fleet.crashes.lock().expect("the crashes").push(self.fleet.record.now());
+        let crashed = self.clone();
+        thread::spawn(move || {
+            thread::sleep(RESTART);
+            let Self { address, store, fleet, number, id, .. } = crashed;
+            if let Ok(started) = Self::start(address, store.clone(), fleet.clone(), number) {
+                fleet.record.write(&format!("replica {} starts", started.id));
+            }
+            thread::sleep(ENTRY_LEFT - RESTART);
+            store.remove("servers", &id);
+        });
+    }
+
+    fn handle(&self, request: &Message, stream: &mut TcpStream) -> io::Result<()> {
+        let FleetHandles { record, runs, .. } = &self.fleet;
         if self.has_ended.load(Ordering::Relaxed) {
             return Err(io::ErrorKind::ConnectionAborted.into());
         }
@@ -177,7 +215,8 @@
             return http::answer(stream, status, &[own], b"");
         }
         record.write(&format!("replica {} runs {id}", self.id));
-        let run = Run { at: record.now(), replica: self.id.clone() };
+        let is_poison = request.word(1) == POISON;
+        let run = Run { at: record.now(), replica: self.id.clone(), is_poison };
         runs.lock().expect("the runs").push(run);
         thread::sleep(self.work);
         if self.has_ended.load(Ordering::Relaxed) {
@@ -185,7 +224,14 @@
         }
         let headers =
             [("X-Request-Id", id), ("X-Response-Stamp", "3e1b.07"), ("X-Replica-Load", "1,0,6")];
-        http::answer(stream, "200 OK", &headers, &[b'a'; 800])
+        if !is_poison {
+            return http::answer(stream, "200 OK", &headers, &[b'a'; 800]);
+        }
+        http::answer(stream, "500 Internal Server Error", &headers, b"failed")?;
+        if self.fleet.is_poisonous.load(Ordering::Relaxed) {
+            self.crash();
+        }
+        Err(io::ErrorKind::ConnectionAborted.into())
     }
 }
 
@@ -220,6 +266,10 @@
     pub record: Arc<Record>,
     pub store: Store,
     pub runs: Arc<Mutex<Vec<Run>>>,
+    /// When replicas crashed.
+    pub crashes: Arc<Mutex<Vec<Duration>>>,
+    /// Whether the poisonous request crashes replicas.
+    pub is_poisonous: Arc<AtomicBool>,
     /// First three bytes of all addresses.
     network: [u8; 3],
     /// Temporary folder with the settings and the logs of the nodes.
@@ -235,7 +285,9 @@
         let store = Store::new();
         store.serve(listener);
         store.put("config", "main", config().as_bytes());
-        Ok(Self { record: Arc::new(record), store, runs: Arc::default(), network, folder })
+        let record = Arc::new(record);
+        let (runs, crashes, is_poisonous) = (Arc::default(), Arc::default(), Arc::default());
+        Ok(Self { record, store, runs, crashes, is_poisonous, network, folder })
     }
 
     pub fn address(&self, last: u8, port: u16) -> SocketAddr {
@@ -245,7 +297,13 @@
 
     /// Starts a replica.
     pub fn start_replica(&self, number: u8) -> io::Result<Replica> {
-        Replica::start(self, number, ZONES[usize::from(number) % ZONES.len()])
+        let fleet = FleetHandles {
+            record: self.record.clone(),
+            runs: self.runs.clone(),
+            crashes: self.crashes.clone(),
+            is_poisonous: self.is_poisonous.clone(),
+        };
+        Replica::start(self.address(100 + number, REPLICA_PORT), self.store.clone(), fleet, number)
     }
 
     /// Starts replicas and nodes, and waits until the nodes are ready. The nodes have the numbers from 2 on.
--- a/review/testutils-2/main.rs
+++ b/review/testutils-2/main.rs
@@ -4,6 +4,7 @@
 mod fleet;
 mod http;
 mod json;
+mod scenario_failing_request;
 mod scenario_removed_entry;
 mod scenario_unreadable_entry;
 mod store;
@@ -23,6 +24,7 @@
         let record = Record::new(Path::new(folder))?;
         match scenario.as_str() {
             "unreadable-entry" => scenario_unreadable_entry::run(record, has_trouble),
+            "failing-request" => scenario_failing_request::run(record, has_trouble),
             "removed-entry" => scenario_removed_entry::run(record, has_trouble),
             _ => Err(io::Error::other("unknown scenario")),
         }
