--- a/review/testutils-2/fleet.rs
+++ b/review/testutils-2/fleet.rs
@@ -89,6 +89,8 @@
     number: u8,
 }
 
+/// `stableWindowMs` of the settings.
+pub const STABLE_WINDOW: Duration = Duration::from_secs(3);
 /// Path of a request under which replicas fail.
 pub const POISON: &str = "/despacho/poison";
 /// Time after which a crashed replica is back.
@@ -103,6 +105,7 @@
     runs: Arc<Mutex<Vec<Run>>>,
     crashes: Arc<Mutex<Vec<Duration>>>,
     is_poisonous: Arc<AtomicBool>,
+    answers_first: Arc<AtomicBool>,
 }
 
 impl Replica {
@@ -218,7 +221,7 @@
         let is_poison = request.word(1) == POISON;
         let run = Run { at: record.now(), replica: self.id.clone(), is_poison };
         runs.lock().expect("the runs").push(run);
-        thread::sleep(self.work);
+        thread::sleep(if is_poison { self.work / 2 } else { self.work });
         if self.has_ended.load(Ordering::Relaxed) {
             return Err(io::ErrorKind::ConnectionAborted.into());
         }
@@ -227,8 +230,11 @@
         if !is_poison {
             return http::answer(stream, "200 OK", &headers, &[b'a'; 800]);
         }
-        http::answer(stream, "500 Internal Server Error", &headers, b"failed")?;
-        if self.fleet.is_poisonous.load(Ordering::Relaxed) {
+        let crashes = self.fleet.is_poisonous.load(Ordering::Relaxed);
+        if !crashes || self.fleet.answers_first.load(Ordering::Relaxed) {
+            http::answer(stream, "500 Internal Server Error", &headers, b"failed")?;
+        }
+        if crashes {
             self.crash();
         }
         Err(io::ErrorKind::ConnectionAborted.into())
@@ -270,6 +276,8 @@
     pub crashes: Arc<Mutex<Vec<Duration>>>,
     /// Whether the poisonous request crashes replicas.
     pub is_poisonous: Arc<AtomicBool>,
+    /// Whether replicas answer it before they crash.
+    pub answers_first: Arc<AtomicBool>,
     /// First three bytes of all addresses.
     network: [u8; 3],
     /// Temporary folder with the settings and the logs of the nodes.
@@ -286,8 +294,16 @@
         store.serve(listener);
         store.put("config", "main", config().as_bytes());
         let record = Arc::new(record);
-        let (runs, crashes, is_poisonous) = (Arc::default(), Arc::default(), Arc::default());
-        Ok(Self { record, store, runs, crashes, is_poisonous, network, folder })
+        Ok(Self {
+            record,
+            store,
+            runs: Arc::default(),
+            crashes: Arc::default(),
+            is_poisonous: Arc::default(),
+            answers_first: Arc::default(),
+            network,
+            folder,
+        })
     }
 
     pub fn address(&self, last: u8, port: u16) -> SocketAddr {
@@ -302,6 +318,7 @@
             runs: self.runs.clone(),
             crashes: self.crashes.clone(),
             is_poisonous: self.is_poisonous.clone(),
+            answers_first: self.answers_first.clone(),
         };
         Replica::start(self.address(100 + number, REPLICA_PORT), self.store.clone(), fleet, number)
     }
@@ -351,7 +368,10 @@
             address(DIRECTORY_PORT),
             json::quote(&self.store_address(number).to_string()),
         );
-        self.store.serve(TcpListener::bind(self.store_address(number))?);
+        // A node that is started again finds the store at the same address.
+        if let Ok(listener) = TcpListener::bind(self.store_address(number)) {
+            self.store.serve(listener);
+        }
         let path = self.folder.join(format!("settings-{number}.json"));
         fs::write(&path, settings)?;
         let log = File::create(self.folder.join(format!("node-{number}.log")))?;
@@ -379,6 +399,15 @@
     }
 }
 
+/// Returns the number of runs of the poisonous request later than `stableWindowMs` after it has crashed the third
+/// replica.
+pub fn late_poison_runs(fleet: &Fleet) -> usize {
+    let third = fleet.crashes.lock().expect("the crashes").get(2).copied();
+    let Some(from) = third.map(|third| third + STABLE_WINDOW) else { return 0 };
+    let runs = fleet.runs.lock().expect("the runs");
+    runs.iter().filter(|run| run.is_poison && run.at > from).count()
+}
+
 impl Drop for Fleet {
     fn drop(&mut self) {
         let _ = fs::remove_dir_all(&self.folder);
--- a/review/testutils-2/main.rs
+++ b/review/testutils-2/main.rs
@@ -5,6 +5,8 @@
 mod http;
 mod json;
 mod scenario_failing_request;
+mod scenario_forgotten_crashes;
+mod scenario_paired_requests;
 mod scenario_removed_entry;
 mod scenario_unreadable_entry;
 mod store;
@@ -25,6 +27,8 @@
         match scenario.as_str() {
             "unreadable-entry" => scenario_unreadable_entry::run(record, has_trouble),
             "failing-request" => scenario_failing_request::run(record, has_trouble),
+            "paired-requests" => scenario_paired_requests::run(record, has_trouble),
+            "forgotten-crashes" => scenario_forgotten_crashes::run(record, has_trouble),
             "removed-entry" => scenario_removed_entry::run(record, has_trouble),
             _ => Err(io::Error::other("unknown scenario")),
         }
--- a/review/testutils-2/scenario_failing_request.rs
+++ b/review/testutils-2/scenario_failing_request.rs
@@ -5,6 +5,7 @@
 use crate::fleet::Node;
 use crate::fleet::POISON;
 use crate::fleet::Record;
+use crate::fleet::late_poison_runs;
 use std::io;
 use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
@@ -12,8 +13,6 @@
 use std::thread;
 use std::time::Duration;
 
-/// `stableWindowMs` of the deployment.
-const STABLE_WINDOW: Duration = Duration::from_secs(3);
 /// Number of times that the request comes, and the pause between.
 const COPIES: u32 = 15;
 const PAUSE: Duration = Duration::from_secs(2);
@@ -22,6 +21,7 @@
     let fleet = Fleet::start(record)?;
     let (_replicas, nodes) = fleet.start_all(3, 3)?;
     fleet.is_poisonous.store(has_trouble, Ordering::Relaxed);
+    fleet.answers_first.store(true, Ordering::Relaxed);
     thread::sleep(Duration::from_secs(3));
     let (is_over, answers) = (AtomicBool::new(false), Mutex::new(vec![]));
     thread::scope(|scope| {
@@ -36,17 +36,13 @@
         }
         is_over.store(true, Ordering::Relaxed);
     });
-    let crashes = fleet.crashes.lock().expect("the crashes").clone();
-    let runs = fleet.runs.lock().expect("the runs").clone();
-    let from = crashes.get(2).map(|third| *third + STABLE_WINDOW);
-    let is_late =
-        |run: &&crate::fleet::Run| run.is_poison && from.is_some_and(|from| run.at > from);
-    let late = runs.iter().filter(is_late).count();
+    let crashes = fleet.crashes.lock().expect("the crashes").len();
+    let late = late_poison_runs(&fleet);
     let answers = answers.into_inner().expect("the answers");
     let lost = answers.iter().filter(|status| !matches!(**status, 200 | 503)).count();
     let line = format!(
         "{} crashes; {late} runs of the request later than stableWindowMs after the third; {lost} of {} other requests lost",
-        crashes.len(),
+        crashes,
         answers.len()
     );
     fleet.record.write(&line);
